--- /dev/null
+++ b/libs/base/include/masticgrade/base/invariant.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace masticgrade {
+
+/// The number of invariant violations since the process started. Thread safety: any thread.
+std::uint64_t invariant_violations() noexcept;
+
+namespace detail {
+void report_invariant_violation(std::string_view name, std::string_view expression,
+                                const std::string& state);
+}
+
+}  // namespace masticgrade
+
+/// Checks an invariant in every build. A violation is counted and logged with the given state (a
+/// std::string, evaluated only on violation), and aborts when MASTICGRADE_ABORT_ON_VIOLATION is
+/// set.
+#define MG_INVARIANT(name, expression, state)                                            \
+    do {                                                                                 \
+        if (!(expression)) {                                                             \
+            ::masticgrade::detail::report_invariant_violation(name, #expression, state); \
+        }                                                                                \
+    } while (false)
+
+/// Throws std::invalid_argument when a documented precondition does not hold.
+#define MG_PRECONDITION(expression)                                           \
+    do {                                                                      \
+        if (!(expression)) {                                                  \
+            ::masticgrade::detail::throw_precondition(#expression, __func__); \
+        }                                                                     \
+    } while (false)
+
+namespace masticgrade::detail {
+[[noreturn]] void throw_precondition(std::string_view expression, std::string_view function);
+}
--- /dev/null
+++ b/libs/version/include/masticgrade/version/fleet_snapshot.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "masticgrade/base/types.hpp"
+#include "masticgrade/version/configuration.hpp"
+
+namespace masticgrade {
+
+struct member {
+    host_id id;
+    endpoint_address peer_address;
+    failure_domain_id failure_domain;
+    incarnation_number incarnation;
+
+    friend bool operator==(const member&, const member&) = default;
+};
+
+struct members {
+    /// The version of the row that this list came from.
+    fleet_version version;
+    std::map<host_id, member> hosts;
+
+    /// The smallest number of hosts that is a majority.
+    [[nodiscard]] std::size_t majority() const noexcept { return hosts.size() / 2 + 1; }
+};
+
+enum class group_phase { sealing, active };
+
+struct group_record {
+    fleet_version version;
+    term_number term;
+    /// Empty while the phase is `sealing`.
+    instance_id primary;
+    /// The position of the entry that the promotion appended, the first one of this term.
+    log_position start_position;
+    group_phase phase = group_phase::active;
+    host_id coordinator;
+    /// Identifies the change, so that an unclear answer of the store can be resolved by reading.
+    std::string mark;
+};
+
+/// What operators changed outside the configuration folder; it takes precedence over the folder.
+struct operations {
+    fleet_version version;
+    std::set<failure_domain_id> drained_domains;
+    std::set<instance_id> drained_servers;
+    std::map<customer_id, std::vector<customer_key>> added_keys;
+    std::set<key_id> revoked_keys;
+};
+
+/// Everything the store says about the fleet at one version.
+/// Thread safety: immutable once published through `std::shared_ptr<const fleet_snapshot>`.
+struct fleet_snapshot {
+    /// The highest version of all rows under `fleet/`.
+    fleet_version version;
+    fleet_version config_version;
+    configuration config;
+    operations ops;
+    members hosts;
+    std::map<group_id, group_record> groups;
+};
+
+using fleet_snapshot_ptr = std::shared_ptr<const fleet_snapshot>;
+
+}  // namespace masticgrade
