--- /dev/null
+++ b/libs/version/src/change_marks.cpp
@@ -0,0 +1,45 @@
+#include "masticgrade/version/change_marks.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "masticgrade/base/invariant.hpp"
+
+namespace masticgrade {
+
+change_marks::change_marks(std::vector<std::string> newest_first)
+    : marks_(std::move(newest_first)) {
+    MG_PRECONDITION(marks_.size() <= capacity);
+    MG_PRECONDITION(!contains(""));
+}
+
+void change_marks::add(std::string mark) {
+    MG_PRECONDITION(!mark.empty());
+    if (newest() == mark) {
+        return;
+    }
+    marks_.insert(marks_.begin(), std::move(mark));
+    marks_.resize(std::min(marks_.size(), capacity));
+}
+
+bool change_marks::contains(std::string_view mark) const {
+    return std::find(marks_.begin(), marks_.end(), mark) != marks_.end();
+}
+
+change_fate resolve_change(const row_state& base, std::string_view mark, const row_state& present) {
+    if (present.marks.contains(mark)) {
+        return change_fate::committed;
+    }
+    if (present.version <= base.version) {
+        // A lagging read may even be older than the base; neither case decides anything.
+        return change_fate::pending;
+    }
+    // The row remembers every change since the base if the base's own mark is still listed or if
+    // the list is not full.
+    const bool remembers_base =
+        present.marks.newest_first().size() < change_marks::capacity ||
+        (!base.marks.newest().empty() && present.marks.contains(base.marks.newest()));
+    return remembers_base ? change_fate::lost : change_fate::unknown;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/version/src/field_reader.cpp
@@ -0,0 +1,323 @@
+#include "field_reader.hpp"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include "masticgrade/base/error.hpp"
+
+namespace masticgrade {
+
+namespace {
+
+constexpr std::size_t longest_name = 128;
+constexpr std::size_t longest_quoted_value = 60;
+
+/// The length of the UTF-8 sequence at the start of `text`, or 0 if it is not valid.
+std::size_t utf8_sequence_length(std::string_view text) {
+    const auto byte = [&](std::size_t i) { return static_cast<unsigned char>(text[i]); };
+    const auto lead = byte(0);
+    if (lead < 0x80) {
+        return 1;
+    }
+    const std::size_t length = lead >= 0xF0 ? 4 : lead >= 0xE0 ? 3 : 2;
+    if (lead < 0xC2 || lead > 0xF4 || text.size() < length) {
+        return 0;
+    }
+    for (std::size_t i = 1; i < length; ++i) {
+        if ((byte(i) & 0xC0) != 0x80) {
+            return 0;
+        }
+    }
+    // Excludes overlong forms, surrogates and code points above U+10FFFF.
+    const bool out_of_range = (lead == 0xE0 && byte(1) < 0xA0) ||
+                              (lead == 0xED && byte(1) > 0x9F) ||
+                              (lead == 0xF0 && byte(1) < 0x90) || (lead == 0xF4 && byte(1) > 0x8F);
+    return out_of_range ? 0 : length;
+}
+
+bool is_valid_utf8(std::string_view text) {
+    while (!text.empty()) {
+        const auto length = utf8_sequence_length(text);
+        if (length == 0) {
+            return false;
+        }
+        text.remove_prefix(length);
+    }
+    return true;
+}
+
+std::string quoted(const boost::json::value& value) {
+    if (const auto* number = value.if_double(); number != nullptr && !std::isfinite(*number)) {
+        return fmt::format("{}", *number);
+    }
+    auto text = boost::json::serialize(value);
+    if (text.size() > longest_quoted_value || !is_valid_utf8(text)) {
+        return "a value of another type or form";
+    }
+    return text;
+}
+
+std::optional<double> as_number(const boost::json::value& value) {
+    if (const auto* number = value.if_double()) {
+        return *number;
+    }
+    if (const auto* number = value.if_int64()) {
+        return static_cast<double>(*number);
+    }
+    if (const auto* number = value.if_uint64()) {
+        return static_cast<double>(*number);
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> as_unsigned(const boost::json::value& value) {
+    if (const auto* number = value.if_uint64()) {
+        return *number;
+    }
+    if (const auto* number = value.if_int64(); number != nullptr && *number >= 0) {
+        return static_cast<std::uint64_t>(*number);
+    }
+    return std::nullopt;
+}
+
+bool is_sha256_text(std::string_view text) {
+    return text.size() == 64 && std::all_of(text.begin(), text.end(), [](char c) {
+               return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+           });
+}
+
+constexpr std::string_view name_rule =
+    "must be a name: 1 to 128 bytes of UTF-8 without spaces, control characters and /?#%\"\\";
+
+}  // namespace
+
+bool is_valid_name(std::string_view text) {
+    if (text.empty() || text.size() > longest_name || !is_valid_utf8(text)) {
+        return false;
+    }
+    return std::none_of(text.begin(), text.end(), [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte <= ' ' || byte == 0x7F ||
+               std::string_view{"/?#%\"\\"}.find(c) != std::string_view::npos;
+    });
+}
+
+bool is_valid_address(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    const auto port_text = text.substr(colon + 1);
+    unsigned port = 0;
+    const auto* end = port_text.data() + port_text.size();
+    const auto [rest, failure] = std::from_chars(port_text.data(), end, port);
+    if (failure != std::errc{} || rest != end || port < 1 || port > 65535) {
+        return false;
+    }
+    const std::string host{text.substr(0, colon)};
+    in6_addr parsed{};
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &parsed) == 1;
+    }
+    // inet_pton stops at a null character, which std::string may contain.
+    return host.find('\0') == std::string::npos && inet_pton(AF_INET, host.c_str(), &parsed) == 1;
+}
+
+boost::json::value parse_json(std::string_view text, std::string_view step) {
+    boost::json::error_code failure;
+    auto value = boost::json::parse(text, failure);
+    if (failure) {
+        throw error(std::string{step}, "", "not valid JSON: " + failure.message());
+    }
+    return value;
+}
+
+field_reader::field_reader(const boost::json::value& value, std::string path,
+                           std::vector<field_error>& errors)
+    : object_(value.if_object()), path_(std::move(path)), errors_(&errors) {
+    if (object_ == nullptr) {
+        errors_->push_back({path_, "must be an object"});
+    }
+}
+
+std::string field_reader::path_of(std::string_view key) const {
+    return path_.empty() ? std::string{key} : fmt::format("{}.{}", path_, key);
+}
+
+void field_reader::report(std::string_view key, std::string reason) {
+    errors_->push_back({path_of(key), std::move(reason)});
+}
+
+const boost::json::value* field_reader::optional(std::string_view key) {
+    known_.emplace(key);
+    return object_ == nullptr ? nullptr : object_->if_contains(key);
+}
+
+const boost::json::value* field_reader::required(std::string_view key) {
+    const auto* value = optional(key);
+    // A value that is no object has been reported once already.
+    if (value == nullptr && object_ != nullptr) {
+        report(key, "is missing");
+    }
+    return value;
+}
+
+std::string field_reader::name(std::string_view key) {
+    const auto* value = required(key);
+    if (value == nullptr) {
+        return {};
+    }
+    const auto* string = value->if_string();
+    if (string == nullptr || !is_valid_name(*string)) {
+        report(key, fmt::format("{}, got {}", name_rule, quoted(*value)));
+        return {};
+    }
+    return std::string{*string};
+}
+
+std::string field_reader::text(std::string_view key) {
+    const auto* value = required(key);
+    const auto* string = value == nullptr ? nullptr : value->if_string();
+    if (string == nullptr || string->empty()) {
+        if (value != nullptr) {
+            report(key, fmt::format("must be a text that is not empty, got {}", quoted(*value)));
+        }
+        return {};
+    }
+    return std::string{*string};
+}
+
+std::string field_reader::optional_text(std::string_view key) {
+    const auto* value = optional(key);
+    const auto* string = value == nullptr ? nullptr : value->if_string();
+    if (value != nullptr && string == nullptr) {
+        report(key, fmt::format("must be a text, got {}", quoted(*value)));
+    }
+    return string == nullptr ? std::string{} : std::string{*string};
+}
+
+std::string field_reader::address(std::string_view key) {
+    const auto* value = required(key);
+    if (value == nullptr) {
+        return {};
+    }
+    const auto* string = value->if_string();
+    if (string == nullptr || !is_valid_address(*string)) {
+        report(key,
+               fmt::format("must be ip:port with a port from 1 to 65535, got {}", quoted(*value)));
+        return {};
+    }
+    return std::string{*string};
+}
+
+std::string field_reader::sha256(std::string_view key) {
+    const auto* value = required(key);
+    if (value == nullptr) {
+        return {};
+    }
+    const auto* string = value->if_string();
+    if (string == nullptr || !is_sha256_text(*string)) {
+        // The value is not quoted: an operator may have put the key itself here by mistake.
+        report(key, "must be the SHA-256 hash of a key, 64 lower-case hexadecimal digits");
+        return {};
+    }
+    return std::string{*string};
+}
+
+double field_reader::positive_number(std::string_view key, double lowest, double highest) {
+    const auto* value = required(key);
+    if (value == nullptr) {
+        return 0;
+    }
+    const auto number = as_number(*value);
+    // Written so that a NaN fails the comparison.
+    const bool in_range = number && *number > 0 && *number >= lowest && *number <= highest;
+    if (!in_range) {
+        const auto bound = lowest > 0 ? fmt::format("of at least {}", lowest) : "greater than 0";
+        report(key, fmt::format("must be a number {} and at most {}, got {}", bound, highest,
+                                quoted(*value)));
+        return 0;
+    }
+    return *number;
+}
+
+std::uint64_t field_reader::integer(std::string_view key, std::uint64_t lowest,
+                                    std::uint64_t highest) {
+    const auto* value = required(key);
+    if (value == nullptr) {
+        return lowest;
+    }
+    const auto number = as_unsigned(*value);
+    if (!number || *number < lowest || *number > highest) {
+        report(key, fmt::format("must be an integer from {} to {}, got {}", lowest, highest,
+                                quoted(*value)));
+        return lowest;
+    }
+    return *number;
+}
+
+bool field_reader::optional_flag(std::string_view key) {
+    const auto* value = optional(key);
+    if (value == nullptr) {
+        return false;
+    }
+    if (!value->is_bool()) {
+        report(key, fmt::format("must be true or false, got {}", quoted(*value)));
+        return false;
+    }
+    return value->get_bool();
+}
+
+std::vector<field_reader::element> field_reader::optional_elements(std::string_view key) {
+    return optional(key) == nullptr ? std::vector<element>{} : elements(key);
+}
+
+std::vector<field_reader::element> field_reader::elements(std::string_view key) {
+    std::vector<element> found;
+    const auto* value = required(key);
+    if (value == nullptr) {
+        return found;
+    }
+    const auto* array = value->if_array();
+    if (array == nullptr) {
+        report(key, fmt::format("must be a list, got {}", quoted(*value)));
+        return found;
+    }
+    for (std::size_t i = 0; i < array->size(); ++i) {
+        found.push_back({&(*array)[i], fmt::format("{}[{}]", path_of(key), i)});
+    }
+    return found;
+}
+
+std::vector<std::string> field_reader::names(std::string_view key) {
+    std::vector<std::string> found;
+    for (const auto& [value, path] : elements(key)) {
+        const auto* string = value->if_string();
+        if (string == nullptr || !is_valid_name(*string)) {
+            errors_->push_back({path, fmt::format("{}, got {}", name_rule, quoted(*value))});
+            continue;
+        }
+        found.emplace_back(*string);
+    }
+    return found;
+}
+
+void field_reader::reject_unknown_fields() {
+    if (object_ == nullptr) {
+        return;
+    }
+    for (const auto& field : *object_) {
+        if (!known_.contains(std::string_view{field.key()})) {
+            report(field.key(), "is not a known field");
+        }
+    }
+}
+
+}  // namespace masticgrade
