--- a/libs/version/src/key_index.cpp
+++ b/libs/version/src/key_index.cpp
@@ -15,12 +15,19 @@
 
 constexpr std::string_view hex_digits = "0123456789abcdef";
 
+/// Looks the algorithm up once: with EVP_sha256 OpenSSL 3 does so for every hash.
+const EVP_MD* sha256() {
+    static EVP_MD* const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    return algorithm;
+}
+
 }  // namespace
 
 key_digest digest_key(std::string_view presented_key) {
     key_digest digest{};
     unsigned length = 0;
-    if (EVP_Digest(presented_key.data(), presented_key.size(), digest.data(), &length, EVP_sha256(),
+    if (sha256() == nullptr ||
+        EVP_Digest(presented_key.data(), presented_key.size(), digest.data(), &length, sha256(),
                    nullptr) != 1 ||
         length != digest.size()) {
         throw error("hash key", "", "SHA-256 is not available");
