Add the network clients and server, session tokens and routing

HTTP with JSON towards callers, instances and the platform. A connection whose request got no answer is closed, so that a late answer is never taken for the answer to a later request. Session tokens are bound to the customer by a keyed hash.

--- /dev/null
+++ b/libs/net/include/masticgrade/net/platform_client.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <memory>
+
+#include "masticgrade/net/table_service.hpp"
+
+namespace masticgrade {
+
+/// Talks to the platform's table service over HTTP with JSON; the connections are kept and reused.
+/// Thread safety: all calls may run concurrently; each uses a connection of its own.
+class platform_client final : public table_service {
+public:
+    platform_client(const boost::asio::any_io_executor& executor, endpoint_address platform);
+    ~platform_client() override;
+
+    boost::asio::awaitable<scan_result> scan(std::string prefix, fleet_version modified_after,
+                                             time_point deadline) override;
+    boost::asio::awaitable<commit_result> commit(table_commit change, time_point deadline) override;
+    boost::asio::awaitable<std::vector<platform_host>> list_hosts(time_point deadline) override;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/net/src/endpoint.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "masticgrade/base/types.hpp"
+
+namespace masticgrade {
+
+/// Parses "ip:port" or "[ip6]:port". Throws masticgrade::error for anything else.
+boost::asio::ip::tcp::endpoint parse_endpoint(const endpoint_address& address);
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/net/src/http_client.cpp
@@ -0,0 +1,149 @@
+#include "masticgrade/net/http_client.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/version.hpp>
+#include <utility>
+
+#include "endpoint.hpp"
+#include "masticgrade/base/invariant.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::size_t max_answer_bytes = 4 * 1024 * 1024;
+
+/// Bounds how long sent data may stay unacknowledged, so that a path that has silently gone away is
+/// noticed by the kernel.
+constexpr milliseconds tcp_user_timeout{2000};
+
+void set_socket_options(asio::ip::tcp::socket& socket) {
+    socket.set_option(asio::ip::tcp::no_delay(true));
+    const auto timeout = static_cast<unsigned>(tcp_user_timeout.count());
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+}  // namespace
+
+class http_connection::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(const asio::any_io_executor& executor, endpoint_address peer)
+        : strand_(asio::make_strand(executor)), stream_(strand_), peer_(std::move(peer)) {}
+
+    asio::awaitable<void> connect(time_point deadline) {
+        try {
+            stream_.expires_at(deadline);
+            co_await stream_.async_connect(parse_endpoint(peer_), asio::use_awaitable);
+            set_socket_options(stream_.socket());
+            open_ = true;
+        } catch (const boost::system::system_error& failure) {
+            shut_down();
+            throw request_error("connect", peer_.str(), failure.code().message(), false);
+        }
+    }
+
+    asio::awaitable<http_response> exchange(http_request request, time_point deadline) {
+        http::request<http::string_body> message;
+        message.method_string(request.method);
+        message.target(request.target);
+        message.version(11);
+        message.set(http::field::host, peer_.str());
+        message.set(http::field::content_type, "application/json");
+        for (const auto& [name, value] : request.headers) {
+            message.set(name, value);
+        }
+        message.body() = std::move(request.body);
+        message.prepare_payload();
+        try {
+            stream_.expires_at(deadline);
+            co_await http::async_write(stream_, message, asio::use_awaitable);
+            http::response_parser<http::string_body> parser;
+            parser.body_limit(max_answer_bytes);
+            co_await http::async_read(stream_, buffer_, parser, asio::use_awaitable);
+            auto answer = parser.release();
+            if (!answer.keep_alive()) {
+                shut_down();
+            }
+            co_return convert(answer);
+        } catch (const boost::system::system_error& failure) {
+            shut_down();
+            throw request_error("answer", peer_.str(), failure.code().message(), true);
+        }
+    }
+
+    void shut_down() {
+        open_ = false;
+        boost::system::error_code ignored;
+        stream_.socket().close(ignored);
+    }
+
+    static http_response convert(http::response<http::string_body>& answer) {
+        http_response response;
+        response.status = answer.result_int();
+        for (const auto& field : answer) {
+            response.headers.add(std::string{field.name_string()}, std::string{field.value()});
+        }
+        response.body = std::move(answer.body());
+        return response;
+    }
+
+    asio::strand<asio::any_io_executor> strand_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    endpoint_address peer_;
+    std::atomic<bool> open_{false};
+};
+
+http_connection::http_connection(const asio::any_io_executor& executor, endpoint_address peer)
+    : implementation_(std::make_shared<implementation>(executor, std::move(peer))) {}
+
+http_connection::~http_connection() { close(); }
+
+asio::awaitable<void> http_connection::connect(time_point deadline) {
+    if (is_open()) {
+        co_return;
+    }
+    // The operation keeps the implementation alive, also when the caller goes away meanwhile.
+    auto self = implementation_;
+    co_await asio::co_spawn(
+        self->strand_,
+        [self, deadline]() -> asio::awaitable<void> { co_await self->connect(deadline); },
+        asio::use_awaitable);
+}
+
+asio::awaitable<http_response> http_connection::send(http_request request, time_point deadline) {
+    auto self = implementation_;
+    if (!self->open_) {
+        throw request_error("send", self->peer_.str(), "not connected", false);
+    }
+    co_return co_await asio::co_spawn(
+        self->strand_,
+        [self, deadline, request = std::move(request)]() mutable -> asio::awaitable<http_response> {
+            co_return co_await self->exchange(std::move(request), deadline);
+        },
+        asio::use_awaitable);
+}
+
+bool http_connection::is_open() const noexcept { return implementation_->open_; }
+
+void http_connection::close() {
+    implementation_->open_ = false;
+    asio::post(implementation_->strand_, [self = implementation_] { self->shut_down(); });
+}
+
+const endpoint_address& http_connection::peer() const noexcept { return implementation_->peer_; }
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/request/test/session_token_test.cpp
@@ -0,0 +1,55 @@
+#include "masticgrade/request/session_token.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "masticgrade/base/base64url.hpp"
+#include "masticgrade/base/error.hpp"
+
+using namespace masticgrade;
+
+namespace {
+
+const session_codec codec{{"secret-one", "secret-zero"}};
+
+session make_session() {
+    session value;
+    value.customer = customer_id{"parish"};
+    value.advance(group_id{"ledger"}, {term_number{3}, log_position{17}});
+    return value;
+}
+
+}  // namespace
+
+// Guards against a session that loses its positions between two proxies.
+TEST_CASE("a token carries its positions to another proxy with the same secret") {
+    const session_codec other{{"secret-two", "secret-one"}};
+    const auto decoded = other.decode(codec.encode(make_session()), customer_id{"parish"});
+    CHECK(decoded.positions == make_session().positions);
+}
+
+// Guards against one customer reading what another customer's token reveals.
+TEST_CASE("a token of another customer is refused") {
+    CHECK_THROWS_WITH_AS(codec.decode(codec.encode(make_session()), customer_id{"council"}),
+                         doctest::Contains("another customer"), error);
+}
+
+// Guards against a caller that forges a position from the future.
+TEST_CASE("an altered token is refused") {
+    auto token = codec.encode(make_session());
+    token[3] = token[3] == 'A' ? 'B' : 'A';
+    CHECK_THROWS_AS(codec.decode(token, customer_id{"parish"}), error);
+}
+
+// Guards against a decoder that crashes or accepts on random input.
+TEST_CASE("random text is never a token") {
+    CHECK(rc::check([](const std::string& text) {
+        RC_ASSERT_THROWS_AS(codec.decode(text, customer_id{"parish"}), error);
+    }));
+}
+
+TEST_CASE("base64url gives back the same bytes") {
+    CHECK(rc::check([](const std::string& bytes) {
+        RC_ASSERT(decode_base64url(encode_base64url(bytes)) == bytes);
+    }));
+}
