Add the connection pool and the state machine of a backend connection

The pool is a decision module: waiters, grants, opens and closes are typed actions, so that a property test can drive it. Waiters of different customers take turns.

--- /dev/null
+++ b/libs/connection/include/masticgrade/connection/backend_connection_state.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+namespace masticgrade {
+
+enum class connection_phase { closed, opening, idle, busy };
+
+/// The life of one connection to a backend server, as a Boost.MSM state machine.
+/// Thread safety: none; the owner serialises calls.
+class backend_connection_state {
+public:
+    backend_connection_state();
+    backend_connection_state(backend_connection_state&&) noexcept;
+    backend_connection_state& operator=(backend_connection_state&&) noexcept;
+    ~backend_connection_state();
+
+    // Each event returns whether it was allowed in the present phase; otherwise nothing changes.
+    bool open();
+    bool opened();
+    bool failed();
+    bool lend();
+    /// The statement ended with its answer; the connection may carry another one.
+    bool give_back();
+    /// The statement timed out or the answer was unusable; the connection must not be used again.
+    bool discard();
+    bool close();
+
+    [[nodiscard]] connection_phase phase() const noexcept;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/connection/include/masticgrade/connection/connection_pool.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "masticgrade/base/time.hpp"
+#include "masticgrade/base/types.hpp"
+#include "masticgrade/connection/backend_connection_state.hpp"
+
+namespace masticgrade {
+
+using waiter_number = strong_number<struct waiter_tag>;
+using connection_number = strong_number<struct connection_tag>;
+
+/// The connection belongs to the waiter until it is given back.
+struct grant_connection {
+    waiter_number waiter;
+    connection_number connection;
+};
+/// Open the connection, then report `on_opened` or `on_open_failed`.
+struct open_connection {
+    connection_number connection;
+};
+/// Close the idle connection.
+struct close_connection {
+    connection_number connection;
+};
+/// The waiter gets no connection; nothing of its statement was sent.
+struct refuse_waiter {
+    waiter_number waiter;
+    std::string reason;
+};
+
+using pool_action =
+    std::variant<grant_connection, open_connection, close_connection, refuse_waiter>;
+using pool_actions = std::vector<pool_action>;
+
+struct pool_settings {
+    std::size_t max_connections = 2;
+    std::size_t max_waiting = 512;
+    std::size_t max_waiting_per_customer = 64;
+    /// An instance that refused a connection is not asked again for this long.
+    milliseconds open_retry_delay{50};
+};
+
+/// One host's connections to one instance, and the statements that wait for them.
+/// Every call takes the current time and returns what is to be done.
+/// Thread safety: none; the owner serialises calls.
+class connection_pool {
+public:
+    explicit connection_pool(pool_settings settings);
+
+    pool_actions acquire(waiter_number waiter, const customer_id& customer, time_point deadline,
+                         time_point now);
+    pool_actions on_opened(connection_number connection, time_point now);
+    pool_actions on_open_failed(connection_number connection, const std::string& reason,
+                                time_point now);
+    /// Precondition: the connection was granted and not given back since. `reusable` is false when
+    /// its last statement got no usable answer.
+    pool_actions give_back(connection_number connection, bool reusable, time_point now);
+    /// An idle connection was lost.
+    pool_actions on_lost(connection_number connection, time_point now);
+    /// The members or the instance's limit changed; excess connections close when they are idle.
+    pool_actions set_max_connections(std::size_t limit, time_point now);
+    /// Refuses every waiter and closes idle connections; used when the instance leaves.
+    pool_actions refuse_all(const std::string& reason);
+    pool_actions on_time(time_point now);
+
+    [[nodiscard]] std::optional<time_point> next_wakeup() const;
+    [[nodiscard]] std::size_t waiting() const noexcept { return queued_; }
+    [[nodiscard]] std::size_t open() const noexcept;
+    [[nodiscard]] std::size_t busy() const noexcept;
+
+private:
+    struct connection_slot {
+        connection_number number;
+        backend_connection_state state;
+    };
+    struct waiter_entry {
+        waiter_number number;
+        time_point deadline;
+    };
+    /// Waiters of one customer in order of arrival.
+    struct customer_queue {
+        customer_id customer;
+        std::deque<waiter_entry> entries;
+    };
+
+    connection_slot* find(connection_number number);
+    customer_queue& queue_for(const customer_id& customer);
+    std::optional<waiter_number> next_waiter();
+    void expire(time_point now, pool_actions& actions);
+    void drop_excess(pool_actions& actions);
+    void serve(time_point now, pool_actions& actions);
+    [[nodiscard]] std::size_t count(connection_phase phase) const noexcept;
+
+    pool_settings settings_;
+    std::vector<connection_slot> connections_;
+    std::deque<customer_queue> queues_;
+    std::size_t queued_ = 0;
+    connection_number last_number_;
+    time_point open_allowed_from_;
+};
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/connection/test/connection_pool_test.cpp
@@ -0,0 +1,135 @@
+#include "masticgrade/connection/connection_pool.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+using namespace masticgrade;
+
+namespace {
+
+/// Plays the instance: opens and loses connections, and checks every grant.
+class pool_model {
+public:
+    explicit pool_model(std::size_t limit) : limit_(limit), pool_({.max_connections = limit}) {}
+
+    void acquire(const std::string& customer, milliseconds patience) {
+        ++last_waiter_;
+        waiting_.insert(last_waiter_);
+        apply(pool_.acquire(waiter_number{last_waiter_}, customer_id{customer}, now_ + patience,
+                            now_));
+    }
+    void finish_open(bool success) {
+        if (opening_.empty()) {
+            return;
+        }
+        const auto number = *opening_.begin();
+        opening_.erase(opening_.begin());
+        if (!success) {
+            open_.erase(number);
+        }
+        apply(success ? pool_.on_opened(connection_number{number}, now_)
+                      : pool_.on_open_failed(connection_number{number}, "refused", now_));
+    }
+    void finish_statement(bool reusable) {
+        if (lent_.empty()) {
+            return;
+        }
+        const auto number = *lent_.begin();
+        lent_.erase(lent_.begin());
+        if (!reusable) {
+            open_.erase(number);
+        }
+        apply(pool_.give_back(connection_number{number}, reusable, now_));
+    }
+    void advance(milliseconds step) {
+        now_ += step;
+        apply(pool_.on_time(now_));
+    }
+    [[nodiscard]] bool nobody_waits() const { return waiting_.empty(); }
+    [[nodiscard]] const std::map<std::uint64_t, std::uint64_t>& grants() const { return grants_; }
+
+private:
+    void apply(const pool_actions& actions) {
+        for (const auto& action : actions) {
+            std::visit([this](const auto& value) { handle(value); }, action);
+        }
+        RC_ASSERT(open_.size() <= limit_);
+    }
+    void handle(const grant_connection& grant) {
+        RC_ASSERT(waiting_.erase(grant.waiter.value()) == 1);
+        RC_ASSERT(open_.count(grant.connection.value()) == 1);
+        RC_ASSERT(opening_.count(grant.connection.value()) == 0);
+        RC_ASSERT(lent_.insert(grant.connection.value()).second);
+        grants_[grant.waiter.value()] = grant.connection.value();
+    }
+    void handle(const open_connection& action) {
+        RC_ASSERT(open_.insert(action.connection.value()).second);
+        opening_.insert(action.connection.value());
+    }
+    void handle(const close_connection& action) {
+        RC_ASSERT(lent_.count(action.connection.value()) == 0);
+        open_.erase(action.connection.value());
+    }
+    void handle(const refuse_waiter& action) {
+        RC_ASSERT(waiting_.erase(action.waiter.value()) == 1);
+    }
+
+    std::size_t limit_;
+    connection_pool pool_;
+    time_point now_{seconds{1000}};
+    std::uint64_t last_waiter_ = 0;
+    std::set<std::uint64_t> waiting_;
+    std::set<std::uint64_t> open_;
+    std::set<std::uint64_t> opening_;
+    std::set<std::uint64_t> lent_;
+    std::map<std::uint64_t, std::uint64_t> grants_;
+};
+
+}  // namespace
+
+// Guards against two statements on one connection, more connections than the limit, and waiters
+// that are forgotten or answered twice.
+TEST_CASE("every waiter gets one connection of its own or one refusal") {
+    CHECK(rc::check([] {
+        pool_model model{*rc::gen::inRange<std::size_t>(1, 4)};
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+        for (const int step : steps) {
+            switch (step) {
+                case 0:
+                    model.acquire("a", milliseconds{*rc::gen::inRange(0, 100)});
+                    break;
+                case 1:
+                    model.acquire("b", milliseconds{*rc::gen::inRange(0, 100)});
+                    break;
+                case 2:
+                    model.finish_open(*rc::gen::arbitrary<bool>());
+                    break;
+                case 3:
+                    model.finish_statement(*rc::gen::arbitrary<bool>());
+                    break;
+                default:
+                    model.advance(milliseconds{*rc::gen::inRange(0, 60)});
+                    break;
+            }
+        }
+        model.advance(milliseconds{1000});
+        RC_ASSERT(model.nobody_waits());
+    }));
+}
+
+// Guards against a heavy customer whose queue delays everybody else's next statement.
+TEST_CASE("a waiting customer is served before the second statement of a heavy one") {
+    pool_model model{1};
+    for (int i = 0; i < 20; ++i) {
+        model.acquire("heavy", milliseconds{5000});
+    }
+    model.finish_open(true);
+    model.acquire("light", milliseconds{5000});
+    model.finish_statement(true);
+    model.finish_statement(true);
+    CHECK(model.grants().count(21) == 1);
+}
--- a/libs/net/include/masticgrade/net/database_client.hpp
+++ b/libs/net/include/masticgrade/net/database_client.hpp
@@ -10,6 +10,7 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
 #include "masticgrade/net/http_client.hpp"
+#include "masticgrade/version/instance_role.hpp"
 
 namespace masticgrade {
 
@@ -52,8 +53,6 @@
     endpoint_address primary;
 };
 
-enum class instance_role { primary, replica, sealed };
-
 struct database_reply {
     database_status status = database_status::error;
     term_number term;
