--- /dev/null
+++ b/libs/failover/include/masticgrade/failover/promotion.hpp
@@ -0,0 +1,170 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "masticgrade/base/time.hpp"
+#include "masticgrade/base/types.hpp"
+#include "masticgrade/failover/instance_answer.hpp"
+#include "masticgrade/version/fleet_snapshot.hpp"
+
+namespace masticgrade {
+
+struct promotion_settings {
+    /// Unanswered requests to instances and to the store are repeated after this long.
+    milliseconds instance_retry{150};
+    milliseconds store_retry{300};
+    milliseconds catch_up_poll{10};
+    /// Bounds the part of a planned switch in which no instance accepts writes.
+    milliseconds catch_up_limit{200};
+    /// How long a switch looks for a replica that has caught up before it changes anything.
+    milliseconds prepare_limit{1000};
+    /// How long to wait for more sealed instances when the longest log is on an avoided one.
+    milliseconds avoidance_grace{100};
+    milliseconds follow_limit{2000};
+    milliseconds attempt_limit{10000};
+};
+
+struct promotion_request {
+    group_id group;
+    host_id coordinator;
+    /// The record that the attempt starts from; version 0 when the group has no row yet.
+    group_record observed;
+    /// All instances of the group; the first one with the longest log is preferred.
+    std::vector<instance_id> instances;
+    /// Instances in drained failure domains and on leaving servers.
+    std::set<instance_id> avoided;
+    /// A planned switch of a live primary to an instance that is not avoided.
+    bool planned = false;
+    /// Random text, unique for this attempt; it makes the marks in the group row.
+    std::string mark;
+};
+
+/// Put `record` into the group row on condition that the row still has version `expected`.
+/// Answered by `commit_answer` with the record's mark.
+struct commit_record {
+    fleet_version expected;
+    group_record record;
+};
+/// Read the group row; answered by `record_read`.
+struct read_record {};
+/// Send `state`; answered by `instance_state`.
+struct query_state {
+    instance_id instance;
+    term_number term;
+};
+struct seal_instance {
+    instance_id instance;
+    term_number term;
+};
+struct promote_instance {
+    instance_id instance;
+    term_number term;
+};
+struct follow_primary {
+    instance_id instance;
+    instance_id primary;
+    term_number term;
+};
+/// The row names the new primary. The attempt still sends `follow` until `finished()`.
+struct promotion_succeeded {
+    group_record record;
+};
+enum class promotion_failure {
+    /// Another coordinator or operator changed the row, or an instance holds a higher term.
+    superseded,
+    store_unavailable,
+    no_majority,
+    /// `promote` was sent but not answered. The term is spent: a second `promote` of another
+    /// instance could give one term two primaries.
+    promote_unanswered,
+    /// Planned switch only: no replica caught up in time. Nothing was changed.
+    no_candidate,
+};
+struct promotion_failed {
+    promotion_failure reason = promotion_failure::superseded;
+};
+
+using promotion_action =
+    std::variant<commit_record, read_record, query_state, seal_instance, promote_instance,
+                 follow_primary, promotion_succeeded, promotion_failed>;
+using promotion_actions = std::vector<promotion_action>;
+
+enum class commit_outcome { committed, conflict, unclear };
+
+struct commit_answer {
+    /// The mark of the record that was to be committed.
+    std::string mark;
+    commit_outcome outcome = commit_outcome::unclear;
+    /// The version of the commit; meaningful only when committed.
+    fleet_version version;
+};
+struct record_read {
+    group_record record;
+    /// The marks of the last changes of the row, the present one included.
+    std::vector<std::string> marks;
+};
+struct read_failed {};
+/// A group record that arrived with a fleet snapshot.
+struct record_seen {
+    group_record record;
+};
+struct seal_answer {
+    instance_id instance;
+    /// The term that the request carried.
+    term_number term;
+    bool sealed = false;
+    term_number last_term;
+    log_position received;
+};
+struct promote_answer {
+    instance_id instance;
+    term_number term;
+    bool promoted = false;
+    log_position start_position;
+};
+struct follow_answer {
+    instance_id instance;
+    term_number term;
+};
+struct time_passed {};
+
+using promotion_event =
+    std::variant<commit_answer, record_read, read_failed, record_seen, instance_state, seal_answer,
+                 promote_answer, follow_answer, time_passed>;
+
+/// One attempt to make an instance the primary of a new term (sections 4.1 and 4.6).
+/// An answer that is lost needs no event: the attempt repeats the request. Answers may arrive late,
+/// twice and in any order.
+/// Thread safety: none; the owner serialises calls.
+class promotion {
+public:
+    /// Preconditions: `request.instances` and `request.mark` are not empty, and a planned switch
+    /// starts from an active record.
+    promotion(promotion_request request, promotion_settings settings, time_point now);
+    promotion(const promotion&) = delete;
+    promotion& operator=(const promotion&) = delete;
+    promotion(promotion&&) noexcept;
+    promotion& operator=(promotion&&) noexcept;
+    ~promotion();
+
+    /// Returns the first actions. Precondition: called once, before any event.
+    promotion_actions start(time_point now);
+    promotion_actions handle(const promotion_event& event, time_point now);
+
+    /// When `time_passed` must be handed in at the latest.
+    [[nodiscard]] time_point next_wakeup() const;
+    [[nodiscard]] bool finished() const;
+    /// The term that this attempt takes.
+    [[nodiscard]] term_number term() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+}  // namespace masticgrade
