Decide failure detection, promotion and acknowledgement of a group

The modules take events and the time and return typed actions. A property test runs them on three hosts against a model of a group of three and of five instances with lost, late, doubled and reordered messages, pauses, restarts, partitions and a store that is down, slow or loses answers.

--- a/libs/failover/include/masticgrade/failover/failure_detector.hpp
+++ b/libs/failover/include/masticgrade/failover/failure_detector.hpp
@@ -138,6 +138,7 @@
     time_point last_success_;
     time_point last_event_;
     time_point next_report_;
+    time_point next_attempt_;
     std::optional<time_point> suspected_since_;
     std::optional<time_point> agreed_since_;
 };
--- a/libs/failover/include/masticgrade/failover/group_health.hpp
+++ b/libs/failover/include/masticgrade/failover/group_health.hpp
@@ -24,6 +24,7 @@
     /// The send time of the request that `staleness` came with: the true value at a later time is
     /// at most the time since then greater.
     time_point staleness_at;
+    /// The send time of the newest request that was answered.
     time_point answered_at;
 };
 
@@ -35,8 +36,8 @@
 
     /// Answers of older requests than the last one, and of older terms, change nothing but
     /// reachability.
-    void on_progress(const instance_progress& progress, time_point now);
-    void on_state(const instance_state& state, time_point now);
+    void on_progress(const instance_progress& progress);
+    void on_state(const instance_state& state);
     /// The probe of section 4.8 failed on a new connection, or a connection was refused.
     /// `sent_at` is when the failed request was sent; a newer answer outweighs it.
     void on_unreachable(const instance_id& instance, time_point sent_at);
@@ -57,9 +58,16 @@
     [[nodiscard]] std::vector<instance_id> due_for_state(duration age, time_point now) const;
 
 private:
-    instance_health* find_mutable(const instance_id& instance);
+    /// Where the current sample of the apply rate began; one for each instance.
+    struct rate_sample {
+        time_point at;
+        log_position applied;
+    };
+    static void update_rate(instance_health& health, rate_sample& sample,
+                            const instance_progress& progress);
 
     std::vector<instance_health> instances_;
+    std::vector<rate_sample> samples_;
 };
 
 }  // namespace masticgrade
--- a/libs/failover/include/masticgrade/failover/promotion.hpp
+++ b/libs/failover/include/masticgrade/failover/promotion.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -18,15 +17,23 @@
     /// Unanswered requests to instances and to the store are repeated after this long.
     milliseconds instance_retry{150};
     milliseconds store_retry{300};
+    /// Wait before a commit is repeated after the row was found unchanged, so that a store that
+    /// fails commits quickly is not flooded.
+    milliseconds commit_backoff{100};
+    milliseconds prepare_poll{50};
     milliseconds catch_up_poll{10};
-    /// Bounds the part of a planned switch in which no instance accepts writes.
-    milliseconds catch_up_limit{200};
+    /// Bounds how long a planned switch waits, while no instance accepts writes, first for the old
+    /// primary to be sealed and then for a replica to receive all that it holds.
+    milliseconds catch_up_limit{100};
     /// How long a switch looks for a replica that has caught up before it changes anything.
     milliseconds prepare_limit{1000};
     /// How long to wait for more sealed instances when the longest log is on an avoided one.
     milliseconds avoidance_grace{100};
     milliseconds follow_limit{2000};
-    milliseconds attempt_limit{10000};
+    milliseconds seal_limit{3000};
+    milliseconds promote_limit{1500};
+    /// How long an unclear commit is repeated and resolved.
+    milliseconds commit_limit{10000};
 };
 
 struct promotion_request {
@@ -105,8 +112,6 @@
 };
 struct record_read {
     group_record record;
-    /// The marks of the last changes of the row, the present one included.
-    std::vector<std::string> marks;
 };
 struct read_failed {};
 /// A group record that arrived with a fleet snapshot.
--- /dev/null
+++ b/libs/failover/src/promotion_attempt.cpp
@@ -0,0 +1,267 @@
+#include "promotion_attempt.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "masticgrade/base/invariant.hpp"
+
+namespace masticgrade {
+
+promotion_attempt::promotion_attempt(promotion_request request, promotion_settings settings,
+                                     time_point now)
+    : request_(std::move(request)),
+      settings_(settings),
+      term_(request_.observed.term.next()),
+      now_(now),
+      row_version_(request_.observed.version) {
+    MG_PRECONDITION(!request_.instances.empty());
+    MG_PRECONDITION(!request_.mark.empty());
+    if (request_.planned) {
+        MG_PRECONDITION(request_.observed.phase == group_phase::active);
+        MG_PRECONDITION(!request_.observed.primary.empty());
+        request_.avoided.insert(request_.observed.primary);
+    }
+}
+
+void promotion_attempt::enter(duration retry, duration limit) {
+    next_retry_ = now_ + retry;
+    state_limit_ = now_ + limit;
+    row_unchanged_ = false;
+}
+
+time_point promotion_attempt::next_wakeup() const {
+    auto wakeup = std::min(next_retry_, state_limit_);
+    if (majority_since_ && chosen_.empty()) {
+        wakeup = std::min(wakeup, *majority_since_ + settings_.avoidance_grace);
+    }
+    return std::max(wakeup, now_);
+}
+
+void promotion_attempt::record_state(const instance_state& state) {
+    const auto& progress = state.progress;
+    if (progress.term != request_.observed.term) {
+        return;
+    }
+    const log_end end{state.last_term, progress.received};
+    if (progress.instance == request_.observed.primary) {
+        // The first answer is the mark that a replica must reach before the switch begins; a later
+        // one would move it ahead of the replicas again under load.
+        if (state.role == instance_role::primary && !primary_end_) {
+            primary_end_ = end;
+        }
+    } else if (state.role == instance_role::replica) {
+        auto& known = replicas_[progress.instance];
+        known = std::max(known, end);
+    }
+}
+
+void promotion_attempt::record_seal(const seal_answer& answer) {
+    if (answer.term != term_) {
+        return;
+    }
+    if (!answer.sealed) {
+        note_superseded();
+        return;
+    }
+    const auto& known = request_.instances;
+    if (std::find(known.begin(), known.end(), answer.instance) == known.end()) {
+        return;
+    }
+    // A repeated seal may be answered after `promote`; the log end at the first answer counts.
+    sealed_.emplace(answer.instance, log_end{answer.last_term, answer.received});
+    if (sealed_.size() >= majority() && !majority_since_) {
+        majority_since_ = now_;
+    }
+}
+
+void promotion_attempt::record_promote(const promote_answer& answer) {
+    if (answer.term != term_ || answer.instance != chosen_) {
+        return;
+    }
+    if (answer.promoted) {
+        start_position_ = answer.start_position;
+    } else {
+        note_superseded();
+    }
+}
+
+void promotion_attempt::record_follow(const follow_answer& answer) {
+    if (answer.term == term_) {
+        following_.insert(answer.instance);
+    }
+}
+
+std::optional<fleet_version> promotion_attempt::record_row(const group_record& record) {
+    if (record.version <= row_version_) {
+        return std::nullopt;
+    }
+    if (pending_ && record.mark == pending_->mark) {
+        return record.version;
+    }
+    note_superseded();
+    return std::nullopt;
+}
+
+bool promotion_attempt::awaits_commit(const std::string& mark) const {
+    return pending_ && pending_->mark == mark;
+}
+
+void promotion_attempt::note_committed(fleet_version version) {
+    row_version_ = version;
+    pending_->version = version;
+    if (pending_->phase == group_phase::active) {
+        request_.observed = *pending_;
+    }
+    pending_.reset();
+}
+
+void promotion_attempt::note_row_unchanged() {
+    if (pending_) {
+        row_unchanged_ = true;
+        next_retry_ = now_ + settings_.commit_backoff;
+    }
+}
+
+void promotion_attempt::query_states() {
+    for (const auto& id : request_.instances) {
+        if (sealed_.count(id) == 0) {
+            actions_.emplace_back(query_state{id, request_.observed.term});
+        }
+    }
+}
+
+void promotion_attempt::prepare_sealing_commit() {
+    group_record record;
+    record.term = term_;
+    record.phase = group_phase::sealing;
+    record.coordinator = request_.coordinator;
+    record.mark = request_.mark + "/sealing";
+    pending_ = std::move(record);
+    commit_limit_ = now_ + settings_.commit_limit;
+}
+
+void promotion_attempt::prepare_active_commit() {
+    group_record record;
+    record.term = term_;
+    record.primary = chosen_;
+    record.start_position = *start_position_;
+    record.phase = group_phase::active;
+    record.coordinator = request_.coordinator;
+    record.mark = request_.mark + "/active";
+    pending_ = std::move(record);
+    commit_limit_ = now_ + settings_.commit_limit;
+}
+
+void promotion_attempt::request_commit() {
+    // Repeating the same conditional commit is safe: the row version lets at most one succeed.
+    actions_.emplace_back(commit_record{row_version_, *pending_});
+}
+
+void promotion_attempt::request_read() { actions_.emplace_back(read_record{}); }
+
+void promotion_attempt::request_seal_of_primary() {
+    actions_.emplace_back(seal_instance{request_.observed.primary, term_});
+}
+
+void promotion_attempt::request_seals() {
+    for (const auto& id : request_.instances) {
+        if (sealed_.count(id) == 0) {
+            actions_.emplace_back(seal_instance{id, term_});
+        }
+    }
+}
+
+void promotion_attempt::choose_and_promote() {
+    MG_INVARIANT("one_promotion_per_term", chosen_.empty(),
+                 fmt::format("group={} term={} chosen={}", request_.group, term_, chosen_));
+    MG_INVARIANT("majority_sealed", sealed_.size() >= majority(),
+                 fmt::format("group={} term={} sealed={} instances={}", request_.group, term_,
+                             sealed_.size(), request_.instances.size()));
+    chosen_ = best_sealed();
+    const auto& end = sealed_.at(chosen_);
+    MG_INVARIANT("chosen_log_is_longest",
+                 std::all_of(sealed_.begin(), sealed_.end(),
+                             [&](const auto& other) { return other.second <= end; }),
+                 fmt::format("group={} term={} chosen={} last_term={} received={}", request_.group,
+                             term_, chosen_, end.last_term, end.received));
+    request_promote();
+}
+
+void promotion_attempt::request_promote() {
+    actions_.emplace_back(promote_instance{chosen_, term_});
+}
+
+void promotion_attempt::request_follows() {
+    for (const auto& id : request_.instances) {
+        if (id != chosen_ && following_.count(id) == 0) {
+            actions_.emplace_back(follow_primary{id, chosen_, term_});
+        }
+    }
+}
+
+void promotion_attempt::report_success() {
+    actions_.emplace_back(promotion_succeeded{request_.observed});
+}
+
+void promotion_attempt::report_failure(promotion_failure reason) {
+    actions_.emplace_back(promotion_failed{superseded_ ? promotion_failure::superseded : reason});
+}
+
+bool promotion_attempt::replica_is_near() const {
+    return primary_end_ && replica_at(*primary_end_);
+}
+
+bool promotion_attempt::primary_sealed() const {
+    return sealed_.count(request_.observed.primary) > 0;
+}
+
+bool promotion_attempt::replica_has_everything() const {
+    return primary_sealed() && replica_at(sealed_.at(request_.observed.primary));
+}
+
+bool promotion_attempt::can_choose() const {
+    if (sealed_.size() < majority()) {
+        return false;
+    }
+    return sealed_.size() == request_.instances.size() || !avoided(best_sealed()) ||
+           now_ >= *majority_since_ + settings_.avoidance_grace;
+}
+
+bool promotion_attempt::all_follow() const {
+    return std::all_of(request_.instances.begin(), request_.instances.end(),
+                       [&](const auto& id) { return id == chosen_ || following_.count(id) > 0; });
+}
+
+promotion_actions promotion_attempt::take_actions() { return std::exchange(actions_, {}); }
+
+std::size_t promotion_attempt::majority() const noexcept {
+    return request_.instances.size() / 2 + 1;
+}
+
+bool promotion_attempt::avoided(const instance_id& instance) const {
+    return request_.avoided.count(instance) > 0;
+}
+
+instance_id promotion_attempt::best_sealed() const {
+    // An equally long log of the same last term has the same entries, so the choice is free.
+    const auto rank = [&](const instance_id& id) {
+        return std::pair{sealed_.at(id), !avoided(id)};
+    };
+    instance_id best;
+    for (const auto& id : request_.instances) {
+        if (sealed_.count(id) > 0 && (best.empty() || rank(id) > rank(best))) {
+            best = id;
+        }
+    }
+    return best;
+}
+
+bool promotion_attempt::replica_at(const log_end& end) const {
+    return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& replica) {
+        return !avoided(replica.first) && replica.second >= end;
+    });
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/failover/test/group_model_actions.cpp
@@ -0,0 +1,335 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "group_model.hpp"
+
+namespace masticgrade::test {
+
+namespace {
+
+const group_id group{"ledger"};
+
+template <class... Cases>
+struct overloaded : Cases... {
+    using Cases::operator()...;
+};
+
+}  // namespace
+
+template <class Request, class Answer>
+void group_model::call(int number, int target, Request request, Answer answer) {
+    const auto epoch = hosts_[index(number)].epoch;
+    const auto reachable = [this, number, target] {
+        const auto& receiver = instances_[index(target)];
+        return !receiver.down && !receiver.cut_off && !hosts_[index(number)].cut_off &&
+               hosts_[index(number)].cut_links.count(target) == 0;
+    };
+    deliver(reachable, [=, this] {
+        auto reply = request(instances_[index(target)]);
+        deliver(reachable, [=, this] { to_host(number, epoch, [=] { answer(reply); }); });
+    });
+}
+
+template <class Answer>
+void group_model::store_call(int number, std::function<void()> effect, Answer answer) {
+    const auto epoch = hosts_[index(number)].epoch;
+    const auto reachable = [this, number] {
+        return store_mode_ != store_mode::down && !hosts_[index(number)].cut_off;
+    };
+    const auto extra = [this] {
+        const int limit = store_mode_ == store_mode::slow ? 2000 : 5;
+        return milliseconds{std::uniform_int_distribution<>{0, limit}(random_)};
+    };
+    after(extra(), [=, this] {
+        deliver(reachable, [=, this] {
+            effect();
+            if (store_mode_ == store_mode::loses_answers && chance(0.5)) {
+                return;
+            }
+            after(extra(),
+                  [=, this] { deliver(reachable, [=, this] { to_host(number, epoch, answer); }); });
+        });
+    });
+}
+
+void group_model::scan(int number) {
+    const auto read = std::make_shared<group_record>();
+    store_call(
+        number, [this, read] { *read = row_; },
+        [this, number, read] { see_record(number, *read); });
+}
+
+void group_model::write(int number) {
+    auto& writer = hosts_[index(number)];
+    if (writer.paused) {
+        return;
+    }
+    operation op;
+    op.key = fmt::format("k{}", next_key_++);
+    run_operation(number, writer.operations.emplace(op.key, op).first->second);
+}
+
+void group_model::run_operation(int number, operation& op) {
+    auto& runner = hosts_[index(number)];
+    if (++op.tries > 60) {
+        op.over = true;
+        return;
+    }
+    op.retry_at = now_ + milliseconds{300};
+    if (runner.view.phase != group_phase::active || runner.view.primary.empty()) {
+        return;
+    }
+    // An unclear outcome is followed by the same key again or by its cancellation.
+    op.cancelling = op.cancelling || (op.tries > 1 && chance(0.7));
+    op.term = runner.view.term;
+    const auto key = op.key;
+    const auto term = op.term;
+    const bool cancel = op.cancelling;
+    call(
+        number, index_of(runner.view.primary),
+        [=, this](instance& at) { return execute(at, term, key, cancel); },
+        [=, this](const execute_reply& reply) { on_reply(number, key, reply); });
+}
+
+group_model::execute_reply group_model::execute(instance& at, term_number term,
+                                                const std::string& key, bool cancel) {
+    if (term != at.term || at.role != instance_role::primary) {
+        return {execute_reply::refused, at.term, {}, at.received()};
+    }
+    const auto known = std::find_if(at.log.begin(), at.log.end(),
+                                    [&](const auto& entry) { return entry.key == key; });
+    if (known == at.log.end()) {
+        at.log.push_back({term, cancel ? entry_kind::cancellation : entry_kind::execution, key});
+        return {cancel ? execute_reply::cancelled : execute_reply::ok, term, at.received(),
+                at.received()};
+    }
+    const log_position position{static_cast<std::uint64_t>(known - at.log.begin()) + 1};
+    if (known->kind == entry_kind::cancellation) {
+        return {execute_reply::cancelled, term, position, at.received()};
+    }
+    return {cancel ? execute_reply::found : execute_reply::ok, term, position, at.received()};
+}
+
+void group_model::on_reply(int number, const std::string& key, const execute_reply& reply) {
+    auto& receiver = hosts_[index(number)];
+    auto& op = receiver.operations.at(key);
+    if (op.waiting || op.over || reply.status == execute_reply::refused ||
+        (op.cancelling && reply.status == execute_reply::ok)) {
+        return;
+    }
+    op.waiting = true;
+    op.found = reply.status != execute_reply::cancelled;
+    op.term = reply.term;
+    const write_number write{next_sequence_++};
+    receiver.pending[write] = key;
+    perform(number, receiver.writes->on_write({write, reply.term, reply.position, reply.received,
+                                               now_ + milliseconds{1000}},
+                                              now_));
+}
+
+void group_model::resolve(int number, const write_resolved& resolved) {
+    auto& owner = hosts_[index(number)];
+    auto& op = owner.operations.at(owner.pending.at(resolved.number));
+    owner.pending.erase(resolved.number);
+    op.waiting = false;
+    if (resolved.verdict != write_verdict::acknowledged) {
+        return;
+    }
+    op.over = true;
+    (op.found ? acknowledged_ : cancelled_).insert(op.key);
+    write_gaps_.push_back(now_ - last_acknowledged_);
+    last_acknowledged_ = now_;
+    const auto author = promoted_at_[op.term];
+    if (!acknowledged_at_.emplace(op.term, author).second && acknowledged_at_[op.term] != author) {
+        violated(fmt::format("two instances acknowledged at term {}", op.term));
+    }
+    check();
+}
+
+void group_model::probe(int number, int target, bool for_detector) {
+    const auto sent = now_;
+    call(
+        number, target,
+        [sent](instance& at) {
+            return instance_state{{at.id, at.term, at.received(), at.received(), sent},
+                                  at.role,
+                                  at.last_term(),
+                                  milliseconds{0}};
+        },
+        [=, this](const instance_state& state) {
+            if (for_detector) {
+                perform(number, hosts_[index(number)].detector->on_state(state, now_));
+            } else {
+                feed(number, state);
+            }
+        });
+}
+
+void group_model::perform(int number, const detector_actions& actions) {
+    const auto follow = [=, this](const repair_follower& action) {
+        call(
+            number, index_of(action.instance),
+            [action](instance& at) {
+                if (action.term >= at.term && at.id != action.primary) {
+                    at.term = action.term;
+                    at.role = instance_role::replica;
+                    at.leader = action.primary;
+                }
+                return 0;
+            },
+            [](int) {});
+    };
+    const auto report = [=, this](const report_suspicion& action) {
+        for (int to = 0; to < host_count; ++to) {
+            const auto epoch = hosts_[index(to)].epoch;
+            if (to == number) {
+                continue;
+            }
+            deliver(
+                [=, this] { return !hosts_[index(to)].cut_off && !hosts_[index(number)].cut_off; },
+                [=, this] {
+                    to_host(to, epoch, [=, this] {
+                        perform(to,
+                                hosts_[index(to)].detector->on_suspicion(
+                                    hosts_[index(number)].id, action.term, action.suspected, now_));
+                    });
+                });
+        }
+    };
+    for (const auto& action : actions) {
+        std::visit(
+            overloaded{[&](const probe_instance& a) { probe(number, index_of(a.instance), true); },
+                       report, follow,
+                       [&](const start_promotion& a) { begin_attempt(number, a.observed, false); }},
+            action);
+    }
+}
+
+void group_model::begin_attempt(int number, const group_record& observed, bool planned) {
+    auto& coordinator = hosts_[index(number)];
+    promotion_request request;
+    request.group = group;
+    request.coordinator = coordinator.id;
+    request.observed = observed;
+    for (const auto& known : instances_) {
+        request.instances.push_back(known.id);
+    }
+    request.planned = planned;
+    request.mark = fmt::format("m{}", next_sequence_++);
+    coordinator.attempt =
+        std::make_unique<promotion>(std::move(request), promotion_settings{}, now_);
+    perform(number, coordinator.attempt->start(now_));
+}
+
+void group_model::switch_primary(int number) {
+    const auto& coordinator = hosts_[index(number)];
+    if (!coordinator.paused && !coordinator.attempt && !coordinator.view.primary.empty()) {
+        begin_attempt(number, coordinator.view, true);
+    }
+}
+
+void group_model::feed(int number, const promotion_event& event) {
+    auto& coordinator = hosts_[index(number)];
+    if (!coordinator.attempt) {
+        return;
+    }
+    const auto actions = coordinator.attempt->handle(event, now_);
+    const bool finished = coordinator.attempt->finished();
+    if (finished) {
+        coordinator.attempt.reset();
+    }
+    perform(number, actions);
+    if (finished) {
+        perform(number, coordinator.detector->on_attempt_ended(now_));
+    }
+}
+
+void group_model::perform(int number, const promotion_actions& actions) {
+    const auto commit = [=, this](const commit_record& action) {
+        const auto answer = std::make_shared<commit_answer>();
+        answer->mark = action.record.mark;
+        store_call(
+            number,
+            [=, this] {
+                answer->outcome = commit_outcome::conflict;
+                if (row_.version == action.expected) {
+                    const auto version = row_.version.next();
+                    row_ = action.record;
+                    row_.version = version;
+                    answer->outcome = commit_outcome::committed;
+                    answer->version = version;
+                    check();
+                }
+            },
+            [=, this] { feed(number, *answer); });
+    };
+    const auto read = [=, this](const read_record&) {
+        const auto row = std::make_shared<group_record>();
+        store_call(
+            number, [=, this] { *row = row_; }, [=, this] { feed(number, record_read{*row}); });
+    };
+    const auto seal = [=, this](const seal_instance& action) {
+        call(
+            number, index_of(action.instance),
+            [action](instance& at) {
+                if (action.term > at.term) {
+                    at.term = action.term;
+                    at.role = instance_role::sealed;
+                }
+                return seal_answer{at.id, action.term, at.term == action.term, at.last_term(),
+                                   at.received()};
+            },
+            [=, this](const seal_answer& answer) { feed(number, answer); });
+    };
+    const auto promote = [=, this](const promote_instance& action) {
+        call(
+            number, index_of(action.instance),
+            [=, this](instance& at) {
+                if (action.term == at.term && at.role == instance_role::sealed) {
+                    at.role = instance_role::primary;
+                    at.log.push_back({at.term, entry_kind::start, ""});
+                    at.start = at.received();
+                    if (!promoted_at_.emplace(at.term, at.id).second) {
+                        violated(fmt::format("second promotion at term {}", at.term));
+                    }
+                }
+                return promote_answer{at.id, action.term,
+                                      action.term == at.term && at.role == instance_role::primary,
+                                      at.start};
+            },
+            [=, this](const promote_answer& answer) { feed(number, answer); });
+    };
+    const auto follow = [=, this](const follow_primary& action) {
+        perform(number,
+                detector_actions{repair_follower{action.instance, action.primary, action.term}});
+        feed(number, follow_answer{action.instance, action.term});
+    };
+    for (const auto& action : actions) {
+        std::visit(
+            overloaded{commit, read, seal, promote, follow,
+                       [&](const query_state& a) { probe(number, index_of(a.instance), false); },
+                       [&](const promotion_succeeded& a) { see_record(number, a.record); },
+                       [](const promotion_failed&) {}},
+            action);
+    }
+}
+
+void group_model::perform(int number, const acknowledgement_actions& actions) {
+    const auto confirm = [=, this](const send_confirm& action) {
+        call(
+            number, index_of(action.instance),
+            [](instance& at) {
+                return confirm_answer{at.id, at.term, at.last_term(), at.received()};
+            },
+            [=, this](const confirm_answer& answer) {
+                perform(number, hosts_[index(number)].writes->on_confirm(answer, now_));
+            });
+    };
+    for (const auto& action : actions) {
+        std::visit(overloaded{confirm, [&](const write_resolved& a) { resolve(number, a); }},
+                   action);
+    }
+}
+
+}  // namespace masticgrade::test
