--- /dev/null
+++ b/libs/limits/include/masticgrade/limits/share_messages.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include "masticgrade/base/types.hpp"
+
+namespace masticgrade {
+
+/// Orders the assignments of one ownership to one holder.
+using share_sequence = strong_number<struct share_sequence_tag>;
+
+/// A part of a customer's rate and burst, each between 0 and 1. Shares are fractions, so that a
+/// configuration change scales every share on the host that applies it, without a message.
+struct share_fraction {
+    double rate = 0;
+    double burst = 0;
+
+    friend bool operator==(const share_fraction&, const share_fraction&) = default;
+};
+
+/// Asks a holder to bind itself to an ownership and to report what it holds. A holder answers only
+/// when its own members list is at least as new as that of the envelope. `customers` may be empty:
+/// the answer then only proves which members list the holder uses.
+struct share_query {
+    /// The members version at which the sender became owner of these customers.
+    fleet_version ownership;
+    std::vector<customer_id> customers;
+};
+
+/// What a holder holds of a customer, and its demand.
+struct held_share {
+    customer_id customer;
+    /// The highest ownership to which the holder is bound; messages of lower ones are ignored.
+    fleet_version ownership;
+    share_fraction held;
+    /// Statements per second that callers asked for, admitted or not.
+    double demand = 0;
+};
+
+struct share_report {
+    std::vector<held_share> shares;
+};
+
+/// Replaces the share of a holder. Sent again unchanged until it is acknowledged.
+struct assigned_share {
+    customer_id customer;
+    fleet_version ownership;
+    share_sequence sequence;
+    share_fraction share;
+    /// Tokens that come with the growth of the share.
+    double tokens = 0;
+};
+
+struct share_assignment {
+    std::vector<assigned_share> shares;
+};
+
+struct acknowledged_share {
+    customer_id customer;
+    fleet_version ownership;
+    share_sequence sequence;
+    /// Tokens that the holder gave up because its share shrank.
+    double returned_tokens = 0;
+};
+
+struct share_ack {
+    std::vector<acknowledged_share> shares;
+};
+
+/// The share that a former owner last recorded for one process.
+struct ledger_share {
+    host_id host;
+    incarnation_number incarnation;
+    share_fraction share;
+};
+
+/// The complete ledger of a former owner that is still a member, for the owner that replaces it.
+struct share_handover {
+    customer_id customer;
+    /// The ownership of the query that this answers.
+    fleet_version ownership;
+    std::vector<ledger_share> ledger;
+    /// Tokens in the former owner's pool, and granted tokens that may still be on their way.
+    double pool_tokens = 0;
+    double outstanding_tokens = 0;
+};
+
+/// Asks for a one-off transfer of tokens out of the owner's pool.
+struct token_request {
+    customer_id customer;
+    request_number number;
+    double tokens = 0;
+};
+
+struct token_grant {
+    customer_id customer;
+    fleet_version ownership;
+    request_number number;
+    double tokens = 0;
+};
+
+/// Tells the owner that a grant was used or discarded, so that its pool may fill up again.
+struct token_receipt {
+    customer_id customer;
+    fleet_version ownership;
+    request_number number;
+};
+
+using share_message = std::variant<share_query, share_report, share_assignment, share_ack,
+                                   share_handover, token_request, token_grant, token_receipt>;
+
+/// A message with its sender and recipient. A process ignores a message for another incarnation:
+/// what was meant for its predecessor must not add to what it holds itself.
+struct share_envelope {
+    host_id sender;
+    incarnation_number sender_incarnation;
+    host_id recipient;
+    incarnation_number recipient_incarnation;
+    /// The version of the members list that the sender uses.
+    fleet_version members_version;
+    share_message body;
+};
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/limits/include/masticgrade/limits/token_bucket.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "masticgrade/base/time.hpp"
+
+namespace masticgrade {
+
+/// A token bucket that starts empty. Thread safety: same as a double.
+class token_bucket {
+public:
+    explicit token_bucket(time_point now) noexcept : updated_(now) {}
+
+    /// Changes rate (tokens per second) and capacity; tokens above the capacity are dropped.
+    /// Precondition: both are finite and not negative.
+    void configure(double rate, double capacity, time_point now);
+
+    /// Takes `tokens` if there are as many.
+    bool take(double tokens, time_point now) noexcept;
+
+    /// Takes at most `tokens` and returns how many were taken.
+    double take_up_to(double tokens, time_point now) noexcept;
+
+    /// Adds tokens up to the capacity.
+    void add(double tokens, time_point now) noexcept;
+
+    /// The time at which `tokens` will be there if nobody takes any, or `time_point::max()` when
+    /// that is over an hour away or above the capacity.
+    [[nodiscard]] time_point ready_at(double tokens, time_point now) const noexcept;
+
+    [[nodiscard]] double level(time_point now) const noexcept;
+    [[nodiscard]] double rate() const noexcept { return rate_; }
+    [[nodiscard]] double capacity() const noexcept { return capacity_; }
+
+private:
+    void refill(time_point now) noexcept;
+
+    double rate_ = 0;
+    double capacity_ = 0;
+    double level_ = 0;
+    time_point updated_;
+};
+
+}  // namespace masticgrade
