Add the share holder and the share owner

Decision modules for rates: a holder admits from local token buckets and asks the owner for tokens; an owner keeps a ledger of all shares with a pool, collects them after a change of the members list, reclaims those of removed processes and rebalances. rate_shares joins both sides of one process. That the test can fail is still to be shown with wrong variants.

--- /dev/null
+++ b/libs/limits/src/owner_account.cpp
@@ -0,0 +1,437 @@
+#include "owner_account.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "masticgrade/base/invariant.hpp"
+
+namespace masticgrade {
+
+namespace {
+
+constexpr double rounding_tolerance = 1e-10;
+/// Rounding of the shares of several hundred hosts stays far below this.
+constexpr double sum_tolerance = 1e-9;
+constexpr std::size_t most_queued_requests = 64;
+
+duration extended(duration span, double margin) {
+    return span + std::chrono::duration_cast<duration>(span * margin);
+}
+
+}  // namespace
+
+share_fraction owner_account::ledger_entry::upper() const {
+    if (!open) {
+        return acknowledged;
+    }
+    return {std::max(acknowledged.rate, open->share.rate),
+            std::max(acknowledged.burst, open->share.burst)};
+}
+
+owner_account::owner_account(customer_id customer, std::uint64_t account_ordinal,
+                             fleet_version ownership, const share_settings& settings,
+                             time_point now)
+    : ordinal(account_ordinal),
+      customer_(std::move(customer)),
+      settings_(settings),
+      ownership_(ownership),
+      unknown_since_(ownership),
+      pool_(now) {}
+
+void owner_account::configure(double rate, double burst, time_point now) {
+    if (rate != rate_ || burst != burst_) {
+        rate_ = rate;
+        burst_ = burst;
+        configure_pool(now);
+    }
+}
+
+void owner_account::on_members(const member_processes& previous, const member_processes& current) {
+    for (auto& [holder, entry] : ledger_) {
+        if (!entry.removed && !current.processes.contains(holder)) {
+            entry.removed = current.version;
+        }
+    }
+    if (state_ != state::collecting) {
+        return;
+    }
+    for (const auto& holder : previous.processes) {
+        if (!current.processes.contains(holder) && !answers_.contains(holder)) {
+            unknown_since_ = current.version;
+        }
+    }
+}
+
+void owner_account::restart_collecting(fleet_version ownership, time_point now) {
+    if (state_ == state::complete) {
+        share_handover own{customer_, ownership, {}, pool_.level(now), outstanding_tokens()};
+        for (const auto& [holder, entry] : ledger_) {
+            own.ledger.push_back({holder.host, holder.incarnation, entry.upper()});
+        }
+        inherited_ = std::move(own);
+    }
+    state_ = state::collecting;
+    ownership_ = ownership;
+    answers_.clear();
+}
+
+bool owner_account::resume(time_point now) {
+    if (state_ != state::retired || handed_to_) {
+        return false;
+    }
+    state_ = state::complete;
+    configure_pool(now);
+    return true;
+}
+
+bool owner_account::on_report(const host_process& holder, const held_share& share, time_point now) {
+    if (share.ownership > ownership_) {
+        return true;
+    }
+    if (state_ == state::collecting) {
+        if (share.ownership == ownership_) {
+            answers_.try_emplace(holder, share.held);
+        }
+        return false;
+    }
+    // A member that is not in the ledger joined after it was complete and holds nothing.
+    auto& entry = ledger_[holder];
+    entry.demand = share.demand;
+    entry.demand_time = now;
+    return false;
+}
+
+void owner_account::on_handover(const share_handover& handover) {
+    if (state_ == state::collecting && handover.ownership == ownership_ && !inherited_) {
+        inherited_ = handover;
+    }
+}
+
+std::optional<share_handover> owner_account::hand_over(fleet_version ownership, time_point now) {
+    if (state_ != state::retired) {
+        return std::nullopt;
+    }
+    if (!handed_) {
+        drop_expired(now);
+        handed_ = share_handover{customer_, ownership, {}, pool_.level(now), outstanding_tokens()};
+        for (const auto& [holder, entry] : ledger_) {
+            handed_->ledger.push_back({holder.host, holder.incarnation, entry.upper()});
+        }
+        handed_to_ = ownership;
+    }
+    return *handed_to_ == ownership ? handed_ : std::nullopt;
+}
+
+void owner_account::try_complete(const member_processes& current, fleet_version settled,
+                                 time_point now) {
+    if (state_ != state::collecting || (!inherited_ && settled < unknown_since_)) {
+        return;
+    }
+    for (const auto& holder : current.processes) {
+        if (!answers_.contains(holder)) {
+            return;
+        }
+    }
+    become_complete(current, now);
+}
+
+void owner_account::become_complete(const member_processes& current, time_point now) {
+    ledger_.clear();
+    outstanding_.clear();
+    for (const auto& [holder, held] : answers_) {
+        ledger_[holder].acknowledged = held;
+    }
+    double tokens = 0;
+    if (inherited_) {
+        for (const auto& share : inherited_->ledger) {
+            ledger_.try_emplace({share.host, share.incarnation},
+                                ledger_entry{share.share, {}, {}, {}, 0, {}, {}});
+        }
+        // Granted tokens of the former owner may still be used; they count like one grant.
+        outstanding_[{}] = {ownership_, inherited_->outstanding_tokens,
+                            now + extended(settings_.token_wait, settings_.clock_margin)};
+        tokens = inherited_->pool_tokens;
+    }
+    for (auto& [holder, entry] : ledger_) {
+        entry.target = entry.acknowledged;
+        if (!current.processes.contains(holder)) {
+            entry.removed = current.version;
+        }
+    }
+    state_ = state::complete;
+    inherited_.reset();
+    first_plan_ = now + 2 * settings_.rebalance_interval;
+    pool_ = token_bucket(now);
+    configure_pool(now);
+    pool_.add(tokens, now);
+}
+
+void owner_account::reclaim(fleet_version settled, time_point now) {
+    if (state_ != state::complete) {
+        return;
+    }
+    const auto erased = std::erase_if(ledger_, [&](const auto& item) {
+        return item.second.removed && *item.second.removed <= settled;
+    });
+    if (erased > 0) {
+        configure_pool(now);
+    }
+}
+
+void owner_account::on_released(const host_process& holder, time_point now) {
+    const auto found = ledger_.find(holder);
+    if (state_ == state::complete && found != ledger_.end() && found->second.removed) {
+        ledger_.erase(found);
+        configure_pool(now);
+    }
+}
+
+bool owner_account::on_ack(const host_process& holder, const acknowledged_share& ack,
+                           time_point now) {
+    const auto found = ledger_.find(holder);
+    if (state_ != state::complete || ack.ownership != ownership_ || found == ledger_.end()) {
+        return false;
+    }
+    auto& entry = found->second;
+    if (!entry.open || ack.sequence != entry.sequence) {
+        return false;
+    }
+    const auto freed = std::max(0.0, entry.acknowledged.burst - entry.open->share.burst);
+    entry.acknowledged = entry.open->share;
+    entry.open.reset();
+    configure_pool(now);
+    // The holder may have counted these tokens under a higher burst than is configured here.
+    pool_.add(std::min(ack.returned_tokens, freed * burst_), now);
+    return true;
+}
+
+void owner_account::on_token_request(const host_process& holder, const token_request& request,
+                                     time_point now) {
+    const auto already = std::any_of(queue_.begin(), queue_.end(), [&](const auto& queued) {
+        return queued.holder == holder && queued.request.number == request.number;
+    });
+    if (already || state_ == state::retired || queue_.size() >= most_queued_requests ||
+        !(request.tokens > 0)) {
+        return;
+    }
+    queue_.push_back({holder, request, now + settings_.token_wait});
+}
+
+void owner_account::on_receipt(const host_process& holder, const token_receipt& receipt,
+                               time_point now) {
+    const auto found = outstanding_.find({holder, receipt.number});
+    if (found != outstanding_.end() && found->second.ownership == receipt.ownership) {
+        outstanding_.erase(found);
+        configure_pool(now);
+    }
+}
+
+std::vector<owner_account::granted> owner_account::serve(time_point now) {
+    std::vector<granted> grants;
+    drop_expired(now);
+    while (state_ == state::complete && !queue_.empty()) {
+        const auto& queued = queue_.front();
+        const auto known = outstanding_.find({queued.holder, queued.request.number});
+        if (known != outstanding_.end()) {
+            // The grant may have been lost; the same one again does not add tokens.
+            grants.push_back({queued.holder,
+                              {customer_, known->second.ownership, queued.request.number,
+                               known->second.tokens}});
+        } else {
+            const auto tokens = grantable(queued.request.tokens, now);
+            if (tokens <= 0) {
+                break;
+            }
+            grants.push_back(grant(queued, tokens, now));
+        }
+        queue_.pop_front();
+    }
+    return grants;
+}
+
+double owner_account::grantable(double asked, time_point now) const {
+    const auto level = pool_.level(now) + rounding_tolerance;
+    if (level >= asked) {
+        return asked;
+    }
+    // A part of a token only helps a holder that has the rest, so the part that was asked for
+    // comes with whole tokens only.
+    const auto whole = std::floor(level - (asked - std::floor(asked)));
+    return whole >= 1 ? asked - std::floor(asked) + whole : 0;
+}
+
+owner_account::granted owner_account::grant(const queued_request& queued, double tokens,
+                                            time_point now) {
+    const auto taken = pool_.take_up_to(tokens, now);
+    const auto expires = now + extended(settings_.token_wait, settings_.clock_margin);
+    outstanding_[{queued.holder, queued.request.number}] = {ownership_, taken, expires};
+    configure_pool(now);
+    return {queued.holder, {customer_, ownership_, queued.request.number, taken}};
+}
+
+void owner_account::drop_expired(time_point now) {
+    std::erase_if(queue_, [&](const auto& queued) { return queued.expires <= now; });
+    const auto expired =
+        std::erase_if(outstanding_, [&](const auto& item) { return item.second.expires <= now; });
+    if (expired > 0 && state_ == state::complete) {
+        configure_pool(now);
+    }
+}
+
+double owner_account::outstanding_tokens() const {
+    double sum = 0;
+    for (const auto& [key, grant] : outstanding_) {
+        sum += grant.tokens;
+    }
+    return sum;
+}
+
+share_fraction owner_account::pool_share() const {
+    if (state_ == state::collecting) {
+        return {};
+    }
+    share_fraction sum;
+    for (const auto& [holder, entry] : ledger_) {
+        const auto upper = entry.upper();
+        sum.rate += upper.rate;
+        sum.burst += upper.burst;
+    }
+    MG_INVARIANT("share_sum", sum.rate <= 1 + sum_tolerance && sum.burst <= 1 + sum_tolerance,
+                 fmt::format("customer={} rate={} burst={}", customer_, sum.rate, sum.burst));
+    return {std::max(0.0, 1 - sum.rate), std::max(0.0, 1 - sum.burst)};
+}
+
+void owner_account::configure_pool(time_point now) {
+    const auto share = pool_share();
+    pool_.configure(share.rate * rate_, std::max(0.0, share.burst * burst_ - outstanding_tokens()),
+                    now);
+}
+
+bool owner_account::is_active(const ledger_entry& entry, time_point now) const {
+    return !entry.removed && entry.demand > 0 &&
+           now - entry.demand_time <= 4 * settings_.rebalance_interval;
+}
+
+void owner_account::plan(time_point now) {
+    if (state_ != state::complete || now < first_plan_) {
+        return;
+    }
+    double active = 0;
+    double demand = 0;
+    for (const auto& [holder, entry] : ledger_) {
+        if (is_active(entry, now)) {
+            active += 1;
+            demand += entry.demand;
+        }
+    }
+    const auto most_rate = 1 - settings_.pool_rate_reserve;
+    const auto wanted = rate_ > 0 ? settings_.demand_headroom * demand / rate_ : 0;
+    const auto rate = std::clamp(wanted, most_rate / 2, most_rate);
+    const auto burst = 1 - settings_.pool_burst_reserve;
+    for (auto& [holder, entry] : ledger_) {
+        entry.target = {};
+        if (!is_active(entry, now)) {
+            continue;
+        }
+        const auto weight =
+            settings_.even_part / active + (1 - settings_.even_part) * entry.demand / demand;
+        if (weight * burst * burst_ >= settings_.smallest_share_tokens) {
+            entry.target = {weight * rate, weight * burst};
+        }
+    }
+}
+
+std::vector<owner_account::assigned> owner_account::rebalance(time_point now) {
+    std::vector<assigned> changes;
+    if (state_ != state::complete) {
+        return changes;
+    }
+    auto available = pool_share();
+    available.rate -= settings_.pool_rate_reserve;
+    available.burst -= settings_.pool_burst_reserve;
+    for (auto& [holder, entry] : ledger_) {
+        if (entry.removed) {
+            continue;
+        }
+        if (entry.open) {
+            if (now - entry.open->sent >= settings_.retry_interval) {
+                entry.open->sent = now;
+                changes.push_back({holder,
+                                   {customer_, ownership_, entry.sequence, entry.open->share,
+                                    entry.open->tokens}});
+            }
+            continue;
+        }
+        const auto before = entry.upper();
+        if (auto share = change(entry, available, now)) {
+            available.rate -= entry.upper().rate - before.rate;
+            available.burst -= entry.upper().burst - before.burst;
+            changes.push_back({holder, std::move(*share)});
+        }
+    }
+    return changes;
+}
+
+std::optional<assigned_share> owner_account::change(ledger_entry& entry, share_fraction available,
+                                                    time_point now) {
+    const auto& held = entry.acknowledged;
+    const share_fraction next{
+        std::min(entry.target.rate, held.rate + std::max(0.0, available.rate)),
+        std::min(entry.target.burst, held.burst + std::max(0.0, available.burst))};
+    // Small differences are not worth a message, except that a share that ends has to end.
+    const auto differs = [](double from, double to) {
+        return std::abs(from - to) > std::max(0.01, 0.1 * from) || (to == 0 && from > 0);
+    };
+    if (!differs(held.rate, next.rate) && !differs(held.burst, next.burst)) {
+        return std::nullopt;
+    }
+    const auto pool_burst = pool_share().burst;
+    const auto growth = std::max(0.0, next.burst - held.burst);
+    double tokens = 0;
+    if (growth > 0 && pool_burst > 0) {
+        const auto part = pool_.level(now) * std::min(1.0, growth / pool_burst);
+        tokens = pool_.take_up_to(std::min(part, growth * burst_), now);
+    }
+    entry.sequence = entry.sequence.next();
+    entry.open = open_assignment{next, tokens, now};
+    configure_pool(now);
+    return assigned_share{customer_, ownership_, entry.sequence, next, tokens};
+}
+
+bool owner_account::awaits_removed() const {
+    return std::any_of(ledger_.begin(), ledger_.end(),
+                       [](const auto& item) { return item.second.removed.has_value(); });
+}
+
+std::vector<host_process> owner_account::removed_processes() const {
+    std::vector<host_process> removed;
+    for (const auto& [holder, entry] : ledger_) {
+        if (entry.removed) {
+            removed.push_back(holder);
+        }
+    }
+    return removed;
+}
+
+time_point owner_account::next_wake(time_point now, bool may_grant) const {
+    if (queue_.empty()) {
+        return time_point::max();
+    }
+    auto next = queue_.front().expires;
+    for (const auto& queued : queue_) {
+        next = std::min(next, queued.expires);
+    }
+    if (state_ == state::complete && may_grant) {
+        const auto asked = queue_.front().request.tokens;
+        const auto least = asked - std::floor(asked) + (asked >= 1 ? 1 : 0);
+        next = std::min(next, pool_.ready_at(std::min(least, asked), now));
+        for (const auto& [key, grant] : outstanding_) {
+            next = std::min(next, grant.expires);
+        }
+    }
+    return std::max(next, now + microseconds(100));
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/limits/test/rate_shares_test.cpp
@@ -0,0 +1,143 @@
+#include "masticgrade/limits/rate_shares.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include "share_simulation.hpp"
+
+using namespace masticgrade;
+
+namespace {
+
+enum class fault {
+    kill,
+    restart,
+    pause,
+    cut,
+    cut_from_store,
+    join_up,
+    remove,
+    store_down,
+    store_up,
+    lower,
+    raise,
+    remove_and_cut,
+    shift_load
+};
+
+struct command {
+    fault kind = fault::kill;
+    int host = 0;
+    int wait_ms = 0;
+    int amount = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const command& c) {
+    return out << fmt::format("{{{} host={} wait={} amount={}}}", static_cast<int>(c.kind), c.host,
+                              c.wait_ms, c.amount);
+}
+
+rc::Gen<command> any_command(int hosts) {
+    return rc::gen::build<command>(
+        rc::gen::set(&command::kind,
+                     rc::gen::map(rc::gen::inRange(0, static_cast<int>(fault::shift_load) + 1),
+                                  [](int kind) { return static_cast<fault>(kind); })),
+        rc::gen::set(&command::host, rc::gen::inRange(0, hosts)),
+        rc::gen::set(&command::wait_ms,
+                     rc::gen::element(0, 1, 5, 20, 100, 400, 800, 1500, 3000, 5000)),
+        rc::gen::set(&command::amount, rc::gen::inRange(0, 100)));
+}
+
+void run(simulation::fleet& fleet, const command& c, int hosts) {
+    switch (c.kind) {
+        case fault::kill:
+            fleet.kill(c.host);
+            break;
+        case fault::restart:
+            fleet.restart(c.host);
+            break;
+        case fault::pause:
+            fleet.pause(c.host, milliseconds(50 * c.amount));
+            break;
+        case fault::cut:
+            fleet.cut_off(c.host, true, false);
+            break;
+        case fault::cut_from_store:
+            fleet.cut_off(c.host, true, true);
+            break;
+        case fault::join_up:
+            for (int host = 0; host < hosts; ++host) {
+                fleet.cut_off(host, false, false);
+            }
+            break;
+        case fault::remove:
+            fleet.remove_member(c.host);
+            break;
+        case fault::remove_and_cut:
+            fleet.cut_off(c.host, true, true);
+            fleet.remove_member(c.host);
+            break;
+        case fault::store_down:
+            fleet.set_store(false);
+            break;
+        case fault::store_up:
+            fleet.set_store(true);
+            break;
+        case fault::lower:
+            fleet.set_customer("large", 50 + c.amount, 30 + c.amount);
+            fleet.set_customer("small", 2, 3);
+            break;
+        case fault::raise:
+            fleet.set_customer("large", 200 + c.amount, 100 + 2 * c.amount);
+            fleet.set_customer("small", 2 + c.amount / 10.0, 3 + c.amount / 20.0);
+            break;
+        case fault::shift_load:
+            for (int host = 0; host < hosts; ++host) {
+                fleet.set_load("large", host, host == c.host ? 400 : 20);
+                fleet.set_load("small", host, host == c.host ? 10 : 0.5);
+            }
+            break;
+    }
+    fleet.run_for(milliseconds(c.wait_ms));
+}
+
+/// Runs a schedule of faults under a demand above the rate and returns the worst excess.
+double worst_excess(const share_settings& settings, std::uint64_t seed,
+                    const std::vector<command>& commands, int hosts) {
+    simulation::options options;
+    options.hosts = hosts;
+    options.settings = settings;
+    options.network = {0.05, 0.05, 0.05, microseconds(200), microseconds(5000), seconds(5)};
+    simulation::fleet fleet(options, seed);
+    fleet.set_customer("large", 200, 100);
+    fleet.set_customer("small", 2, 3);
+    for (int host = 0; host < hosts; ++host) {
+        fleet.set_load("large", host, 60);
+        fleet.set_load("small", host, 1.5);
+    }
+    fleet.run_for(seconds(6));
+    for (const auto& c : commands) {
+        run(fleet, c, hosts);
+    }
+    fleet.run_for(seconds(5));
+    return fleet.worst_excess();
+}
+
+constexpr int hosts = 5;
+
+auto any_schedule() {
+    return rc::gen::resize(60, rc::gen::container<std::vector<command>>(any_command(hosts)));
+}
+
+}  // namespace
+
+// Guards against a customer that gets more than its rate and burst (guarantee 7), whatever is
+// lost, late, doubled, reordered, paused, restarted, removed or reconfigured.
+TEST_CASE("over every interval a customer is admitted at most burst plus rate times time") {
+    const auto holds = rc::check([] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        RC_ASSERT(worst_excess({}, seed, *any_schedule(), hosts) <= 1e-6);
+    });
+    CHECK(holds);
+}
--- /dev/null
+++ b/libs/limits/test/share_simulation.cpp
@@ -0,0 +1,508 @@
+#include "share_simulation.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "masticgrade/version/rendezvous.hpp"
+
+namespace masticgrade::simulation {
+
+namespace {
+
+constexpr duration tick = milliseconds(10);
+
+host_id name_of(int host) { return host_id{fmt::format("host-{}", host)}; }
+double to_seconds(duration span) { return std::chrono::duration<double>(span).count(); }
+duration from_seconds(double span) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(span));
+}
+
+}  // namespace
+
+fleet::fleet(options settings, std::uint64_t seed)
+    : options_(std::move(settings)), random_(seed), now_(time_point{} + seconds(1000)) {
+    fleet_snapshot first;
+    for (int index = 0; index < options_.hosts; ++index) {
+        auto& added = hosts_.emplace_back();
+        added.clock_offset = seconds(17 * index);
+        start_process(index);
+        added.running->joining = false;
+        first.hosts.hosts[name_of(index)] = {name_of(index), endpoint_address{},
+                                             failure_domain_id{},
+                                             added.running->identity.incarnation};
+    }
+    publish(std::move(first), true);
+    for (int index = 0; index < options_.hosts; ++index) {
+        poll(index);
+        exchange(index);
+    }
+}
+
+void fleet::set_customer(const std::string& name, double rate, double burst) {
+    const customer_id id{name};
+    auto next = *latest_;
+    next.config.customers[id] = {id, rate, burst, {}, {}};
+    publish(std::move(next), false);
+    auto& state = customers_[name];
+    if (state.configs.empty()) {
+        state.load.resize(hosts_.size());
+        state.reference.configure(rate, burst, now_);
+        state.reference.add(burst, now_);
+    }
+    state.reference.configure(rate, burst, now_);
+    state.configs[latest_->version] = latest_->config.customers.at(id);
+}
+
+void fleet::set_load(const std::string& name, int host, double statements_per_second) {
+    customers_.at(name).load[host] = statements_per_second;
+    schedule_arrival(name, host, ++arrival_generation_[{name, host}]);
+}
+
+void fleet::move_load(int from) {
+    for (auto& [name, state] : customers_) {
+        const auto part = state.load[from] / (options_.hosts - 1);
+        set_load(name, from, 0);
+        for (int index = 0; index < options_.hosts; ++index) {
+            if (index != from) {
+                set_load(name, index, state.load[index] + part);
+            }
+        }
+    }
+}
+
+void fleet::run_for(duration span) {
+    const auto end = now_ + span;
+    while (now_ < end) {
+        auto next = std::min(end, now_ + tick);
+        for (int index = 0; index < options_.hosts; ++index) {
+            if (runs(index)) {
+                const auto timer = hosts_[index].running->shares->next_timer();
+                if (timer != time_point::max()) {
+                    next = std::min(next, timer - hosts_[index].clock_offset);
+                }
+            }
+        }
+        next = std::max(next, now_);
+        if (!events_.empty() && events_.top().when <= next) {
+            const auto due = events_.top();
+            events_.pop();
+            advance_to(std::max(now_, due.when));
+            due.run();
+            continue;
+        }
+        advance_to(next);
+        for (int index = 0; index < options_.hosts; ++index) {
+            run_timers(index);
+        }
+        maintain_members();
+    }
+}
+
+void fleet::advance_to(time_point when) {
+    update_obsolete();
+    step_bounds(when);
+    now_ = when;
+    for (int index = 0; index < options_.hosts; ++index) {
+        auto& host = hosts_[index];
+        if (!host.deferred.empty() && runs(index)) {
+            auto deferred = std::move(host.deferred);
+            host.deferred.clear();
+            for (const auto& run : deferred) {
+                run();
+            }
+        }
+    }
+}
+
+void fleet::step_bounds(time_point when) {
+    for (auto& [name, state] : customers_) {
+        double rate = 0;
+        for (const auto& [version, config] : state.configs) {
+            rate = std::max(rate, config.rate);
+        }
+        state.bound.integral += rate * to_seconds(when - now_);
+    }
+}
+
+void fleet::update_obsolete() {
+    for (auto& [name, state] : customers_) {
+        if (state.configs.size() < 2) {
+            continue;
+        }
+        const auto newest = state.configs.rbegin()->first;
+        for (auto item = state.configs.begin(); item->first != newest;) {
+            const auto next = std::next(item)->first;
+            const bool used = std::any_of(hosts_.begin(), hosts_.end(), [&](const host& h) {
+                if (h.running == nullptr || h.running->snapshot == nullptr) {
+                    return false;
+                }
+                const auto& list = latest_->hosts.hosts;
+                const auto entry = list.find(h.running->identity.host);
+                const bool member = entry != list.end() &&
+                                    entry->second.incarnation == h.running->identity.incarnation;
+                return h.running->snapshot->version < next &&
+                       (member || now_ < h.running->fresh_until);
+            });
+            auto& obsolete = state.obsolete_at.try_emplace(item->first, now_).first->second;
+            if (used) {
+                obsolete = now_;
+            }
+            // Tokens granted under the old configuration may still be on their way.
+            if (now_ - obsolete > milliseconds(300)) {
+                item = state.configs.erase(item);
+            } else {
+                ++item;
+            }
+        }
+    }
+}
+
+void fleet::publish(fleet_snapshot next, bool members_changed) {
+    next.version = latest_ == nullptr ? fleet_version{1} : latest_->version.next();
+    if (members_changed) {
+        next.hosts.version = next.version;
+    }
+    latest_ = std::make_shared<const fleet_snapshot>(std::move(next));
+}
+
+bool fleet::last_change_accepted() const {
+    std::size_t aware = 0;
+    for (const auto& host : hosts_) {
+        if (host.running == nullptr || host.running->snapshot == nullptr) {
+            continue;
+        }
+        const auto entry = latest_->hosts.hosts.find(host.running->identity.host);
+        if (entry != latest_->hosts.hosts.end() &&
+            entry->second.incarnation == host.running->identity.incarnation &&
+            host.running->snapshot->hosts.version == latest_->hosts.version) {
+            ++aware;
+        }
+    }
+    return store_up_ && aware >= latest_->hosts.majority();
+}
+
+void fleet::start_process(int host) {
+    auto started = std::make_unique<process>();
+    started->identity = {name_of(host), incarnation_number{next_incarnation_++}};
+    started->shares =
+        std::make_unique<rate_shares>(started->identity, options_.settings, local(host));
+    started->joining = true;
+    hosts_[host].running = std::move(started);
+    hosts_[host].died.reset();
+    hosts_[host].deferred.clear();
+}
+
+void fleet::kill(int host) {
+    hosts_[host].running.reset();
+    hosts_[host].deferred.clear();
+    hosts_[host].died = now_;
+    std::erase_if(open_, [&](const auto& item) { return item.first.first.host == name_of(host); });
+}
+
+void fleet::restart(int host) {
+    kill(host);
+    start_process(host);
+}
+
+void fleet::pause(int host, duration span) {
+    hosts_[host].paused_until = std::max(hosts_[host].paused_until, now_ + span);
+}
+
+void fleet::cut_off(int host, bool cut, bool store_too) {
+    hosts_[host].cut = cut;
+    hosts_[host].cut_from_store = cut && store_too;
+}
+
+void fleet::remove_member(int host) {
+    if (latest_->hosts.hosts.size() <= 2 || !latest_->hosts.hosts.contains(name_of(host)) ||
+        !last_change_accepted()) {
+        return;
+    }
+    auto next = *latest_;
+    next.hosts.hosts.erase(name_of(host));
+    publish(std::move(next), true);
+}
+
+void fleet::maintain_members() {
+    for (int index = 0; index < options_.hosts; ++index) {
+        auto& host = hosts_[index];
+        if (host.died && now_ - *host.died > options_.removal_delay) {
+            remove_member(index);
+        }
+        if (!runs(index)) {
+            continue;
+        }
+        auto& running = *host.running;
+        if (running.joining && !host.cut_from_store && last_change_accepted()) {
+            auto next = *latest_;
+            next.hosts.hosts[name_of(index)] = {name_of(index), endpoint_address{},
+                                                failure_domain_id{}, running.identity.incarnation};
+            publish(std::move(next), true);
+            running.joining = false;
+        } else if (!running.joining && running.snapshot != nullptr) {
+            const auto entry = running.snapshot->hosts.hosts.find(name_of(index));
+            const bool older = entry != running.snapshot->hosts.hosts.end() &&
+                               entry->second.incarnation < running.identity.incarnation;
+            if (!older && (entry == running.snapshot->hosts.hosts.end() ||
+                           entry->second.incarnation != running.identity.incarnation)) {
+                // A process that started after its snapshot is still to learn that it joined.
+                const auto listed = latest_->hosts.hosts.find(name_of(index));
+                if (listed == latest_->hosts.hosts.end() ||
+                    listed->second.incarnation != running.identity.incarnation) {
+                    restart(index);
+                }
+            }
+        }
+    }
+}
+
+void fleet::poll(int host) {
+    const auto sent = now_;
+    if (runs(host) && store_up_ && !hosts_[host].cut_from_store) {
+        const auto incarnation = hosts_[host].running->identity.incarnation;
+        const auto half = random_delay();
+        at(now_ + half, [this, host, sent, incarnation, half] {
+            const auto snapshot = latest_;
+            at(now_ + half, [this, host, sent, incarnation, snapshot] {
+                on_host(host, [this, host, sent, incarnation, snapshot] {
+                    auto& running = *hosts_[host].running;
+                    if (running.identity.incarnation != incarnation) {
+                        return;
+                    }
+                    apply(host, snapshot);
+                    if (running.snapshot == snapshot) {
+                        running.fresh_until =
+                            std::max(running.fresh_until, sent + options_.freshness_window);
+                        running.shares->on_freshness(running.fresh_until +
+                                                     hosts_[host].clock_offset);
+                    }
+                });
+            });
+        });
+    }
+    const auto wait = std::uniform_int_distribution<int>(800, 1200)(random_);
+    at(now_ + milliseconds(wait), [this, host] { poll(host); });
+}
+
+void fleet::exchange(int host) {
+    auto& own = hosts_[host];
+    if (runs(host) && !own.cut && own.running->snapshot != nullptr) {
+        for (int peer = 0; peer < options_.hosts; ++peer) {
+            if (runs(peer) && !hosts_[peer].cut && hosts_[peer].running->snapshot != nullptr) {
+                apply(host, hosts_[peer].running->snapshot);
+            }
+        }
+        const auto& list = own.running->snapshot->hosts;
+        std::size_t current = 0;
+        for (int peer = 0; peer < options_.hosts; ++peer) {
+            const auto entry = list.hosts.find(name_of(peer));
+            current += runs(peer) && !hosts_[peer].cut && entry != list.hosts.end() &&
+                       entry->second.incarnation == hosts_[peer].running->identity.incarnation;
+        }
+        if (current >= list.majority()) {
+            own.running->fresh_until = now_ + options_.freshness_window;
+            own.running->shares->on_freshness(own.running->fresh_until + own.clock_offset);
+        }
+    }
+    const auto wait = std::uniform_int_distribution<int>(400, 600)(random_);
+    at(now_ + milliseconds(wait), [this, host] { exchange(host); });
+}
+
+void fleet::apply(int host, const fleet_snapshot_ptr& snapshot) {
+    auto& running = *hosts_[host].running;
+    if (running.snapshot != nullptr && running.snapshot->version >= snapshot->version) {
+        return;
+    }
+    running.snapshot = snapshot;
+    share_actions actions;
+    running.shares->on_snapshot(snapshot, local(host), actions);
+    perform(host, actions);
+}
+
+void fleet::run_timers(int host) {
+    if (!runs(host)) {
+        return;
+    }
+    auto& shares = *hosts_[host].running->shares;
+    if (shares.next_timer() <= local(host)) {
+        share_actions actions;
+        shares.on_timer(local(host), actions);
+        perform(host, actions);
+    }
+}
+
+void fleet::perform(int host, share_actions& actions) {
+    for (auto& action : actions) {
+        if (const auto* message = std::get_if<send_message>(&action)) {
+            if (!hosts_[host].cut) {
+                transmit(message->envelope);
+            }
+            continue;
+        }
+        const auto* done = std::get_if<statement_admitted>(&action);
+        const auto ticket =
+            done != nullptr ? done->ticket : std::get<statement_refused>(action).ticket;
+        const auto found = open_.find({hosts_[host].running->identity, ticket});
+        if (found == open_.end()) {
+            continue;
+        }
+        auto& state = customers_.at(found->second.customer);
+        if (done != nullptr) {
+            count_admitted(found->second.customer, found->second.in_rate);
+        } else {
+            ++state.result.refused;
+            state.result.refused_in_rate += found->second.in_rate;
+        }
+        open_.erase(found);
+    }
+}
+
+void fleet::transmit(const share_envelope& envelope) {
+    ++messages_;
+    const auto& network = options_.network;
+    const int copies = chance(network.lost) ? 0 : chance(network.doubled) ? 2 : 1;
+    int recipient = 0;
+    while (name_of(recipient) != envelope.recipient) {
+        ++recipient;
+    }
+    for (int copy = 0; copy < copies; ++copy) {
+        auto delay = random_delay();
+        if (chance(network.late)) {
+            delay += std::chrono::microseconds(std::uniform_int_distribution<std::int64_t>(
+                0, network.longest_delay.count())(random_));
+        }
+        at(now_ + delay, [this, recipient, envelope] {
+            if (hosts_[recipient].cut) {
+                return;
+            }
+            on_host(recipient, [this, recipient, envelope] {
+                share_actions actions;
+                hosts_[recipient].running->shares->on_message(envelope, local(recipient), actions);
+                perform(recipient, actions);
+            });
+        });
+    }
+}
+
+void fleet::schedule_arrival(const std::string& name, int host, std::uint64_t generation) {
+    const auto rate = customers_.at(name).load[host];
+    if (rate <= 0) {
+        return;
+    }
+    const auto gap = from_seconds(std::exponential_distribution<double>(rate)(random_));
+    at(now_ + gap, [this, name, host, generation] {
+        if (arrival_generation_[{name, host}] == generation) {
+            arrive(name, host);
+            schedule_arrival(name, host, generation);
+        }
+    });
+}
+
+void fleet::arrive(const std::string& name, int host) {
+    if (hosts_[host].running == nullptr) {
+        return;
+    }
+    on_host(host, [this, name, host] {
+        auto& state = customers_.at(name);
+        ++state.result.asked;
+        const bool in_rate = state.reference.take(1, now_);
+        state.result.in_rate += in_rate;
+        auto& running = *hosts_[host].running;
+        share_actions actions;
+        const auto result = running.shares->admit(customer_id{name}, local(host) + seconds(5),
+                                                  local(host), actions);
+        if (std::holds_alternative<admitted>(result)) {
+            count_admitted(name, in_rate);
+        } else if (const auto* wait = std::get_if<waiting>(&result)) {
+            open_[{running.identity, wait->ticket}] = {name, in_rate};
+        } else {
+            ++state.result.refused;
+            state.result.refused_in_rate += in_rate;
+        }
+        perform(host, actions);
+    });
+}
+
+void fleet::count_admitted(const std::string& name, bool) {
+    auto& state = customers_.at(name);
+    ++state.result.admitted;
+    double burst = 0;
+    for (const auto& [version, config] : state.configs) {
+        burst = std::max(burst, config.burst);
+    }
+    auto& bound = state.bound;
+    const auto before = static_cast<double>(bound.admitted);
+    bound.lowest_start = std::min(bound.lowest_start, burst - bound.integral + before);
+    ++bound.admitted;
+    bound.worst = std::max(bound.worst, before + 1 - bound.integral - bound.lowest_start);
+}
+
+void fleet::reset_counts() {
+    for (auto& [name, state] : customers_) {
+        state.result = {};
+    }
+}
+
+counts fleet::total() const {
+    counts sum;
+    for (const auto& [name, state] : customers_) {
+        sum.asked += state.result.asked;
+        sum.admitted += state.result.admitted;
+        sum.refused += state.result.refused;
+        sum.in_rate += state.result.in_rate;
+        sum.refused_in_rate += state.result.refused_in_rate;
+    }
+    return sum;
+}
+
+const counts& fleet::of(const std::string& name) const { return customers_.at(name).result; }
+
+double fleet::worst_excess() const {
+    double worst = -1e300;
+    for (const auto& [name, state] : customers_) {
+        worst = std::max(worst, state.bound.worst);
+    }
+    return worst;
+}
+
+int fleet::owner_of(const std::string& name) const {
+    const auto owner = rank_hosts(latest_->hosts, name, 1).front();
+    int host = 0;
+    while (name_of(host) != owner) {
+        ++host;
+    }
+    return host;
+}
+
+void fleet::at(time_point when, std::function<void()> run) {
+    events_.push({when, order_++, std::move(run)});
+}
+
+void fleet::on_host(int host, const std::function<void()>& run) {
+    if (hosts_[host].running == nullptr) {
+        return;
+    }
+    if (runs(host)) {
+        run();
+    } else {
+        hosts_[host].deferred.push_back(run);
+    }
+}
+
+bool fleet::runs(int host) const {
+    return hosts_[host].running != nullptr && now_ >= hosts_[host].paused_until;
+}
+
+time_point fleet::local(int host) const { return now_ + hosts_[host].clock_offset; }
+
+duration fleet::random_delay() {
+    return std::chrono::microseconds(std::uniform_int_distribution<std::int64_t>(
+        options_.network.shortest_delay.count(), options_.network.usual_delay.count())(random_));
+}
+
+bool fleet::chance(double probability) {
+    return probability > 0 && std::bernoulli_distribution(probability)(random_);
+}
+
+}  // namespace masticgrade::simulation
