Hand ledgers over at a planned stop, and report readiness of the owner side

A host that leaves the members by its own change passes its ledgers on, so that customers without shares of their own are not refused for the 3 s after which a new owner may use what is unknown. A removed process reports that it holds nothing for the same reason. share_owner::is_ready lets a host that (re)joined stay unready until it can grant tokens.

--- a/libs/limits/include/masticgrade/limits/rate_shares.hpp
+++ b/libs/limits/include/masticgrade/limits/rate_shares.hpp
@@ -20,6 +20,7 @@
     }
     void on_snapshot(const fleet_snapshot_ptr& snapshot, time_point now, share_actions& out);
     void on_freshness(time_point fresh_until);
+    void on_left() { owner_.on_left(); }
     void on_message(const share_envelope& envelope, time_point now, share_actions& out);
     void on_timer(time_point now, share_actions& out);
     [[nodiscard]] time_point next_timer() const;
--- a/libs/limits/include/masticgrade/limits/share_messages.hpp
+++ b/libs/limits/include/masticgrade/limits/share_messages.hpp
@@ -82,6 +82,9 @@
     /// The ownership of the query that this answers.
     fleet_version ownership;
     std::vector<ledger_share> ledger;
+    /// Whether the sender removed itself from the members, and `ownership` is the version of the
+    /// list that this created: no other owner can have come between.
+    bool sender_left = false;
     /// Tokens in the former owner's pool, and granted tokens that may still be on their way.
     double pool_tokens = 0;
     double outstanding_tokens = 0;
--- a/libs/limits/include/masticgrade/limits/share_owner.hpp
+++ b/libs/limits/include/masticgrade/limits/share_owner.hpp
@@ -27,6 +27,11 @@
     /// Sets the time until which this host may start new work (section 4.5).
     void on_freshness(time_point fresh_until);
 
+    /// Hands the ledgers over after a planned stop. Preconditions: this process has removed itself
+    /// from the members by a change that required the list in use until then, and has applied the
+    /// resulting snapshot. The process should stay for some retry intervals.
+    void on_left();
+
     /// Handles a message meant for an owner; ignores all others.
     void on_message(const share_envelope& envelope, time_point now, share_actions& out);
 
@@ -34,6 +39,9 @@
     /// When `on_timer` has to be called next.
     [[nodiscard]] time_point next_timer() const;
 
+    /// Whether every customer that this process owns is complete. A host should only become ready
+    /// then: before, nobody can give it tokens for these customers.
+    [[nodiscard]] bool is_ready() const;
     /// Whether this process owns the customer and knows an upper bound of every share of it.
     [[nodiscard]] bool is_complete(const customer_id& customer) const;
     /// The part of rate and burst that is not assigned to any holder; zero unless complete.
--- a/libs/limits/src/owner_account.cpp
+++ b/libs/limits/src/owner_account.cpp
@@ -66,7 +66,7 @@
 
 void owner_account::restart_collecting(fleet_version ownership, time_point now) {
     if (state_ == state::complete) {
-        share_handover own{customer_, ownership, {}, pool_.level(now), outstanding_tokens()};
+        share_handover own{customer_, ownership, {}, false, pool_.level(now), outstanding_tokens()};
         for (const auto& [holder, entry] : ledger_) {
             own.ledger.push_back({holder.host, holder.incarnation, entry.upper()});
         }
@@ -77,6 +77,13 @@
     answers_.clear();
 }
 
+void owner_account::retire(fleet_version list) {
+    if (state_ == state::complete) {
+        state_ = state::retired;
+        retired_at_ = list;
+    }
+}
+
 bool owner_account::resume(time_point now) {
     if (state_ != state::retired || handed_to_) {
         return false;
@@ -115,7 +122,8 @@
     }
     if (!handed_) {
         drop_expired(now);
-        handed_ = share_handover{customer_, ownership, {}, pool_.level(now), outstanding_tokens()};
+        handed_ =
+            share_handover{customer_, ownership, {}, false, pool_.level(now), outstanding_tokens()};
         for (const auto& [holder, entry] : ledger_) {
             handed_->ledger.push_back({holder.host, holder.incarnation, entry.upper()});
         }
@@ -405,16 +413,6 @@
                        [](const auto& item) { return item.second.removed.has_value(); });
 }
 
-std::vector<host_process> owner_account::removed_processes() const {
-    std::vector<host_process> removed;
-    for (const auto& [holder, entry] : ledger_) {
-        if (entry.removed) {
-            removed.push_back(holder);
-        }
-    }
-    return removed;
-}
-
 time_point owner_account::next_wake(time_point now, bool may_grant) const {
     if (queue_.empty()) {
         return time_point::max();
--- a/libs/limits/src/owner_account.hpp
+++ b/libs/limits/src/owner_account.hpp
@@ -47,7 +47,8 @@
     /// Asks every member again under a higher ownership. A ledger that was complete stays valid,
     /// because no other owner can become complete without an answer of this process.
     void restart_collecting(fleet_version ownership, time_point now);
-    void retire() { state_ = state_ == state::complete ? state::retired : state_; }
+    /// Stops assigning and keeps the ledger, if it is complete, for the next owner.
+    void retire(fleet_version list);
     /// Resumes a retired ledger that nobody asked for. Returns whether there is one.
     bool resume(time_point now);
 
@@ -82,10 +83,10 @@
     }
     /// Whether a process that left may still hold a share.
     [[nodiscard]] bool awaits_removed() const;
-    [[nodiscard]] std::vector<host_process> removed_processes() const;
     [[nodiscard]] state current_state() const noexcept { return state_; }
     [[nodiscard]] fleet_version ownership() const noexcept { return ownership_; }
     [[nodiscard]] const customer_id& customer() const noexcept { return customer_; }
+    [[nodiscard]] fleet_version retired_at() const noexcept { return retired_at_; }
     [[nodiscard]] bool was_handed_over() const noexcept { return handed_to_.has_value(); }
     [[nodiscard]] bool has_inherited() const noexcept { return inherited_.has_value(); }
     [[nodiscard]] share_fraction pool_share() const;
@@ -147,6 +148,7 @@
     /// Shares may exist that no member and no inherited ledger names, held by processes that are
     /// not in this list.
     fleet_version unknown_since_;
+    fleet_version retired_at_;
     std::optional<fleet_version> handed_to_;
     std::optional<share_handover> handed_;
 
--- a/libs/limits/src/share_holder.cpp
+++ b/libs/limits/src/share_holder.cpp
@@ -61,6 +61,8 @@
     admission_ticket last_ticket_;
     request_number last_request_;
     time_point next_report_;
+    /// Reports to send after the removal of this process from the members.
+    int farewells_ = 4;
 };
 
 holder_account& share_holder::implementation::account(const customer_id& customer, time_point now) {
@@ -238,12 +240,17 @@
 }
 
 void share_holder::implementation::send_report(time_point now, share_actions& out) {
-    if (settings_.mode != share_mode::shared || !is_member_) {
+    if (settings_.mode != share_mode::shared || snapshot_ == nullptr || farewells_ == 0) {
         return;
     }
+    if (!is_member_) {
+        --farewells_;
+    }
     std::map<host_process, share_report> reports;
     for (auto& [customer, account] : accounts_) {
-        if (!account.measure_demand(now)) {
+        // A process that was removed reports that it holds nothing, so that its shares can be used
+        // before the freshness window has passed.
+        if (!account.measure_demand(now) && is_member_) {
             continue;
         }
         reports[account.owner].shares.push_back(account.report());
--- a/libs/limits/src/share_owner.cpp
+++ b/libs/limits/src/share_owner.cpp
@@ -30,7 +30,10 @@
     }
     [[nodiscard]] const owner_account* complete_account(const customer_id& customer) const;
 
+    [[nodiscard]] bool is_ready() const;
+
     time_point fresh_until{};
+    bool left = false;
 
 private:
     using recipients_queries = std::map<std::pair<host_process, fleet_version>, share_query>;
@@ -44,6 +47,7 @@
     void send_queries(time_point now, bool ask_again, share_actions& out);
     void add_queries(const owner_account& account, bool ask_again,
                      recipients_queries& queries) const;
+    void push_handovers(time_point now, share_actions& out);
     void rebalance_all(time_point now, share_actions& out);
     void send_assignments(const std::vector<owner_account::assigned>& assignments,
                           std::map<host_process, share_assignment>& batches) const;
@@ -118,11 +122,14 @@
 void share_owner::implementation::update_ownership(time_point now) {
     for (auto item = accounts_.begin(); item != accounts_.end();) {
         auto& [customer, account] = *item;
-        const bool keep =
-            owns(customer)
-                ? account.current_state() != owner_account::state::retired || account.resume(now)
-                : (account.retire(), account.current_state() == owner_account::state::retired &&
-                                         !account.was_handed_over());
+        const bool owned = owns(customer);
+        if (!owned) {
+            account.retire(members_.current().version);
+        }
+        const bool retired = account.current_state() == owner_account::state::retired;
+        const bool asked_again = account.retired_at() == members_.current().version;
+        const bool keep = owned ? !retired || account.resume(now)
+                                : retired && (!account.was_handed_over() || asked_again);
         if (keep) {
             ++item;
             continue;
@@ -224,7 +231,9 @@
                                          const share_envelope& envelope, time_point now,
                                          share_actions& out) {
     auto* account = find(handover.customer);
-    if (account == nullptr || !members_.current().processes.contains(sender_of(envelope))) {
+    const bool trusted =
+        handover.sender_left || members_.current().processes.contains(sender_of(envelope));
+    if (account == nullptr || !trusted) {
         return;
     }
     account->on_handover(handover);
@@ -262,6 +271,9 @@
     }
     const bool round = now >= next_round_;
     if (now >= next_query_) {
+        if (left) {
+            push_handovers(now, out);
+        }
         advance_membership(now, out);
         send_queries(now, round, out);
     }
@@ -308,7 +320,8 @@
         query.ownership = key.second;
         send(key.first, std::move(query), out);
     }
-    next_query_ = now + (unsettled ? settings_.retry_interval : settings_.rebalance_interval);
+    next_query_ =
+        now + (unsettled || left ? settings_.retry_interval : settings_.rebalance_interval);
 }
 
 void share_owner::implementation::add_queries(const owner_account& account, bool ask_again,
@@ -324,10 +337,20 @@
             }
         }
     }
-    if (ask_again && account.current_state() == owner_account::state::complete) {
-        // A removed process that is alive can confirm at once that it holds nothing.
-        for (const auto& holder : account.removed_processes()) {
-            add(holder);
+}
+
+void share_owner::implementation::push_handovers(time_point now, share_actions& out) {
+    const auto left_by = members_.current().version;
+    for (auto& [customer, account] : accounts_) {
+        if (account.retired_at() != left_by) {
+            continue;
+        }
+        const auto ranked = rank_hosts(snapshot_->hosts, customer.str(), 1);
+        auto handover = account.hand_over(left_by, now);
+        if (handover && !ranked.empty()) {
+            handover->sender_left = true;
+            const auto& owner = snapshot_->hosts.hosts.at(ranked.front());
+            send({owner.id, owner.incarnation}, std::move(*handover), out);
         }
     }
 }
@@ -367,6 +390,13 @@
     return found == accounts_.end() ? nullptr : &found->second;
 }
 
+bool share_owner::implementation::is_ready() const {
+    return snapshot_ != nullptr &&
+           std::none_of(accounts_.begin(), accounts_.end(), [](const auto& item) {
+               return item.second.current_state() == owner_account::state::collecting;
+           });
+}
+
 const owner_account* share_owner::implementation::complete_account(
     const customer_id& customer) const {
     const auto found = accounts_.find(customer);
@@ -395,6 +425,8 @@
     implementation_->on_timer(now, out);
 }
 time_point share_owner::next_timer() const { return implementation_->next_timer(); }
+void share_owner::on_left() { implementation_->left = true; }
+bool share_owner::is_ready() const { return implementation_->is_ready(); }
 bool share_owner::is_complete(const customer_id& customer) const {
     return implementation_->complete_account(customer) != nullptr;
 }
--- a/libs/limits/test/rate_shares_test.cpp
+++ b/libs/limits/test/rate_shares_test.cpp
@@ -23,6 +23,7 @@
     lower,
     raise,
     remove_and_cut,
+    leave,
     shift_load
 };
 
@@ -78,6 +79,9 @@
             fleet.cut_off(c.host, true, true);
             fleet.remove_member(c.host);
             break;
+        case fault::leave:
+            fleet.leave(c.host);
+            break;
         case fault::store_down:
             fleet.set_store(false);
             break;
