Add the proxy process with statements, transactions, rate admission and metrics

The thin path: callers over HTTP, authentication by key hash, admission, routing, a pool per instance, acknowledgement by a majority, and resolution of lost answers by a cancel record.

--- a/libs/failover/include/masticgrade/failover/instance_answer.hpp
+++ b/libs/failover/include/masticgrade/failover/instance_answer.hpp
@@ -2,6 +2,7 @@
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
+#include "masticgrade/version/instance_role.hpp"
 
 namespace masticgrade {
 
@@ -15,8 +16,6 @@
     time_point sent_at;
 };
 
-enum class instance_role { primary, replica, sealed };
-
 /// An answer to `state`.
 struct instance_state {
     instance_progress progress;
--- /dev/null
+++ b/libs/net/include/masticgrade/net/async_result.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "masticgrade/base/time.hpp"
+
+namespace masticgrade {
+
+/// A value that one coroutine waits for and another thread delivers; only the first delivery
+/// counts. Thread safety: `set` may be called from any thread; one coroutine waits, on the given
+/// executor, which must be a strand or belong to a single thread.
+template <class Value>
+class async_result : public std::enable_shared_from_this<async_result<Value>> {
+public:
+    explicit async_result(const boost::asio::any_io_executor& executor) : timer_(executor) {}
+
+    /// Returns false when a value had already been delivered.
+    bool set(Value value) {
+        {
+            const std::scoped_lock lock{mutex_};
+            if (delivered_) {
+                return false;
+            }
+            delivered_ = true;
+            value_.emplace(std::move(value));
+        }
+        boost::asio::post(timer_.get_executor(),
+                          [self = this->shared_from_this()] { self->timer_.cancel(); });
+        return true;
+    }
+
+    /// Returns nothing when the deadline passes first; the result then takes no value any more.
+    boost::asio::awaitable<std::optional<Value>> wait(time_point deadline) {
+        auto self = this->shared_from_this();
+        if (!is_delivered()) {
+            boost::system::error_code ignored;
+            timer_.expires_at(deadline);
+            co_await timer_.async_wait(
+                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        }
+        const std::scoped_lock lock{mutex_};
+        delivered_ = true;
+        co_return std::exchange(value_, std::nullopt);
+    }
+
+private:
+    bool is_delivered() {
+        const std::scoped_lock lock{mutex_};
+        return delivered_;
+    }
+
+    std::mutex mutex_;
+    bool delivered_ = false;
+    std::optional<Value> value_;
+    boost::asio::steady_timer timer_;
+};
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/proxy/include/masticgrade/proxy/proxy.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <memory>
+
+#include "masticgrade/proxy/settings.hpp"
+
+namespace masticgrade {
+
+/// One proxy process: serves callers until it is told to stop.
+/// Thread safety: `run` is called once, from one thread.
+class proxy {
+public:
+    /// Binds its addresses; throws masticgrade::error when one cannot be bound.
+    explicit proxy(proxy_settings settings);
+    proxy(const proxy&) = delete;
+    proxy& operator=(const proxy&) = delete;
+    ~proxy();
+
+    /// Serves until SIGTERM or SIGINT and then shuts down gracefully.
+    void run();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/proxy/src/statement_service.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/value.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "fleet_state.hpp"
+#include "masticgrade/request/outcome.hpp"
+#include "masticgrade/request/retry_budget.hpp"
+#include "masticgrade/request/routing.hpp"
+#include "masticgrade/request/session_token.hpp"
+
+namespace masticgrade {
+
+/// One statement of an authenticated caller.
+struct statement_request {
+    customer_id customer;
+    group_id group;
+    bool is_write = false;
+    boost::json::value statement;
+    idempotency_key idempotency;
+    session caller_session;
+    read_freshness freshness = current_data{};
+    time_point deadline;
+};
+
+struct statement_result {
+    outcome answer;
+    /// The session after the statement.
+    session caller_session;
+};
+
+/// Tells why this host may not start new work now; empty when it may.
+using work_permission = std::function<std::optional<std::string>()>;
+
+/// Runs single statements: reads on a replica that is fresh enough or on the primary, writes
+/// exactly once on the current primary when they carry an idempotency key, and at most once
+/// otherwise. Thread safety: all members may be called from any thread; each coroutine must run on
+/// a strand.
+class statement_service {
+public:
+    struct options {
+        failure_domain_id own_domain;
+        /// Serves all reads on the primary; a baseline for measurements.
+        bool primary_reads_only = false;
+    };
+
+    statement_service(std::shared_ptr<fleet_state> fleet, work_permission may_start_work,
+                      options settings);
+
+    boost::asio::awaitable<statement_result> run(statement_request request);
+
+private:
+    boost::asio::awaitable<outcome> read(const statement_request& request, group_runtime& group);
+    boost::asio::awaitable<std::optional<outcome>> try_read(const statement_request& request,
+                                                            group_runtime& group,
+                                                            bool primary_only);
+    std::shared_ptr<fleet_state> fleet_;
+    work_permission may_start_work_;
+    options options_;
+    retry_budget retries_;
+};
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/proxy/src/transaction_service.cpp
@@ -0,0 +1,264 @@
+#include "transaction_service.hpp"
+
+#include <openssl/rand.h>
+
+#include <array>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "masticgrade/base/base64url.hpp"
+#include "masticgrade/base/error.hpp"
+#include "masticgrade/base/log.hpp"
+#include "masticgrade/base/scope_guard.hpp"
+#include "write_attempt.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr logger log{"transaction"};
+
+/// A transaction holds one of the scarce connections, so it may not stay unused for longer.
+constexpr seconds idle_limit{10};
+constexpr std::size_t id_bytes = 16;
+
+transaction_id make_id() {
+    std::array<unsigned char, id_bytes> bytes{};
+    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+        throw error("begin", "", "no random bytes for a transaction id");
+    }
+    return transaction_id{
+        encode_base64url({reinterpret_cast<const char*>(bytes.data()), bytes.size()})};
+}
+
+outcome not_found() {
+    return refuse(refusal::not_found, "transaction", "there is no such open transaction here");
+}
+
+}  // namespace
+
+/// One open transaction. `busy_` and `ended_` are guarded by the mutex of the service; everything
+/// else is used only by the coroutine that set `busy_`.
+class transaction_service::entry {
+public:
+    entry(customer_id customer, std::shared_ptr<group_runtime> group, group_record record,
+          connection_lease lease)
+        : customer_(std::move(customer)),
+          group_(std::move(group)),
+          record_(std::move(record)),
+          lease_(std::move(lease)) {}
+
+    customer_id customer_;
+    std::shared_ptr<group_runtime> group_;
+    /// The record at the beginning; the transaction never moves to another primary.
+    group_record record_;
+    connection_lease lease_;
+    bool busy_ = false;
+    time_point idle_since_ = steady_clock::now();
+
+    [[nodiscard]] database_request make_request(database_call call) const {
+        database_request request;
+        request.call = call;
+        request.term = record_.term;
+        request.customer = customer_;
+        return request;
+    }
+};
+
+transaction_service::transaction_service(std::shared_ptr<fleet_state> fleet,
+                                         work_permission may_start_work)
+    : fleet_(std::move(fleet)), may_start_work_(std::move(may_start_work)) {}
+
+transaction_service::~transaction_service() = default;
+
+asio::awaitable<outcome> transaction_service::begin(customer_id customer, group_id group_name,
+                                                    time_point deadline) {
+    const auto group = fleet_->group(group_name);
+    if (!group) {
+        co_return refuse(refusal::not_found, "route", "the route's group does not exist");
+    }
+    group->mark_active(steady_clock::now());
+    auto record = group->record();
+    while (record.phase != group_phase::active || record.primary.empty()) {
+        if (!co_await group->wait_for_newer_record(record.version, deadline)) {
+            co_return refuse(refusal::unavailable, "begin", "no current primary is known");
+        }
+        record = group->record();
+    }
+    auto acquired = co_await group->link(record.primary).acquire(customer, deadline);
+    if (const auto* refusal = std::get_if<acquire_refused>(&acquired)) {
+        co_return refuse(refusal::unavailable, "begin", refusal->reason, record.primary.str());
+    }
+    if (const auto reason = may_start_work_()) {
+        co_return refuse(refusal::unavailable, "freshness", *reason);
+    }
+    auto created = std::make_shared<entry>(customer, group, record,
+                                           std::get<connection_lease>(std::move(acquired)));
+    database_reply reply;
+    try {
+        reply =
+            co_await created->lease_.call(created->make_request(database_call::begin), deadline);
+    } catch (const request_error& failure) {
+        co_return refuse(refusal::unavailable, "begin", failure.reason(), failure.peer());
+    }
+    // Until the transaction has ended, the connection may not serve anybody else.
+    created->lease_.discard();
+    if (reply.status != database_status::ok) {
+        co_return refuse(refusal::unavailable, "begin", "the instance refused the transaction",
+                         record.primary.str());
+    }
+    auto id = make_id();
+    {
+        const std::scoped_lock lock{mutex_};
+        entries_.emplace(id, created);
+    }
+    outcome answer;
+    answer.kind = outcome_kind::done;
+    answer.result = boost::json::object{{"transaction", id.str()}};
+    answer.served_by = record.primary;
+    co_return answer;
+}
+
+asio::awaitable<outcome> transaction_service::execute(customer_id customer, transaction_id id,
+                                                      bool is_write, boost::json::value statement,
+                                                      time_point deadline) {
+    const auto current = claim(customer, id);
+    if (!current) {
+        co_return not_found();
+    }
+    const scope_guard guard{[&] { release(*current); }};
+    if (const auto reason = may_start_work_()) {
+        co_return refuse(refusal::unavailable, "freshness", *reason);
+    }
+    auto request = current->make_request(is_write ? database_call::execute_write
+                                                  : database_call::execute_read);
+    request.statement = std::move(statement);
+    database_reply reply;
+    try {
+        reply = co_await current->lease_.call(std::move(request), deadline);
+    } catch (const request_error& failure) {
+        remove(id);
+        // Closing the connection rolls the transaction back, so its statements have no effect.
+        co_return refuse(refusal::unavailable, "execute",
+                         "the connection was lost and the transaction is rolled back",
+                         failure.peer());
+    }
+    const auto& peer = current->record_.primary;
+    if (reply.status == database_status::error) {
+        co_return refuse(refusal::statement_failed, "execute", reply.reason, peer.str());
+    }
+    if (reply.status != database_status::ok) {
+        remove(id);
+        co_return refuse(refusal::unavailable, "execute",
+                         "the primary was replaced and the transaction is rolled back", peer.str());
+    }
+    outcome answer;
+    answer.kind = outcome_kind::done;
+    answer.result = std::move(reply.result);
+    answer.served_by = peer;
+    co_return answer;
+}
+
+asio::awaitable<statement_result> transaction_service::commit(customer_id customer,
+                                                              transaction_id id,
+                                                              idempotency_key idempotency,
+                                                              session caller_session,
+                                                              time_point deadline) {
+    statement_result result;
+    result.caller_session = std::move(caller_session);
+    const auto current = claim(customer, id);
+    if (!current) {
+        result.answer = not_found();
+        co_return result;
+    }
+    const scope_guard guard{[&] { release(*current); }};
+    if (const auto reason = may_start_work_()) {
+        result.answer = refuse(refusal::unavailable, "freshness", *reason);
+        co_return result;
+    }
+    remove(id);
+    commit_request commit;
+    commit.customer = customer;
+    commit.idempotency = std::move(idempotency);
+    commit.record = current->record_;
+    commit.deadline = deadline;
+    auto written = co_await run_commit(*current->group_, current->lease_, std::move(commit));
+    result.answer = std::move(written.answer);
+    if (result.answer.kind == outcome_kind::done) {
+        result.caller_session.advance(current->group_->config().name, written.position);
+    }
+    co_return result;
+}
+
+asio::awaitable<outcome> transaction_service::rollback(customer_id customer, transaction_id id,
+                                                       time_point deadline) {
+    const auto current = claim(customer, id);
+    if (!current) {
+        co_return not_found();
+    }
+    const scope_guard guard{[&] { release(*current); }};
+    remove(id);
+    try {
+        const auto reply =
+            co_await current->lease_.call(current->make_request(database_call::rollback), deadline);
+        if (reply.status == database_status::ok) {
+            current->lease_.mark_reusable();
+        }
+    } catch (const request_error& failure) {
+        log.info("Closed the connection instead of a rollback peer={} reason=\"{}\".",
+                 failure.peer(), failure.reason());
+    }
+    outcome answer;
+    answer.kind = outcome_kind::done;
+    answer.served_by = current->record_.primary;
+    co_return answer;
+}
+
+void transaction_service::tick(time_point now) {
+    std::vector<std::shared_ptr<entry>> expired;
+    const std::scoped_lock lock{mutex_};
+    std::erase_if(entries_, [&](auto& item) {
+        auto& [id, current] = item;
+        if (current->busy_ || now - current->idle_since_ < idle_limit) {
+            return false;
+        }
+        log.info("Rolled back an unused transaction group={} customer={}.",
+                 current->group_->config().name, current->customer_);
+        expired.push_back(std::move(current));
+        return true;
+    });
+}
+
+std::size_t transaction_service::open() const {
+    const std::scoped_lock lock{mutex_};
+    return entries_.size();
+}
+
+/// Returns the transaction for the caller's exclusive use, or null when there is none, it belongs
+/// to another customer, or another statement of it is running.
+std::shared_ptr<transaction_service::entry> transaction_service::claim(const customer_id& customer,
+                                                                       const transaction_id& id) {
+    const std::scoped_lock lock{mutex_};
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second->customer_ != customer || found->second->busy_) {
+        return nullptr;
+    }
+    found->second->busy_ = true;
+    return found->second;
+}
+
+void transaction_service::release(entry& current) {
+    const std::scoped_lock lock{mutex_};
+    current.busy_ = false;
+    current.idle_since_ = steady_clock::now();
+}
+
+void transaction_service::remove(const transaction_id& id) {
+    const std::scoped_lock lock{mutex_};
+    entries_.erase(id);
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/proxy/src/write_attempt.cpp
@@ -0,0 +1,311 @@
+#include "write_attempt.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "masticgrade/base/log.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr logger log{"write"};
+
+/// An idempotent write that is not answered in this share of its time is resolved, so that there is
+/// time left to find out what became of it.
+constexpr int try_time_divisor = 2;
+constexpr milliseconds min_try_time{200};
+constexpr milliseconds retry_pause{30};
+/// More attempts than this under one key mean that something cancels every one of them.
+constexpr unsigned max_attempts = 16;
+
+idempotency_key attempt_key(const idempotency_key& key, unsigned attempt) {
+    if (key.empty()) {
+        return {};
+    }
+    return idempotency_key{fmt::format("{}#{}", key, attempt)};
+}
+
+/// What the next step of a write is.
+struct retry_now {};
+struct retry_later {
+    std::string reason;
+    std::string peer;
+};
+/// The attempt may have run; its fate must be resolved first.
+struct resolve {
+    std::string reason;
+    std::string peer;
+};
+/// A cancel record stands in the way of this attempt's key.
+struct next_attempt {};
+using step_result = std::variant<write_result, retry_now, retry_later, resolve, next_attempt>;
+
+class write_run {
+public:
+    write_run(group_runtime& group, write_request request, start_check may_start_work)
+        : group_(group), request_(std::move(request)), may_start_work_(std::move(may_start_work)) {}
+
+    /// Sends the commit and follows it up.
+    asio::awaitable<write_result> run_commit(const group_record& record, connection_lease& lease) {
+        is_commit_ = true;
+        auto step = co_await send(record, lease, database_call::commit);
+        if (auto* result = std::get_if<write_result>(&step)) {
+            if (result->answer.kind == outcome_kind::done) {
+                lease.mark_reusable();
+            }
+            co_return std::move(*result);
+        }
+        if (const auto* later = std::get_if<retry_later>(&step)) {
+            // The instance refused the commit, or nothing was sent: the transaction rolls back.
+            co_return refused("commit", later->reason, later->peer);
+        }
+        co_await take_step(step, record);
+        co_return co_await run();
+    }
+
+    asio::awaitable<write_result> run() {
+        while (steady_clock::now() < request_.deadline) {
+            if (is_commit_ && !must_resolve_) {
+                co_return refused("commit", "the idempotency key of this commit was cancelled", {},
+                                  refusal::cancelled);
+            }
+            const auto record = group_.record();
+            if (!has_current_primary(record)) {
+                last_reason_ = "no current primary is known";
+                co_await group_.wait_for_newer_record(record.version, request_.deadline);
+                continue;
+            }
+            step_result step;
+            if (must_resolve_) {
+                step = co_await resolve_attempt(record);
+            } else {
+                step = co_await execute(record);
+            }
+            if (auto* result = std::get_if<write_result>(&step)) {
+                co_return std::move(*result);
+            }
+            co_await take_step(step, record);
+        }
+        co_return ended_by_deadline();
+    }
+
+private:
+    [[nodiscard]] bool has_current_primary(const group_record& record) const {
+        return record.phase == group_phase::active && !record.primary.empty() &&
+               record.term >= request_.session_term;
+    }
+
+    asio::awaitable<void> take_step(const step_result& step, const group_record& record) {
+        if (std::holds_alternative<next_attempt>(step)) {
+            must_resolve_ = false;
+            ++attempt_;
+        } else if (const auto* lost = std::get_if<resolve>(&step)) {
+            must_resolve_ = true;
+            remember(lost->reason, lost->peer);
+        } else if (const auto* later = std::get_if<retry_later>(&step)) {
+            remember(later->reason, later->peer);
+            const auto until = std::min(request_.deadline, steady_clock::now() + retry_pause);
+            co_await group_.wait_for_newer_record(record.version, until);
+        }
+    }
+
+    void remember(const std::string& reason, const std::string& peer) {
+        last_reason_ = reason;
+        last_peer_ = peer;
+    }
+
+    asio::awaitable<step_result> execute(const group_record& record) {
+        if (attempt_ > max_attempts) {
+            co_return refused("write", "too many attempts were cancelled");
+        }
+        auto acquired =
+            co_await group_.link(record.primary).acquire(request_.customer, request_.deadline);
+        if (const auto* refusal = std::get_if<acquire_refused>(&acquired)) {
+            co_return retry_later{refusal->reason, record.primary.str()};
+        }
+        if (group_.record().version != record.version) {
+            co_return retry_now{};
+        }
+        if (const auto reason = may_start_work_()) {
+            co_return refused("freshness", *reason);
+        }
+        co_return co_await send(record, std::get<connection_lease>(acquired),
+                                database_call::execute_write);
+    }
+
+    asio::awaitable<step_result> send(const group_record& record, connection_lease& lease,
+                                      database_call call) {
+        auto request = make_request(call, record);
+        request.statement = request_.statement;
+        const auto sent_at = steady_clock::now();
+        database_reply reply;
+        std::optional<resolve> lost;
+        try {
+            reply = co_await lease.call(std::move(request), try_deadline(sent_at));
+        } catch (const request_error& failure) {
+            if (!failure.may_have_run()) {
+                co_return retry_later{failure.reason(), failure.peer()};
+            }
+            lost = resolve{failure.reason(), failure.peer()};
+        }
+        if (lost) {
+            co_return may_have_run(*lost);
+        }
+        group_.on_reply(record.primary, reply, sent_at);
+        co_return co_await handle_reply(record, std::move(reply), lease);
+    }
+
+    asio::awaitable<step_result> handle_reply(const group_record& record, database_reply reply,
+                                              connection_lease& lease) {
+        switch (reply.status) {
+            case database_status::ok:
+                co_return co_await confirm(record, std::move(reply));
+            case database_status::cancelled:
+                co_return next_attempt{};
+            case database_status::error:
+                co_return refused("execute", reply.reason, record.primary.str(),
+                                  refusal::statement_failed);
+            case database_status::too_many_connections:
+                lease.discard();
+                [[fallthrough]];
+            default:
+                // The instance refused the statement before running it: it is not the primary (any
+                // more), or holds a newer term than this host knows.
+                co_return retry_later{"the instance refused the statement", record.primary.str()};
+        }
+    }
+
+    asio::awaitable<step_result> confirm(const group_record& record, database_reply reply) {
+        const auto verdict = co_await group_.confirm(record.term, reply.position,
+                                                     reply.received_position, request_.deadline);
+        if (verdict == write_verdict::acknowledged) {
+            write_result result;
+            result.answer.kind = outcome_kind::done;
+            result.answer.result = std::move(reply.result);
+            result.answer.served_by = record.primary;
+            result.position = {record.term, reply.position};
+            co_return result;
+        }
+        if (verdict == write_verdict::late) {
+            co_return unknown_result("confirm", "no majority confirmed the write in time",
+                                     record.primary.str());
+        }
+        co_return may_have_run(
+            {"the primary was replaced before the write was confirmed", record.primary.str()});
+    }
+
+    /// Finds out what became of an attempt whose answer was lost.
+    asio::awaitable<step_result> resolve_attempt(const group_record& record) {
+        auto acquired =
+            co_await group_.link(record.primary).acquire(request_.customer, request_.deadline);
+        if (const auto* refusal = std::get_if<acquire_refused>(&acquired)) {
+            co_return retry_later{refusal->reason, record.primary.str()};
+        }
+        auto& lease = std::get<connection_lease>(acquired);
+        const auto sent_at = steady_clock::now();
+        database_reply reply;
+        std::optional<retry_later> lost;
+        try {
+            reply = co_await lease.call(make_request(database_call::cancel, record),
+                                        try_deadline(sent_at));
+        } catch (const request_error& failure) {
+            lost = retry_later{failure.reason(), failure.peer()};
+        }
+        if (lost) {
+            co_return *lost;
+        }
+        group_.on_reply(record.primary, reply, sent_at);
+        if (reply.status == database_status::found) {
+            co_return co_await confirm(record, std::move(reply));
+        }
+        if (reply.status != database_status::cancelled) {
+            co_return retry_later{"the instance refused to cancel", record.primary.str()};
+        }
+        const auto verdict = co_await group_.confirm(record.term, reply.position,
+                                                     reply.received_position, request_.deadline);
+        if (verdict != write_verdict::acknowledged) {
+            co_return retry_later{"the cancellation was not confirmed", record.primary.str()};
+        }
+        log.info("Cancelled an attempt without an answer group={} term={} position={}.",
+                 group_.config().name, record.term, reply.position);
+        co_return next_attempt{};
+    }
+
+    [[nodiscard]] database_request make_request(database_call call,
+                                                const group_record& record) const {
+        database_request request;
+        request.call = call;
+        request.term = record.term;
+        request.customer = request_.customer;
+        request.idempotency = attempt_key(request_.idempotency, attempt_);
+        return request;
+    }
+
+    [[nodiscard]] time_point try_deadline(time_point now) const {
+        if (request_.idempotency.empty()) {
+            return request_.deadline;
+        }
+        const auto share =
+            std::max<duration>((request_.deadline - now) / try_time_divisor, min_try_time);
+        return std::min(request_.deadline, now + share);
+    }
+
+    [[nodiscard]] step_result may_have_run(const resolve& lost) const {
+        if (request_.idempotency.empty()) {
+            return unknown_result("execute", lost.reason, lost.peer);
+        }
+        return lost;
+    }
+
+    [[nodiscard]] write_result unknown_result(const std::string& step, const std::string& reason,
+                                              const std::string& peer) const {
+        return {unknown(step, peer, reason, !request_.idempotency.empty()), {}};
+    }
+
+    static write_result refused(const std::string& step, const std::string& reason,
+                                const std::string& peer = {}, refusal why = refusal::unavailable) {
+        return {refuse(why, step, reason, peer), {}};
+    }
+
+    [[nodiscard]] write_result ended_by_deadline() const {
+        if (must_resolve_) {
+            return unknown_result("resolve", last_reason_, last_peer_);
+        }
+        return {refuse(refusal::late, "execute", last_reason_, last_peer_), {}};
+    }
+
+    group_runtime& group_;
+    write_request request_;
+    start_check may_start_work_;
+    unsigned attempt_ = 1;
+    bool must_resolve_ = false;
+    bool is_commit_ = false;
+    std::string last_reason_ = "the deadline passed before the write was sent";
+    std::string last_peer_;
+};
+
+}  // namespace
+
+asio::awaitable<write_result> run_write(group_runtime& group, write_request request,
+                                        start_check may_start_work) {
+    write_run run{group, std::move(request), std::move(may_start_work)};
+    co_return co_await run.run();
+}
+
+asio::awaitable<write_result> run_commit(group_runtime& group, connection_lease& lease,
+                                         commit_request request) {
+    write_request write;
+    write.customer = std::move(request.customer);
+    write.idempotency = std::move(request.idempotency);
+    write.deadline = request.deadline;
+    write_run run{group, std::move(write), [] { return std::nullopt; }};
+    co_return co_await run.run_commit(request.record, lease);
+}
+
+}  // namespace masticgrade
--- a/libs/request/include/masticgrade/request/outcome.hpp
+++ b/libs/request/include/masticgrade/request/outcome.hpp
@@ -16,6 +16,7 @@
     bad_request,
     unknown_key,
     route_not_allowed,
+    statement_failed,
     not_found,
     cancelled,
     above_rate,
--- a/libs/request/src/outcome.cpp
+++ b/libs/request/src/outcome.cpp
@@ -34,6 +34,8 @@
             return 404;
         case refusal::cancelled:
             return 409;
+        case refusal::statement_failed:
+            return 422;
         case refusal::above_rate:
             return 429;
         case refusal::none:
