Name the lambdas that are passed to co_spawn inside co_await

g++ 12 copies the captures of a lambda temporary inside a co_await expression bit by bit, which freed a string of the request twice at the first call to the store.

--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -117,11 +117,12 @@
         co_return;
     }
     // The operation keeps the implementation alive, also when the caller goes away meanwhile.
-    auto self = implementation_;
-    co_await asio::co_spawn(
-        self->strand_,
-        [self, deadline]() -> asio::awaitable<void> { co_await self->connect(deadline); },
-        asio::use_awaitable);
+    // g++ 12 copies the captures of a lambda inside a co_await expression bit by bit, so the lambda
+    // has a name.
+    auto operation = [self = implementation_, deadline]() -> asio::awaitable<void> {
+        co_await self->connect(deadline);
+    };
+    co_await asio::co_spawn(implementation_->strand_, std::move(operation), asio::use_awaitable);
 }
 
 asio::awaitable<http_response> http_connection::send(http_request request, time_point deadline) {
@@ -129,12 +130,11 @@
     if (!self->open_) {
         throw request_error("send", self->peer_.str(), "not connected", false);
     }
-    co_return co_await asio::co_spawn(
-        self->strand_,
-        [self, deadline, request = std::move(request)]() mutable -> asio::awaitable<http_response> {
-            co_return co_await self->exchange(std::move(request), deadline);
-        },
-        asio::use_awaitable);
+    auto operation = [self, deadline,
+                      request = std::move(request)]() mutable -> asio::awaitable<http_response> {
+        co_return co_await self->exchange(std::move(request), deadline);
+    };
+    co_return co_await asio::co_spawn(self->strand_, std::move(operation), asio::use_awaitable);
 }
 
 bool http_connection::is_open() const noexcept { return implementation_->open_; }
