--- /dev/null
+++ b/libs/peer/src/codec.cpp
@@ -0,0 +1,345 @@
+#include "masticgrade/peer/codec.hpp"
+
+#include <flatbuffers/flatbuffers.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "generated/peer_generated.h"
+#include "masticgrade/base/error.hpp"
+
+namespace masticgrade::peer {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+constexpr std::uint16_t no_age = 65535;
+
+// ---- encoding: one overload of write_body per message ----
+
+template <class Written>
+struct written_body {
+    wire::Body type;
+    Offset<Written> offset;
+};
+
+std::uint16_t age_field(const std::optional<milliseconds>& age) {
+    if (!age || age->count() >= no_age) {
+        return no_age;
+    }
+    return static_cast<std::uint16_t>(std::max<milliseconds::rep>(age->count(), 0));
+}
+
+Offset<flatbuffers::Vector<std::uint8_t>> write_bytes(FlatBufferBuilder& out,
+                                                      const std::vector<std::uint8_t>& bytes) {
+    return bytes.empty() ? Offset<flatbuffers::Vector<std::uint8_t>>{} : out.CreateVector(bytes);
+}
+
+template <class Written, class Item, class Write>
+auto write_list(FlatBufferBuilder& out, const std::vector<Item>& items, Write write) {
+    std::vector<Offset<Written>> offsets;
+    offsets.reserve(items.size());
+    for (const auto& item : items) {
+        offsets.push_back(write(item));
+    }
+    return out.CreateVector(offsets);
+}
+
+written_body<wire::ExchangeRequest> write_body(FlatBufferBuilder& out,
+                                               const exchange_request& body) {
+    return {wire::Body::ExchangeRequest, wire::CreateExchangeRequest(out, body.version.value())};
+}
+
+written_body<wire::ExchangeReply> write_body(FlatBufferBuilder& out, const exchange_reply& body) {
+    const auto ages = write_bytes(out, body.ages);
+    const auto unreachable = body.unreachable.empty() ? Offset<flatbuffers::Vector<std::uint16_t>>{}
+                                                      : out.CreateVector(body.unreachable);
+    const auto applied = write_bytes(out, body.members_applied);
+    return {wire::Body::ExchangeReply,
+            wire::CreateExchangeReply(out, body.version.value(), age_field(body.current_age), ages,
+                                      unreachable, body.members_settled, applied)};
+}
+
+written_body<wire::RowsRequest> write_body(FlatBufferBuilder& out, const rows_request& body) {
+    return {wire::Body::RowsRequest, wire::CreateRowsRequest(out, body.modified_after.value())};
+}
+
+written_body<wire::RowsReply> write_body(FlatBufferBuilder& out, const rows_reply& body) {
+    const auto rows = write_list<wire::Row>(out, body.rows, [&](const row& item) {
+        const auto key = out.CreateString(item.key);
+        const auto value = out.CreateString(item.value);
+        return wire::CreateRow(out, key, item.version.value(), value);
+    });
+    return {wire::Body::RowsReply,
+            wire::CreateRowsReply(out, body.version.value(), body.complete, rows)};
+}
+
+written_body<wire::SuspectReport> write_body(FlatBufferBuilder& out, const suspect_report& body) {
+    const auto group = out.CreateString(body.group.str());
+    return {wire::Body::SuspectReport,
+            wire::CreateSuspectReport(out, group, body.term.value(), body.suspected)};
+}
+
+written_body<wire::ShareReport> write_body(FlatBufferBuilder& out, const share_report& body) {
+    const auto shares =
+        write_list<wire::ReportedShare>(out, body.shares, [&](const reported_share& item) {
+            const auto customer = out.CreateString(item.customer.str());
+            return wire::CreateReportedShare(out, customer, item.sequence, item.held_rate,
+                                             item.held_burst, item.demand, item.tokens);
+        });
+    const auto extension = write_bytes(out, body.extension);
+    return {wire::Body::ShareReport,
+            wire::CreateShareReport(out, body.members_version.value(), shares, extension)};
+}
+
+written_body<wire::ShareAssignment> write_body(FlatBufferBuilder& out,
+                                               const share_assignment& body) {
+    const auto shares =
+        write_list<wire::AssignedShare>(out, body.shares, [&](const assigned_share& item) {
+            const auto customer = out.CreateString(item.customer.str());
+            return wire::CreateAssignedShare(out, customer, item.sequence, item.rate, item.burst,
+                                             item.tokens);
+        });
+    const auto extension = write_bytes(out, body.extension);
+    return {wire::Body::ShareAssignment,
+            wire::CreateShareAssignment(out, body.members_version.value(), shares, extension)};
+}
+
+written_body<wire::ShareAck> write_body(FlatBufferBuilder& out, const share_ack& body) {
+    const auto shares =
+        write_list<wire::AcknowledgedShare>(out, body.shares, [&](const acknowledged_share& item) {
+            const auto customer = out.CreateString(item.customer.str());
+            return wire::CreateAcknowledgedShare(out, customer, item.sequence, item.rate,
+                                                 item.burst, item.returned_tokens);
+        });
+    const auto extension = write_bytes(out, body.extension);
+    return {wire::Body::ShareAck,
+            wire::CreateShareAck(out, body.members_version.value(), shares, extension)};
+}
+
+written_body<wire::TokenRequest> write_body(FlatBufferBuilder& out, const token_request& body) {
+    const auto customer = out.CreateString(body.customer.str());
+    const auto extension = write_bytes(out, body.extension);
+    return {wire::Body::TokenRequest,
+            wire::CreateTokenRequest(out, body.members_version.value(), customer, body.sequence,
+                                     body.tokens, extension)};
+}
+
+written_body<wire::TokenGrant> write_body(FlatBufferBuilder& out, const token_grant& body) {
+    const auto customer = out.CreateString(body.customer.str());
+    const auto extension = write_bytes(out, body.extension);
+    return {wire::Body::TokenGrant,
+            wire::CreateTokenGrant(out, body.members_version.value(), customer, body.sequence,
+                                   body.tokens, extension)};
+}
+
+// ---- decoding: one overload of body_reader::read per message ----
+
+// A buffer may refer to one string from many places, which the verifier accepts. Copying it each
+// time could need far more memory than the frame has bytes, so the copied bytes are counted.
+class body_reader {
+public:
+    explicit body_reader(std::size_t payload_size) : remaining_(payload_size) {}
+
+    std::string text(const flatbuffers::String* field) {
+        if (field == nullptr) {
+            return {};
+        }
+        spend(field->size());
+        return field->str();
+    }
+
+    template <class Element>
+    std::vector<Element> numbers(const flatbuffers::Vector<Element>* field) {
+        if (field == nullptr) {
+            return {};
+        }
+        spend(field->size() * sizeof(Element));
+        return {field->begin(), field->end()};
+    }
+
+    template <class Item, class Written, class Read>
+    std::vector<Item> list(const flatbuffers::Vector<Offset<Written>>* field, Read read) {
+        std::vector<Item> items;
+        if (field != nullptr) {
+            items.reserve(field->size());
+            for (const auto* item : *field) {
+                items.push_back(read(*item));
+            }
+        }
+        return items;
+    }
+
+    message_body read(const wire::ExchangeRequest& body) {
+        return exchange_request{fleet_version{body.version()}};
+    }
+
+    message_body read(const wire::ExchangeReply& body) {
+        exchange_reply reply;
+        reply.version = fleet_version{body.version()};
+        if (body.current_age_ms() != no_age) {
+            reply.current_age = milliseconds{body.current_age_ms()};
+        }
+        reply.ages = numbers(body.ages());
+        reply.unreachable = numbers(body.unreachable());
+        reply.members_settled = body.members_settled();
+        reply.members_applied = numbers(body.members_applied());
+        return reply;
+    }
+
+    message_body read(const wire::RowsRequest& body) {
+        return rows_request{fleet_version{body.modified_after()}};
+    }
+
+    message_body read(const wire::RowsReply& body) {
+        rows_reply reply{fleet_version{body.version()}, body.complete(), {}};
+        reply.rows = list<row>(body.rows(), [&](const wire::Row& item) {
+            return row{text(item.key()), fleet_version{item.version()}, text(item.value())};
+        });
+        return reply;
+    }
+
+    message_body read(const wire::SuspectReport& body) {
+        return suspect_report{group_id{text(body.group())}, term_number{body.term()},
+                              body.suspected()};
+    }
+
+    message_body read(const wire::ShareReport& body) {
+        share_report report{fleet_version{body.members_version()}, {}, numbers(body.extension())};
+        report.shares = list<reported_share>(body.shares(), [&](const wire::ReportedShare& item) {
+            return reported_share{customer_id{text(item.customer())},
+                                  item.sequence(),
+                                  item.held_rate(),
+                                  item.held_burst(),
+                                  item.demand(),
+                                  item.tokens()};
+        });
+        return report;
+    }
+
+    message_body read(const wire::ShareAssignment& body) {
+        share_assignment assignment{
+            fleet_version{body.members_version()}, {}, numbers(body.extension())};
+        assignment.shares =
+            list<assigned_share>(body.shares(), [&](const wire::AssignedShare& item) {
+                return assigned_share{customer_id{text(item.customer())}, item.sequence(),
+                                      item.rate(), item.burst(), item.tokens()};
+            });
+        return assignment;
+    }
+
+    message_body read(const wire::ShareAck& body) {
+        share_ack ack{fleet_version{body.members_version()}, {}, numbers(body.extension())};
+        ack.shares =
+            list<acknowledged_share>(body.shares(), [&](const wire::AcknowledgedShare& item) {
+                return acknowledged_share{customer_id{text(item.customer())}, item.sequence(),
+                                          item.rate(), item.burst(), item.returned_tokens()};
+            });
+        return ack;
+    }
+
+    message_body read(const wire::TokenRequest& body) {
+        return token_request{fleet_version{body.members_version()},
+                             customer_id{text(body.customer())}, body.sequence(), body.tokens(),
+                             numbers(body.extension())};
+    }
+
+    message_body read(const wire::TokenGrant& body) {
+        return token_grant{fleet_version{body.members_version()},
+                           customer_id{text(body.customer())}, body.sequence(), body.tokens(),
+                           numbers(body.extension())};
+    }
+
+    message_body read_body(const wire::Envelope& message) {
+        switch (message.body_type()) {
+            case wire::Body::ExchangeRequest:
+                return read(*message.body_as_ExchangeRequest());
+            case wire::Body::ExchangeReply:
+                return read(*message.body_as_ExchangeReply());
+            case wire::Body::RowsRequest:
+                return read(*message.body_as_RowsRequest());
+            case wire::Body::RowsReply:
+                return read(*message.body_as_RowsReply());
+            case wire::Body::SuspectReport:
+                return read(*message.body_as_SuspectReport());
+            case wire::Body::ShareReport:
+                return read(*message.body_as_ShareReport());
+            case wire::Body::ShareAssignment:
+                return read(*message.body_as_ShareAssignment());
+            case wire::Body::ShareAck:
+                return read(*message.body_as_ShareAck());
+            case wire::Body::TokenRequest:
+                return read(*message.body_as_TokenRequest());
+            case wire::Body::TokenGrant:
+                return read(*message.body_as_TokenGrant());
+            case wire::Body::NONE:
+                break;
+        }
+        throw error("peer decode", "", "unknown body");
+    }
+
+private:
+    void spend(std::size_t bytes) {
+        if (bytes > remaining_) {
+            throw error("peer decode", "", "fields overlap");
+        }
+        remaining_ -= bytes;
+    }
+
+    std::size_t remaining_;
+};
+
+}  // namespace
+
+std::vector<std::uint8_t> encode(const envelope& message) {
+    FlatBufferBuilder out{256};
+    const auto sender = out.CreateString(message.sender.str());
+    const auto root = std::visit(
+        [&](const auto& body) {
+            const auto written = write_body(out, body);
+            return wire::CreateEnvelope(out, message.request_id.value(), message.is_reply, sender,
+                                        message.incarnation.value(),
+                                        message.members_version.value(), written.type,
+                                        written.offset.Union());
+        },
+        message.body);
+    out.Finish(root);
+    const std::size_t size = out.GetSize();
+    if (size > max_payload_size) {
+        throw error("peer encode", "",
+                    fmt::format("message of {} bytes exceeds {}", size, max_payload_size));
+    }
+    std::vector<std::uint8_t> frame(frame_prefix_size + size);
+    for (std::size_t i = 0; i < frame_prefix_size; ++i) {
+        frame[i] = static_cast<std::uint8_t>(size >> (8 * i));
+    }
+    std::copy_n(out.GetBufferPointer(), size,
+                frame.begin() + static_cast<std::ptrdiff_t>(frame_prefix_size));
+    return frame;
+}
+
+envelope decode(std::span<const std::uint8_t> payload) {
+    flatbuffers::Verifier verifier{payload.data(), payload.size()};
+    if (!wire::VerifyEnvelopeBuffer(verifier)) {
+        throw error("peer decode", "", "verification failed");
+    }
+    const auto& wire_message = *wire::GetEnvelope(payload.data());
+    if (wire_message.body() == nullptr) {
+        throw error("peer decode", "", "body missing");
+    }
+    body_reader reader{payload.size()};
+    envelope message;
+    message.request_id = request_number{wire_message.request_id()};
+    message.is_reply = wire_message.is_reply();
+    message.sender = host_id{reader.text(wire_message.sender())};
+    message.incarnation = incarnation_number{wire_message.incarnation()};
+    message.members_version = fleet_version{wire_message.members_version()};
+    message.body = reader.read_body(wire_message);
+    return message;
+}
+
+}  // namespace masticgrade::peer
--- /dev/null
+++ b/libs/peer/test/codec_test.cpp
@@ -0,0 +1,133 @@
+#include "masticgrade/peer/codec.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+#include "masticgrade/base/error.hpp"
+
+using namespace masticgrade;
+using namespace masticgrade::peer;
+
+namespace {
+
+using bytes = std::vector<std::uint8_t>;
+
+/// One message of every kind, so that a property can pick any of them.
+std::vector<message_body> all_bodies(std::uint64_t number, const std::string& text,
+                                     const bytes& opaque) {
+    const fleet_version version{number};
+    const customer_id customer{text};
+    const double amount = static_cast<double>(number) / 8;
+    return {
+        exchange_request{version},
+        exchange_reply{version, milliseconds{number % 65535}, opaque, {1, 2}, true, opaque},
+        exchange_reply{version, std::nullopt, {}, {}, false, {}},
+        rows_request{version},
+        rows_reply{version, number % 2 == 0, {{text, version, text}, {}}},
+        suspect_report{group_id{text}, term_number{number}, true},
+        share_report{version, {{customer, number, amount, 1, 2, 3}, {}}, opaque},
+        share_assignment{version, {{customer, number, amount, 1, 2}}, opaque},
+        share_ack{version, {{customer, number, amount, 1, 2}}, opaque},
+        token_request{version, customer, number, amount, opaque},
+        token_grant{version, customer, number, amount, opaque},
+    };
+}
+
+envelope make_envelope(message_body body) {
+    return {request_number{7}, true,           host_id{"host-1"}, incarnation_number{42},
+            fleet_version{9},  std::move(body)};
+}
+
+bytes payload_of(const bytes& frame) { return {frame.begin() + frame_prefix_size, frame.end()}; }
+
+void decode_or_reject(const bytes& payload) {
+    try {
+        static_cast<void>(decode(payload));
+    } catch (const error&) {
+    }
+}
+
+}  // namespace
+
+// Guards against fields that are lost or swapped on the wire.
+TEST_CASE("every message survives encoding and decoding") {
+    CHECK(rc::check([](std::uint64_t number, const std::string& text, const bytes& opaque) {
+        for (const auto& body : all_bodies(number, text, opaque)) {
+            const auto message = make_envelope(body);
+            RC_ASSERT(decode(payload_of(encode(message))) == message);
+        }
+    }));
+}
+
+// Guards against a peer that crashes this process with bytes of its choice.
+TEST_CASE("random payloads are decoded or rejected with an error") {
+    CHECK(rc::check([](const bytes& payload) { decode_or_reject(payload); }));
+}
+
+TEST_CASE("damaged messages are decoded or rejected with an error") {
+    CHECK(rc::check([](std::uint64_t number, const std::string& text, const bytes& opaque) {
+        for (const auto& body : all_bodies(number, text, opaque)) {
+            auto payload = payload_of(encode(make_envelope(body)));
+            for (int change = 0; change < 4; ++change) {
+                payload[*rc::gen::inRange<std::size_t>(0, payload.size())] =
+                    *rc::gen::arbitrary<std::uint8_t>();
+            }
+            payload.resize(*rc::gen::inRange<std::size_t>(1, payload.size() + 1));
+            decode_or_reject(payload);
+        }
+    }));
+}
+
+// Guards against frames that are lost or merged when TCP splits them anywhere.
+TEST_CASE("the frame decoder finds the same payloads in pieces of any size") {
+    CHECK(rc::check([](const std::vector<bytes>& sent, bool byte_at_a_time) {
+        bytes stream;
+        std::vector<bytes> expected;
+        for (const auto& body : all_bodies(sent.size(), "x", {1, 2, 3})) {
+            const auto frame = encode(make_envelope(body));
+            stream.insert(stream.end(), frame.begin(), frame.end());
+            expected.push_back(payload_of(frame));
+        }
+        frame_decoder decoder;
+        std::vector<bytes> received;
+        std::size_t position = 0;
+        while (position < stream.size()) {
+            const auto rest = stream.size() - position;
+            const auto size =
+                byte_at_a_time ? 1 : *rc::gen::inRange<std::size_t>(1, std::min(rest, 300UL) + 1);
+            decoder.feed({stream.data() + position, size});
+            position += size;
+            while (auto payload = decoder.next()) {
+                received.push_back(std::move(*payload));
+            }
+        }
+        RC_ASSERT(received == expected);
+    }));
+}
+
+// Guards against a wrong length that makes this process allocate without bound.
+TEST_CASE("a length of zero or above the limit is rejected before the payload arrives") {
+    const bytes zero{0, 0, 0, 0};
+    const bytes above{1, 0, 16, 0};
+    const bytes largest{0, 0, 16, 0};
+    CHECK_THROWS_AS(frame_decoder{}.feed(zero), error);
+    CHECK_THROWS_AS(frame_decoder{}.feed(above), error);
+    CHECK_NOTHROW(frame_decoder{}.feed(largest));
+}
+
+TEST_CASE("a wrong length after a valid frame is rejected") {
+    auto stream = encode(make_envelope(rows_request{fleet_version{1}}));
+    stream.insert(stream.end(), {255, 255, 255, 255});
+    frame_decoder decoder;
+    decoder.feed(stream);
+    CHECK_THROWS_AS(decoder.next(), error);
+}
+
+// Guards against a message that the receiver would answer by closing the connection.
+TEST_CASE("a message above the limit is not encoded") {
+    rows_reply reply;
+    reply.rows.push_back({"key", fleet_version{1}, std::string(max_payload_size, 'x')});
+    CHECK_THROWS_AS(encode(make_envelope(reply)), error);
+}
