Pass named closures to co_spawn in the HTTP client

Every request of the platform client crashed with "free(): invalid pointer" in ~http_request, and then in ~http_connection with a destroyed strand. Cause: g++ 12 copies a closure byte by byte when it is a temporary of a co_await expression, so its captured strings and shared_ptr are destroyed twice. Ruled out: the lifetime of the io_context, which outlives the client. With named closures a read of an empty platform stand-in succeeds.

--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -118,10 +118,12 @@
     }
     // The operation keeps the implementation alive, also when the caller goes away meanwhile.
     auto self = implementation_;
-    co_await asio::co_spawn(
-        self->strand_,
-        [self, deadline]() -> asio::awaitable<void> { co_await self->connect(deadline); },
-        asio::use_awaitable);
+    // A named object: g++ 12 copies a closure that is a temporary of a co_await expression byte by
+    // byte, so that its members are destroyed twice.
+    auto connect = [self, deadline]() -> asio::awaitable<void> {
+        co_await self->connect(deadline);
+    };
+    co_await asio::co_spawn(self->strand_, std::move(connect), asio::use_awaitable);
 }
 
 asio::awaitable<http_response> http_connection::send(http_request request, time_point deadline) {
@@ -129,12 +131,12 @@
     if (!self->open_) {
         throw request_error("send", self->peer_.str(), "not connected", false);
     }
-    co_return co_await asio::co_spawn(
-        self->strand_,
-        [self, deadline, request = std::move(request)]() mutable -> asio::awaitable<http_response> {
-            co_return co_await self->exchange(std::move(request), deadline);
-        },
-        asio::use_awaitable);
+    // A named object for the same reason as in connect().
+    auto exchange = [self, deadline,
+                     request = std::move(request)]() mutable -> asio::awaitable<http_response> {
+        co_return co_await self->exchange(std::move(request), deadline);
+    };
+    co_return co_await asio::co_spawn(self->strand_, std::move(exchange), asio::use_awaitable);
 }
 
 bool http_connection::is_open() const noexcept { return implementation_->open_; }
