--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -117,12 +117,13 @@
         co_return;
     }
     // The operation keeps the implementation alive, also when the caller goes away meanwhile.
-    // g++ 12 copies the captures of a lambda inside a co_await expression bit by bit, so the lambda
-    // has a name.
-    auto operation = [self = implementation_, deadline]() -> asio::awaitable<void> {
+    auto self = implementation_;
+    // A named object: g++ 12 copies a closure that is a temporary of a co_await expression byte by
+    // byte, so that its members are destroyed twice.
+    auto connect = [self, deadline]() -> asio::awaitable<void> {
         co_await self->connect(deadline);
     };
-    co_await asio::co_spawn(implementation_->strand_, std::move(operation), asio::use_awaitable);
+    co_await asio::co_spawn(self->strand_, std::move(connect), asio::use_awaitable);
 }
 
 asio::awaitable<http_response> http_connection::send(http_request request, time_point deadline) {
@@ -130,11 +131,12 @@
     if (!self->open_) {
         throw request_error("send", self->peer_.str(), "not connected", false);
     }
-    auto operation = [self, deadline,
-                      request = std::move(request)]() mutable -> asio::awaitable<http_response> {
+    // A named object for the same reason as in connect().
+    auto exchange = [self, deadline,
+                     request = std::move(request)]() mutable -> asio::awaitable<http_response> {
         co_return co_await self->exchange(std::move(request), deadline);
     };
-    co_return co_await asio::co_spawn(self->strand_, std::move(operation), asio::use_awaitable);
+    co_return co_await asio::co_spawn(self->strand_, std::move(exchange), asio::use_awaitable);
 }
 
 bool http_connection::is_open() const noexcept { return implementation_->open_; }
