--- a/tests/standins/src/database_session.cpp
+++ b/tests/standins/src/database_session.cpp
@@ -155,7 +155,7 @@
     }
     const auto term = number(request, "term");
     const auto customer = text(request, "customer");
-    const auto statement = request.at("statement");
+    const auto& statement = request.at("statement");
     if (!transaction_ && kind == "read") {
         co_return co_await read(request);
     }
@@ -174,7 +174,7 @@
     const auto term = number(request, "term");
     const auto min_position = number(request, "min_position");
     const auto customer = text(request, "customer");
-    const auto statement = request.at("statement");
+    const auto& statement = request.at("statement");
     const auto deadline = wait_deadline(request);
     // The wait comes before the slot, so that a lagging replica does not block its slots.
     auto outcome = instance.read(term, min_position, statement, customer);
--- a/tests/standins/src/database_session.hpp
+++ b/tests/standins/src/database_session.hpp
@@ -11,7 +11,9 @@
 public:
     explicit session(database_server& server) : server_(server) {}
     session(const session&) = delete;
+    session(session&&) = delete;
     session& operator=(const session&) = delete;
+    session& operator=(session&&) = delete;
     ~session() override;
 
     boost::asio::awaitable<http_response> handle(http_request request) override;
--- a/tests/standins/src/http_server.cpp
+++ b/tests/standins/src/http_server.cpp
@@ -94,7 +94,9 @@
             all.insert(self);
         }
         registration(const registration&) = delete;
+        registration(registration&&) = delete;
         registration& operator=(const registration&) = delete;
+        registration& operator=(registration&&) = delete;
         ~registration() { all.erase(self); }
     };
     const registration entry(connections_, peer.get());
--- a/tests/standins/src/http_server.hpp
+++ b/tests/standins/src/http_server.hpp
@@ -31,7 +31,9 @@
 public:
     http_session() = default;
     http_session(const http_session&) = delete;
+    http_session(http_session&&) = delete;
     http_session& operator=(const http_session&) = delete;
+    http_session& operator=(http_session&&) = delete;
     virtual ~http_session() = default;
 
     virtual boost::asio::awaitable<http_response> handle(http_request request) = 0;
