Test detection, promotion, acknowledgement and health one by one

The model gains quick successions of primaries and a check, at every acknowledgement, that a majority holds the entry.

--- a/libs/failover/test/group_model.hpp
+++ b/libs/failover/test/group_model.hpp
@@ -35,6 +35,8 @@
     group_model(std::uint64_t seed, int instances);
 
     void advance(duration time);
+    /// Stops right after the next promotion, or after `limit`.
+    void advance_to_promotion(duration limit);
     void write(int host);
     void switch_primary(int host);
     void set_instance_down(int instance, bool down) { instances_[index(instance)].down = down; }
@@ -42,6 +44,9 @@
     void cut_link(int host, int instance, bool cut);
     void set_host_paused(int host, bool paused);
     void restart_host(int host);
+    /// One host and one instance can reach each other and nothing else.
+    void cut_off_together(int host, int instance);
+    /// Takes the store and the other hosts away from a host, but not the instances.
     void cut_off_host(int host, bool cut_off) { hosts_[index(host)].cut_off = cut_off; }
     void set_store(store_mode mode) { store_mode_ = mode; }
     /// Ends the faults of instances, links and hosts, but not message loss and store faults.
@@ -55,6 +60,8 @@
     [[nodiscard]] const std::vector<duration>& write_gaps() const { return write_gaps_; }
     [[nodiscard]] const group_record& record() const { return row_; }
     [[nodiscard]] int primary_index() const;
+    /// The instance that was promoted last, whatever the store says.
+    [[nodiscard]] int newest_primary() const;
     [[nodiscard]] time_point now() const { return now_; }
 
 private:
@@ -65,6 +72,8 @@
         group_log log;
         log_position start;
         instance_id leader;
+        /// A replica takes a while to connect to a new primary.
+        time_point replicates_from;
         bool down = false;
         bool was_down = false;
         bool cut_off = false;
@@ -146,6 +155,8 @@
     void resolve(int host, const write_resolved& resolved);
     void probe(int host, int instance, bool for_detector);
     void check();
+    /// Holds at the moment of every acknowledgement, whatever was sealed since.
+    void check_held_by_majority(const operation& op);
     void violated(const std::string& what) { violations_.push_back(what); }
 
     std::mt19937_64 random_;
