Let only a refusal at a higher term end a promotion

An instance that was promoted or told to follow refuses a seal of its own term, so a repeated seal that arrives late must not end the attempt. The answers of seal and promote therefore carry the term that the instance holds.

--- a/libs/failover/include/masticgrade/failover/promotion.hpp
+++ b/libs/failover/include/masticgrade/failover/promotion.hpp
@@ -123,6 +123,9 @@
     /// The term that the request carried.
     term_number term;
     bool sealed = false;
+    /// The term that the instance holds. A refusal at the attempt's own term is the answer to a
+    /// repeated request that arrived after `promote` or `follow`.
+    term_number held_term;
     term_number last_term;
     log_position received;
 };
@@ -130,6 +133,8 @@
     instance_id instance;
     term_number term;
     bool promoted = false;
+    /// The term that the instance holds.
+    term_number held_term;
     log_position start_position;
 };
 struct follow_answer {
--- a/libs/failover/src/promotion_attempt.cpp
+++ b/libs/failover/src/promotion_attempt.cpp
@@ -62,7 +62,7 @@
         return;
     }
     if (!answer.sealed) {
-        note_superseded();
+        superseded_ = superseded_ || answer.held_term > term_;
         return;
     }
     const auto& known = request_.instances;
@@ -83,7 +83,7 @@
     if (answer.promoted) {
         start_position_ = answer.start_position;
     } else {
-        note_superseded();
+        superseded_ = superseded_ || answer.held_term > term_;
     }
 }
 
@@ -100,7 +100,7 @@
     if (pending_ && record.mark == pending_->mark) {
         return record.version;
     }
-    note_superseded();
+    superseded_ = true;
     return std::nullopt;
 }
 
--- a/libs/failover/src/promotion_attempt.hpp
+++ b/libs/failover/src/promotion_attempt.hpp
@@ -33,7 +33,6 @@
     [[nodiscard]] bool awaits_commit(const std::string& mark) const;
     /// The pending change was found to be committed at `version`.
     void note_committed(fleet_version version);
-    void note_superseded() noexcept { superseded_ = true; }
     /// The row still has the version that the pending change requires.
     void note_row_unchanged();
 
--- a/libs/failover/test/group_model_actions.cpp
+++ b/libs/failover/test/group_model_actions.cpp
@@ -276,12 +276,13 @@
         call(
             number, index_of(action.instance),
             [action](instance& at) {
+                const bool active = at.term == action.term && at.role != instance_role::sealed;
                 if (action.term > at.term) {
                     at.term = action.term;
                     at.role = instance_role::sealed;
                 }
-                return seal_answer{at.id, action.term, at.term == action.term, at.last_term(),
-                                   at.received()};
+                return seal_answer{at.id,   action.term,    !active && at.term == action.term,
+                                   at.term, at.last_term(), at.received()};
             },
             [=, this](const seal_answer& answer) { feed(number, answer); });
     };
@@ -301,7 +302,7 @@
                 }
                 return promote_answer{at.id, action.term,
                                       action.term == at.term && at.role == instance_role::primary,
-                                      at.start};
+                                      at.term, at.start};
             },
             [=, this](const promote_answer& answer) { feed(number, answer); });
     };
--- a/libs/failover/test/promotion_test.cpp
+++ b/libs/failover/test/promotion_test.cpp
@@ -34,8 +34,12 @@
 }
 
 seal_answer sealed(int instance, std::uint64_t last_term, std::uint64_t received) {
-    return {instances[static_cast<std::size_t>(instance)], term_number{2}, true,
-            term_number{last_term}, log_position{received}};
+    return {instances[static_cast<std::size_t>(instance)],
+            term_number{2},
+            true,
+            term_number{2},
+            term_number{last_term},
+            log_position{received}};
 }
 
 instance_state state_of(int instance, instance_role role, std::uint64_t received) {
@@ -105,6 +109,21 @@
     CHECK(failures.front().reason == promotion_failure::promote_unanswered);
 }
 
+// Guards against an attempt that a repeated seal, answered after `promote`, ends without reason.
+TEST_CASE("only a refusal at a higher term ends the attempt") {
+    auto attempt = sealing_attempt(request_for(false));
+    attempt.handle(sealed(1, 1, 7), begin);
+    attempt.handle(sealed(2, 1, 6), begin);
+    auto refused = sealed(1, 1, 7);
+    refused.sealed = false;
+    CHECK(attempt.handle(refused, begin).empty());
+    CHECK_FALSE(attempt.finished());
+    refused.held_term = term_number{3};
+    const auto failures = all<promotion_failed>(attempt.handle(refused, begin));
+    REQUIRE(failures.size() == 1);
+    CHECK(failures.front().reason == promotion_failure::superseded);
+}
+
 // Guards against a switch that leaves the group without a primary while replicas are far behind.
 TEST_CASE("a planned switch changes nothing until a replica is near") {
     promotion attempt{request_for(true), {}, begin};
