Add masticgradectl

Operators need one tool that changes the configuration and the operations of a running fleet without losing each other's edits. Every change is a conditional commit on one row; a lost answer is resolved by the marks in the row, and a request that never reached the platform is reported as such. Drains and keys are edited on the newest operations and start again after a conflict; a folder is not, because its operator has to see the other edit. A change counts as accepted when a majority of the members that a proxy reports has applied its version; otherwise the tool says that it is recorded and exits with code 5.

--- /dev/null
+++ b/libs/control/include/masticgrade/control/commands.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/object.hpp>
+#include <string>
+
+#include "masticgrade/base/time.hpp"
+#include "masticgrade/control/arguments.hpp"
+#include "masticgrade/control/proxy_admin.hpp"
+#include "masticgrade/net/table_service.hpp"
+
+namespace masticgrade {
+
+/// Exit codes of masticgradectl; docs/operations.md explains them to operators.
+enum class exit_code {
+    done = 0,
+    failed = 1,
+    bad_usage = 2,
+    invalid_configuration = 3,
+    conflict = 4,
+    not_acknowledged = 5,
+    outcome_unknown = 6
+};
+
+struct command_result {
+    exit_code code = exit_code::done;
+    /// What happened, in one or more lines without a final newline.
+    std::string text;
+    /// The same for programs.
+    boost::json::object document;
+};
+
+/// What the commands work on. Precondition: the services outlive the command.
+struct control_services {
+    table_service& table;
+    proxy_admin& proxies;
+    time_point deadline;
+    milliseconds retry_interval{200};
+};
+
+// Each command throws masticgrade::error when a service cannot be reached or a name is not known,
+// and nothing has been changed then. Thread safety: commands may run concurrently.
+
+command_result run_check(const check_command& command);
+boost::asio::awaitable<command_result> run_apply(control_services services, apply_command command);
+boost::asio::awaitable<command_result> run_show(control_services services);
+boost::asio::awaitable<command_result> run_status(control_services services);
+boost::asio::awaitable<command_result> run_explain(control_services services,
+                                                   explain_command command);
+boost::asio::awaitable<command_result> run_drain(control_services services, drain_command command);
+boost::asio::awaitable<command_result> run_add_key(control_services services,
+                                                   add_key_command command);
+boost::asio::awaitable<command_result> run_revoke_key(control_services services,
+                                                      revoke_key_command command);
+
+/// Runs any command that needs the services. Precondition: the command is neither help nor check.
+boost::asio::awaitable<command_result> run_command(control_services services,
+                                                   control_command command);
+
+/// Parses, connects, runs and prints; returns the exit code of the process.
+int run_control(const std::vector<std::string>& words);
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/control/include/masticgrade/control/proxy_admin.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/object.hpp>
+#include <string>
+#include <vector>
+
+#include "masticgrade/base/time.hpp"
+#include "masticgrade/base/types.hpp"
+
+namespace masticgrade {
+
+/// The admin interface of the proxies. Thread safety: calls must not overlap.
+class proxy_admin {
+public:
+    proxy_admin() = default;
+    proxy_admin(const proxy_admin&) = delete;
+    proxy_admin& operator=(const proxy_admin&) = delete;
+    virtual ~proxy_admin() = default;
+
+    /// The answer of any proxy to GET /admin/v1/status. Throws masticgrade::error when none answers
+    /// by the deadline.
+    virtual boost::asio::awaitable<boost::json::object> read_status(time_point deadline) = 0;
+};
+
+/// Asks the proxies in turn over HTTP, beginning with the one that answered last.
+class http_proxy_admin final : public proxy_admin {
+public:
+    /// Precondition: `proxies` is not empty.
+    http_proxy_admin(boost::asio::any_io_executor executor, std::vector<endpoint_address> proxies);
+
+    boost::asio::awaitable<boost::json::object> read_status(time_point deadline) override;
+
+private:
+    boost::asio::awaitable<boost::json::object> ask(endpoint_address proxy, time_point deadline);
+
+    boost::asio::any_io_executor executor_;
+    std::vector<endpoint_address> proxies_;
+    std::size_t preferred_ = 0;
+};
+
+/// The version that a member has applied, as a proxy reports it.
+struct member_version {
+    host_id id;
+    fleet_version version;
+};
+
+/// Reads the field `members` of a status. Throws masticgrade::error if it is not as expected.
+/// Thread safety: reentrant.
+std::vector<member_version> parse_member_versions(const boost::json::object& status);
+
+}  // namespace masticgrade
--- a/libs/version/src/field_reader.hpp
+++ b/libs/version/src/field_reader.hpp
@@ -13,13 +13,6 @@
 
 namespace masticgrade {
 
-/// Whether a text may name an entry: 1 to 128 bytes of UTF-8 without spaces, control characters
-/// and the characters that have a meaning in a URL path or a row key.
-bool is_valid_name(std::string_view text);
-
-/// Whether a text is "ip:port" with a port from 1 to 65535; IPv6 as "[ip]:port".
-bool is_valid_address(std::string_view text);
-
 /// Parses JSON text. Throws masticgrade::error with the given step.
 boost::json::value parse_json(std::string_view text, std::string_view step);
 
