Wire failover, membership, freshness and share messages into the proxy

The share messages of the limits library travel as FlatBuffers tables of their own in place of the placeholders; amounts that are not finite and shares above the whole are rejected by the decoder.

--- a/libs/limits/include/masticgrade/limits/share_messages.hpp
+++ b/libs/limits/include/masticgrade/limits/share_messages.hpp
@@ -27,6 +27,8 @@
     /// The members version at which the sender became owner of these customers.
     fleet_version ownership;
     std::vector<customer_id> customers;
+
+    friend bool operator==(const share_query&, const share_query&) = default;
 };
 
 /// What a holder holds of a customer, and its demand.
@@ -37,10 +39,14 @@
     share_fraction held;
     /// Statements per second that callers asked for, admitted or not.
     double demand = 0;
+
+    friend bool operator==(const held_share&, const held_share&) = default;
 };
 
 struct share_report {
     std::vector<held_share> shares;
+
+    friend bool operator==(const share_report&, const share_report&) = default;
 };
 
 /// Replaces the share of a holder. Sent again unchanged until it is acknowledged.
@@ -51,10 +57,14 @@
     share_fraction share;
     /// Tokens that come with the growth of the share.
     double tokens = 0;
+
+    friend bool operator==(const assigned_share&, const assigned_share&) = default;
 };
 
 struct share_assignment {
     std::vector<assigned_share> shares;
+
+    friend bool operator==(const share_assignment&, const share_assignment&) = default;
 };
 
 struct acknowledged_share {
@@ -63,10 +73,14 @@
     share_sequence sequence;
     /// Tokens that the holder gave up because its share shrank.
     double returned_tokens = 0;
+
+    friend bool operator==(const acknowledged_share&, const acknowledged_share&) = default;
 };
 
 struct share_ack {
     std::vector<acknowledged_share> shares;
+
+    friend bool operator==(const share_ack&, const share_ack&) = default;
 };
 
 /// The share that a former owner last recorded for one process.
@@ -74,6 +88,8 @@
     host_id host;
     incarnation_number incarnation;
     share_fraction share;
+
+    friend bool operator==(const ledger_share&, const ledger_share&) = default;
 };
 
 /// The complete ledger of a former owner that is still a member, for the owner that replaces it.
@@ -88,6 +104,8 @@
     /// Tokens in the former owner's pool, and granted tokens that may still be on their way.
     double pool_tokens = 0;
     double outstanding_tokens = 0;
+
+    friend bool operator==(const share_handover&, const share_handover&) = default;
 };
 
 /// Asks for a one-off transfer of tokens out of the owner's pool.
@@ -95,6 +113,8 @@
     customer_id customer;
     request_number number;
     double tokens = 0;
+
+    friend bool operator==(const token_request&, const token_request&) = default;
 };
 
 struct token_grant {
@@ -102,6 +122,8 @@
     fleet_version ownership;
     request_number number;
     double tokens = 0;
+
+    friend bool operator==(const token_grant&, const token_grant&) = default;
 };
 
 /// Tells the owner that a grant was used or discarded, so that its pool may fill up again.
@@ -109,6 +131,8 @@
     customer_id customer;
     fleet_version ownership;
     request_number number;
+
+    friend bool operator==(const token_receipt&, const token_receipt&) = default;
 };
 
 using share_message = std::variant<share_query, share_report, share_assignment, share_ack,
--- a/libs/peer/include/masticgrade/peer/messages.hpp
+++ b/libs/peer/include/masticgrade/peer/messages.hpp
@@ -8,6 +8,7 @@
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
+#include "masticgrade/limits/share_messages.hpp"
 #include "masticgrade/version/table_row.hpp"
 
 namespace masticgrade::peer {
@@ -72,85 +73,10 @@
     friend bool operator==(const suspect_report&, const suspect_report&) = default;
 };
 
-struct reported_share {
-    customer_id customer;
-    std::uint64_t sequence = 0;
-    double held_rate = 0;
-    double held_burst = 0;
-    /// Statements per second that callers asked for since the last report.
-    double demand = 0;
-    double tokens = 0;
-
-    friend bool operator==(const reported_share&, const reported_share&) = default;
-};
-
-struct share_report {
-    fleet_version members_version;
-    std::vector<reported_share> shares;
-    std::vector<std::uint8_t> extension;
-
-    friend bool operator==(const share_report&, const share_report&) = default;
-};
-
-struct assigned_share {
-    customer_id customer;
-    std::uint64_t sequence = 0;
-    double rate = 0;
-    double burst = 0;
-    double tokens = 0;
-
-    friend bool operator==(const assigned_share&, const assigned_share&) = default;
-};
-
-struct share_assignment {
-    fleet_version members_version;
-    std::vector<assigned_share> shares;
-    std::vector<std::uint8_t> extension;
-
-    friend bool operator==(const share_assignment&, const share_assignment&) = default;
-};
-
-struct acknowledged_share {
-    customer_id customer;
-    std::uint64_t sequence = 0;
-    double rate = 0;
-    double burst = 0;
-    double returned_tokens = 0;
-
-    friend bool operator==(const acknowledged_share&, const acknowledged_share&) = default;
-};
-
-struct share_ack {
-    fleet_version members_version;
-    std::vector<acknowledged_share> shares;
-    std::vector<std::uint8_t> extension;
-
-    friend bool operator==(const share_ack&, const share_ack&) = default;
-};
-
-struct token_request {
-    fleet_version members_version;
-    customer_id customer;
-    std::uint64_t sequence = 0;
-    double tokens = 0;
-    std::vector<std::uint8_t> extension;
-
-    friend bool operator==(const token_request&, const token_request&) = default;
-};
-
-struct token_grant {
-    fleet_version members_version;
-    customer_id customer;
-    std::uint64_t sequence = 0;
-    double tokens = 0;
-    std::vector<std::uint8_t> extension;
-
-    friend bool operator==(const token_grant&, const token_grant&) = default;
-};
-
 using message_body =
     std::variant<exchange_request, exchange_reply, rows_request, rows_reply, suspect_report,
-                 share_report, share_assignment, share_ack, token_request, token_grant>;
+                 share_query, share_report, share_assignment, share_ack, share_handover,
+                 token_request, token_grant, token_receipt>;
 
 struct envelope {
     /// Names the request that a reply belongs to; zero for a one-way message.
@@ -161,6 +87,8 @@
     /// The version of the members list that the sender has applied.
     fleet_version members_version;
     message_body body;
+    /// Zero when the message is meant for any process of the recipient's host.
+    incarnation_number recipient_incarnation = {};
 
     friend bool operator==(const envelope&, const envelope&) = default;
 };
--- a/libs/peer/include/masticgrade/peer/peer_network.hpp
+++ b/libs/peer/include/masticgrade/peer/peer_network.hpp
@@ -43,6 +43,13 @@
     std::uint64_t seed = 0;
 };
 
+/// What an envelope says about its sender and recipient, in place of the network's own identity.
+struct message_identity {
+    incarnation_number incarnation;
+    fleet_version members_version;
+    incarnation_number recipient_incarnation;
+};
+
 struct network_counters {
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
@@ -75,7 +82,8 @@
 
     /// Queues a one-way message; it is dropped when it cannot be sent by the deadline or when the
     /// queue is full.
-    void send(const endpoint_address& peer, message_body body, time_point deadline);
+    void send(const endpoint_address& peer, message_body body, time_point deadline,
+              std::optional<message_identity> identity = std::nullopt);
 
     [[nodiscard]] network_counters counters() const;
 
--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -84,16 +85,22 @@
             wire::CreateSuspectReport(out, group, body.term.value(), body.suspected)};
 }
 
+written_body<wire::ShareQuery> write_body(FlatBufferBuilder& out, const share_query& body) {
+    std::vector<Offset<flatbuffers::String>> names;
+    for (const auto& customer : body.customers) {
+        names.push_back(out.CreateString(customer.str()));
+    }
+    const auto customers = out.CreateVector(names);
+    return {wire::Body::ShareQuery, wire::CreateShareQuery(out, body.ownership.value(), customers)};
+}
+
 written_body<wire::ShareReport> write_body(FlatBufferBuilder& out, const share_report& body) {
-    const auto shares =
-        write_list<wire::ReportedShare>(out, body.shares, [&](const reported_share& item) {
-            const auto customer = out.CreateString(item.customer.str());
-            return wire::CreateReportedShare(out, customer, item.sequence, item.held_rate,
-                                             item.held_burst, item.demand, item.tokens);
-        });
-    const auto extension = write_bytes(out, body.extension);
-    return {wire::Body::ShareReport,
-            wire::CreateShareReport(out, body.members_version.value(), shares, extension)};
+    const auto shares = write_list<wire::HeldShare>(out, body.shares, [&](const held_share& item) {
+        const auto customer = out.CreateString(item.customer.str());
+        return wire::CreateHeldShare(out, customer, item.ownership.value(), item.held.rate,
+                                     item.held.burst, item.demand);
+    });
+    return {wire::Body::ShareReport, wire::CreateShareReport(out, shares)};
 }
 
 written_body<wire::ShareAssignment> write_body(FlatBufferBuilder& out,
@@ -101,40 +108,52 @@
     const auto shares =
         write_list<wire::AssignedShare>(out, body.shares, [&](const assigned_share& item) {
             const auto customer = out.CreateString(item.customer.str());
-            return wire::CreateAssignedShare(out, customer, item.sequence, item.rate, item.burst,
-                                             item.tokens);
+            return wire::CreateAssignedShare(out, customer, item.ownership.value(),
+                                             item.sequence.value(), item.share.rate,
+                                             item.share.burst, item.tokens);
         });
-    const auto extension = write_bytes(out, body.extension);
-    return {wire::Body::ShareAssignment,
-            wire::CreateShareAssignment(out, body.members_version.value(), shares, extension)};
+    return {wire::Body::ShareAssignment, wire::CreateShareAssignment(out, shares)};
 }
 
 written_body<wire::ShareAck> write_body(FlatBufferBuilder& out, const share_ack& body) {
     const auto shares =
         write_list<wire::AcknowledgedShare>(out, body.shares, [&](const acknowledged_share& item) {
             const auto customer = out.CreateString(item.customer.str());
-            return wire::CreateAcknowledgedShare(out, customer, item.sequence, item.rate,
-                                                 item.burst, item.returned_tokens);
+            return wire::CreateAcknowledgedShare(out, customer, item.ownership.value(),
+                                                 item.sequence.value(), item.returned_tokens);
         });
-    const auto extension = write_bytes(out, body.extension);
-    return {wire::Body::ShareAck,
-            wire::CreateShareAck(out, body.members_version.value(), shares, extension)};
+    return {wire::Body::ShareAck, wire::CreateShareAck(out, shares)};
+}
+
+written_body<wire::ShareHandover> write_body(FlatBufferBuilder& out, const share_handover& body) {
+    const auto ledger =
+        write_list<wire::LedgerShare>(out, body.ledger, [&](const ledger_share& item) {
+            const auto host = out.CreateString(item.host.str());
+            return wire::CreateLedgerShare(out, host, item.incarnation.value(), item.share.rate,
+                                           item.share.burst);
+        });
+    const auto customer = out.CreateString(body.customer.str());
+    return {wire::Body::ShareHandover,
+            wire::CreateShareHandover(out, customer, body.ownership.value(), ledger,
+                                      body.sender_left, body.pool_tokens, body.outstanding_tokens)};
 }
 
 written_body<wire::TokenRequest> write_body(FlatBufferBuilder& out, const token_request& body) {
     const auto customer = out.CreateString(body.customer.str());
-    const auto extension = write_bytes(out, body.extension);
     return {wire::Body::TokenRequest,
-            wire::CreateTokenRequest(out, body.members_version.value(), customer, body.sequence,
-                                     body.tokens, extension)};
+            wire::CreateTokenRequest(out, customer, body.number.value(), body.tokens)};
 }
 
 written_body<wire::TokenGrant> write_body(FlatBufferBuilder& out, const token_grant& body) {
     const auto customer = out.CreateString(body.customer.str());
-    const auto extension = write_bytes(out, body.extension);
-    return {wire::Body::TokenGrant,
-            wire::CreateTokenGrant(out, body.members_version.value(), customer, body.sequence,
-                                   body.tokens, extension)};
+    return {wire::Body::TokenGrant, wire::CreateTokenGrant(out, customer, body.ownership.value(),
+                                                           body.number.value(), body.tokens)};
+}
+
+written_body<wire::TokenReceipt> write_body(FlatBufferBuilder& out, const token_receipt& body) {
+    const auto customer = out.CreateString(body.customer.str());
+    return {wire::Body::TokenReceipt,
+            wire::CreateTokenReceipt(out, customer, body.ownership.value(), body.number.value())};
 }
 
 // ---- decoding: one overload of body_reader::read per message ----
@@ -208,50 +227,69 @@
                               body.suspected()};
     }
 
+    message_body read(const wire::ShareQuery& body) {
+        share_query query{fleet_version{body.ownership()}, {}};
+        if (body.customers() != nullptr) {
+            for (const auto* name : *body.customers()) {
+                query.customers.emplace_back(text(name));
+            }
+        }
+        return query;
+    }
+
     message_body read(const wire::ShareReport& body) {
-        share_report report{fleet_version{body.members_version()}, {}, numbers(body.extension())};
-        report.shares = list<reported_share>(body.shares(), [&](const wire::ReportedShare& item) {
-            return reported_share{customer_id{text(item.customer())},
-                                  item.sequence(),
-                                  item.held_rate(),
-                                  item.held_burst(),
-                                  item.demand(),
-                                  item.tokens()};
-        });
-        return report;
+        return share_report{list<held_share>(body.shares(), [&](const wire::HeldShare& item) {
+            return held_share{customer_id{text(item.customer())}, fleet_version{item.ownership()},
+                              fraction(item.rate(), item.burst()), amount(item.demand())};
+        })};
     }
 
     message_body read(const wire::ShareAssignment& body) {
-        share_assignment assignment{
-            fleet_version{body.members_version()}, {}, numbers(body.extension())};
-        assignment.shares =
+        return share_assignment{
             list<assigned_share>(body.shares(), [&](const wire::AssignedShare& item) {
-                return assigned_share{customer_id{text(item.customer())}, item.sequence(),
-                                      item.rate(), item.burst(), item.tokens()};
-            });
-        return assignment;
+                return assigned_share{customer_id{text(item.customer())},
+                                      fleet_version{item.ownership()},
+                                      share_sequence{item.sequence()},
+                                      fraction(item.rate(), item.burst()), amount(item.tokens())};
+            })};
     }
 
     message_body read(const wire::ShareAck& body) {
-        share_ack ack{fleet_version{body.members_version()}, {}, numbers(body.extension())};
-        ack.shares =
+        return share_ack{
             list<acknowledged_share>(body.shares(), [&](const wire::AcknowledgedShare& item) {
-                return acknowledged_share{customer_id{text(item.customer())}, item.sequence(),
-                                          item.rate(), item.burst(), item.returned_tokens()};
-            });
-        return ack;
+                return acknowledged_share{
+                    customer_id{text(item.customer())}, fleet_version{item.ownership()},
+                    share_sequence{item.sequence()}, amount(item.returned_tokens())};
+            })};
+    }
+
+    message_body read(const wire::ShareHandover& body) {
+        share_handover handover{customer_id{text(body.customer())},
+                                fleet_version{body.ownership()},
+                                {},
+                                body.sender_left(),
+                                amount(body.pool_tokens()),
+                                amount(body.outstanding_tokens())};
+        handover.ledger = list<ledger_share>(body.ledger(), [&](const wire::LedgerShare& item) {
+            return ledger_share{host_id{text(item.host())}, incarnation_number{item.incarnation()},
+                                fraction(item.rate(), item.burst())};
+        });
+        return handover;
     }
 
     message_body read(const wire::TokenRequest& body) {
-        return token_request{fleet_version{body.members_version()},
-                             customer_id{text(body.customer())}, body.sequence(), body.tokens(),
-                             numbers(body.extension())};
+        return token_request{customer_id{text(body.customer())}, request_number{body.number()},
+                             amount(body.tokens())};
     }
 
     message_body read(const wire::TokenGrant& body) {
-        return token_grant{fleet_version{body.members_version()},
-                           customer_id{text(body.customer())}, body.sequence(), body.tokens(),
-                           numbers(body.extension())};
+        return token_grant{customer_id{text(body.customer())}, fleet_version{body.ownership()},
+                           request_number{body.number()}, amount(body.tokens())};
+    }
+
+    message_body read(const wire::TokenReceipt& body) {
+        return token_receipt{customer_id{text(body.customer())}, fleet_version{body.ownership()},
+                             request_number{body.number()}};
     }
 
     message_body read_body(const wire::Envelope& message) {
@@ -266,16 +304,22 @@
                 return read(*message.body_as_RowsReply());
             case wire::Body::SuspectReport:
                 return read(*message.body_as_SuspectReport());
+            case wire::Body::ShareQuery:
+                return read(*message.body_as_ShareQuery());
             case wire::Body::ShareReport:
                 return read(*message.body_as_ShareReport());
             case wire::Body::ShareAssignment:
                 return read(*message.body_as_ShareAssignment());
             case wire::Body::ShareAck:
                 return read(*message.body_as_ShareAck());
+            case wire::Body::ShareHandover:
+                return read(*message.body_as_ShareHandover());
             case wire::Body::TokenRequest:
                 return read(*message.body_as_TokenRequest());
             case wire::Body::TokenGrant:
                 return read(*message.body_as_TokenGrant());
+            case wire::Body::TokenReceipt:
+                return read(*message.body_as_TokenReceipt());
             case wire::Body::NONE:
                 break;
         }
@@ -283,6 +327,21 @@
     }
 
 private:
+    /// Amounts of tokens and rates are finite and not negative.
+    static double amount(double value) {
+        if (!std::isfinite(value) || value < 0) {
+            throw error("peer decode", "", "amount out of range");
+        }
+        return value;
+    }
+
+    static share_fraction fraction(double rate, double burst) {
+        if (amount(rate) > 1 || amount(burst) > 1) {
+            throw error("peer decode", "", "share above the whole");
+        }
+        return {rate, burst};
+    }
+
     void spend(std::size_t bytes) {
         if (bytes > remaining_) {
             throw error("peer decode", "", "fields overlap");
@@ -301,10 +360,10 @@
     const auto root = std::visit(
         [&](const auto& body) {
             const auto written = write_body(out, body);
-            return wire::CreateEnvelope(out, message.request_id.value(), message.is_reply, sender,
-                                        message.incarnation.value(),
-                                        message.members_version.value(), written.type,
-                                        written.offset.Union());
+            return wire::CreateEnvelope(
+                out, message.request_id.value(), message.is_reply, sender,
+                message.incarnation.value(), message.members_version.value(), written.type,
+                written.offset.Union(), message.recipient_incarnation.value());
         },
         message.body);
     out.Finish(root);
@@ -339,6 +398,7 @@
     message.incarnation = incarnation_number{wire_message.incarnation()};
     message.members_version = fleet_version{wire_message.members_version()};
     message.body = reader.read_body(wire_message);
+    message.recipient_incarnation = incarnation_number{wire_message.recipient_incarnation()};
     return message;
 }
 
--- a/libs/peer/src/peer_network.cpp
+++ b/libs/peer/src/peer_network.cpp
@@ -86,8 +86,9 @@
         co_return co_await channel->request(id, std::move(frame), deadline);
     }
 
-    void send(const endpoint_address& peer, message_body body, time_point deadline) {
-        auto frame = encode_message(request_number{}, false, std::move(body));
+    void send(const endpoint_address& peer, message_body body, time_point deadline,
+              const std::optional<message_identity>& identity) {
+        auto frame = encode_message(request_number{}, false, std::move(body), identity);
         channel_to(peer)->post_one_way(std::move(frame), deadline);
     }
 
@@ -174,12 +175,18 @@
         return channel;
     }
 
-    std::vector<std::uint8_t> encode_message(request_number id, bool is_reply, message_body body) {
+    std::vector<std::uint8_t> encode_message(
+        request_number id, bool is_reply, message_body body,
+        const std::optional<message_identity>& identity = std::nullopt) {
         envelope message;
         message.request_id = id;
         message.is_reply = is_reply;
         message.sender = options_.sender;
-        {
+        if (identity) {
+            message.incarnation = identity->incarnation;
+            message.members_version = identity->members_version;
+            message.recipient_incarnation = identity->recipient_incarnation;
+        } else {
             const std::lock_guard lock{mutex_};
             message.incarnation = incarnation_;
             message.members_version = members_version_;
@@ -228,8 +235,9 @@
     return impl_->request(std::move(peer), std::move(body), deadline);
 }
 
-void peer_network::send(const endpoint_address& peer, message_body body, time_point deadline) {
-    impl_->send(peer, std::move(body), deadline);
+void peer_network::send(const endpoint_address& peer, message_body body, time_point deadline,
+                        std::optional<message_identity> identity) {
+    impl_->send(peer, std::move(body), deadline, identity);
 }
 
 network_counters peer_network::counters() const { return impl_->counters(); }
--- a/libs/peer/test/codec_test.cpp
+++ b/libs/peer/test/codec_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <limits>
 #include <string>
 
 #include "masticgrade/base/error.hpp"
@@ -27,17 +28,23 @@
         rows_request{version},
         rows_reply{version, number % 2 == 0, {{text, version, text}, {}}},
         suspect_report{group_id{text}, term_number{number}, true},
-        share_report{version, {{customer, number, amount, 1, 2, 3}, {}}, opaque},
-        share_assignment{version, {{customer, number, amount, 1, 2}}, opaque},
-        share_ack{version, {{customer, number, amount, 1, 2}}, opaque},
-        token_request{version, customer, number, amount, opaque},
-        token_grant{version, customer, number, amount, opaque},
+        share_query{version, {customer, customer_id{}}},
+        share_report{{{customer, version, {0.25, 0.5}, amount}, {}}},
+        share_assignment{{{customer, version, share_sequence{number}, {1, 0}, amount}}},
+        share_ack{{{customer, version, share_sequence{number}, amount}}},
+        share_handover{
+            customer, version, {{host_id{text}, incarnation_number{number}, {0.5, 1}}}, true, amount, 2},
+        token_request{customer, request_number{number}, amount},
+        token_grant{customer, version, request_number{number}, amount},
+        token_receipt{customer, version, request_number{number}},
     };
 }
 
 envelope make_envelope(message_body body) {
-    return {request_number{7}, true,           host_id{"host-1"}, incarnation_number{42},
-            fleet_version{9},  std::move(body)};
+    return {request_number{7},     true,
+            host_id{"host-1"},     incarnation_number{42},
+            fleet_version{9},      std::move(body),
+            incarnation_number{43}};
 }
 
 bytes payload_of(const bytes& frame) { return {frame.begin() + frame_prefix_size, frame.end()}; }
@@ -125,6 +132,18 @@
     CHECK_THROWS_AS(decoder.next(), error);
 }
 
+// Guards against token counts that a damaged or hostile peer makes infinite.
+TEST_CASE("amounts that are not finite or shares above the whole are rejected") {
+    const customer_id customer{"c"};
+    for (const double tokens : {-1.0, std::numeric_limits<double>::infinity(),
+                                std::numeric_limits<double>::quiet_NaN()}) {
+        const auto frame = encode(make_envelope(token_grant{customer, {}, {}, tokens}));
+        CHECK_THROWS_AS(decode(payload_of(frame)), error);
+    }
+    const auto frame = encode(make_envelope(share_report{{{customer, {}, {1.5, 0}, 0}}}));
+    CHECK_THROWS_AS(decode(payload_of(frame)), error);
+}
+
 // Guards against a message that the receiver would answer by closing the connection.
 TEST_CASE("a message above the limit is not encoded") {
     rows_reply reply;
--- a/libs/peer/test/peer_network_test.cpp
+++ b/libs/peer/test/peer_network_test.cpp
@@ -200,7 +200,7 @@
     tcp::acceptor silent{context, {asio::ip::make_address("127.0.0.1"), 0}};
     const endpoint_address address{"127.0.0.1:" + std::to_string(silent.local_endpoint().port())};
     token_request large;
-    large.extension.resize(3000);
+    large.customer = customer_id{std::string(3000, 'x')};
     for (int i = 0; i < 10000 && client.counters().messages_refused == 0; ++i) {
         client.send(address, large, in(seconds{60}));
     }
--- /dev/null
+++ b/libs/proxy/src/failover_runtime.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "fleet_state.hpp"
+#include "masticgrade/failover/failure_detector.hpp"
+#include "masticgrade/failover/promotion.hpp"
+#include "masticgrade/net/table_service.hpp"
+
+namespace masticgrade {
+
+/// Watches the groups that this host monitors and promotes a replica when a primary is lost.
+/// Thread safety: all members may be called from any thread; one lock guards the decision modules
+/// and is not held during network calls.
+class failover_runtime : public std::enable_shared_from_this<failover_runtime> {
+public:
+    struct environment {
+        host_id self;
+        std::shared_ptr<fleet_state> fleet;
+        std::shared_ptr<table_service> store;
+        /// Tells another monitor what this host thinks of a primary.
+        std::function<void(const host_id&, const group_id&, term_number, bool)> send_suspicion;
+        /// Applies what was just committed to the store and tells the hosts that serve the group.
+        std::function<boost::asio::awaitable<void>(group_id)> publish;
+        std::function<bool(const host_id&, time_point)> is_reachable;
+    };
+
+    failover_runtime(boost::asio::any_io_executor executor, environment surroundings);
+
+    void on_snapshot(const fleet_snapshot_ptr& snapshot);
+    void on_answer(const group_id& group, const instance_id& instance, term_number term);
+    void on_suspicion(const host_id& sender, const group_id& group, term_number term,
+                      bool suspected);
+    /// Moves the primary of a group away from the given instances, unless a promotion is running.
+    void start_planned_switch(const group_id& group);
+    void tick(time_point now);
+
+private:
+    struct monitored_group {
+        failure_detector detector;
+        std::shared_ptr<promotion> attempt;
+        time_point attempt_started;
+        bool planned = false;
+    };
+
+    template <class Event>
+    void with_detector(const group_id& group, Event event);
+    void with_attempt(const group_id& group, const std::shared_ptr<promotion>& attempt,
+                      const promotion_event& event);
+    std::shared_ptr<promotion> begin_attempt(monitored_group& entry, const group_id& group,
+                                             const group_record& observed, bool planned);
+    void finish_if_over(const group_id& group, const std::shared_ptr<promotion>& attempt);
+    std::vector<host_id> monitors_of(const members& hosts, const group_id& group) const;
+
+    void perform(const group_id& group, const detector_actions& actions);
+    void act(const group_id& group, const probe_instance& action);
+    void act(const group_id& group, const report_suspicion& action);
+    void act(const group_id& group, const start_promotion& action);
+    void act(const group_id& group, const repair_follower& action);
+
+    void perform(const group_id& group, const std::shared_ptr<promotion>& attempt,
+                 const promotion_actions& actions);
+    boost::asio::awaitable<void> run(group_id group, std::shared_ptr<promotion> attempt,
+                                     commit_record action);
+    boost::asio::awaitable<void> run(group_id group, std::shared_ptr<promotion> attempt,
+                                     read_record action);
+    boost::asio::awaitable<void> run(group_id group, std::shared_ptr<promotion> attempt,
+                                     query_state action);
+    boost::asio::awaitable<void> run(group_id group, std::shared_ptr<promotion> attempt,
+                                     seal_instance action);
+    boost::asio::awaitable<void> run(group_id group, std::shared_ptr<promotion> attempt,
+                                     promote_instance action);
+    boost::asio::awaitable<void> run(group_id group, std::shared_ptr<promotion> attempt,
+                                     follow_primary action);
+    boost::asio::awaitable<void> run(group_id group, std::shared_ptr<promotion> attempt,
+                                     promotion_succeeded action);
+    boost::asio::awaitable<void> run(group_id group, std::shared_ptr<promotion> attempt,
+                                     promotion_failed action);
+    boost::asio::awaitable<void> probe(group_id group, probe_instance action);
+    boost::asio::awaitable<void> repair(group_id group, repair_follower action);
+    boost::asio::awaitable<std::optional<database_reply>> call(group_id group, instance_id instance,
+                                                               database_request request);
+
+    boost::asio::any_io_executor executor_;
+    environment environment_;
+    std::mutex mutex_;
+    std::map<group_id, monitored_group> groups_;
+};
+
+}  // namespace masticgrade
--- a/libs/proxy/src/group_runtime.hpp
+++ b/libs/proxy/src/group_runtime.hpp
@@ -29,6 +29,10 @@
 
     [[nodiscard]] const group_config& config() const noexcept { return config_; }
     [[nodiscard]] group_record record() const;
+    [[nodiscard]] bool has_instance(const instance_id& instance) const {
+        return links_.contains(instance);
+    }
+    /// Precondition: the group has the instance.
     [[nodiscard]] instance_link& link(const instance_id& instance) const;
     [[nodiscard]] std::vector<instance_view> views(time_point now) const;
     [[nodiscard]] std::vector<instance_health> health() const;
--- a/libs/proxy/src/proxy.cpp
+++ b/libs/proxy/src/proxy.cpp
@@ -16,15 +16,18 @@
 
 #include "admin_api.hpp"
 #include "caller_api.hpp"
+#include "failover_runtime.hpp"
+#include "fleet_membership.hpp"
 #include "fleet_state.hpp"
 #include "masticgrade/base/log.hpp"
 #include "masticgrade/net/http_server.hpp"
 #include "masticgrade/net/platform_client.hpp"
+#include "masticgrade/version/rendezvous.hpp"
+#include "peer_service.hpp"
 #include "rate_admission.hpp"
 #include "statement_service.hpp"
 #include "store_sync.hpp"
 #include "transaction_service.hpp"
-#include "work_gate.hpp"
 
 namespace masticgrade {
 
@@ -39,6 +42,12 @@
 /// How long a connection without a request stays open during a stop.
 constexpr milliseconds idle_connection_grace{500};
 constexpr seconds longest_request{60};
+constexpr seconds leave_timeout{3};
+/// Some retry intervals of the share protocol, in which the ledgers are handed over.
+constexpr milliseconds handover_time{500};
+constexpr milliseconds publish_timeout{1000};
+/// The hosts that hold connections to a group's instances, which must learn of a new primary first.
+constexpr std::size_t home_hosts = 7;
 
 }  // namespace
 
@@ -81,16 +90,94 @@
     }
 
     void make_services() {
-        const auto may_start_work = [this] { return gate_.refusal(steady_clock::now()); };
-        sync_ = std::make_shared<store_sync>(
-            store_, fleet_, [this](time_point sent_at, fleet_version) { gate_.on_read(sent_at); });
+        sync_ = std::make_shared<store_sync>(store_, fleet_,
+                                             [this](time_point sent_at, fleet_version version) {
+                                                 membership_->on_store_read(sent_at, version);
+                                             });
+        make_membership();
+        make_limits();
+        make_failover();
+        make_peers();
+        fleet_->set_observer([this](const fleet_snapshot_ptr& snapshot) { on_snapshot(snapshot); });
+        fleet_->set_reply_observer(
+            [this](const group_id& group, const instance_id& instance, const database_reply& reply,
+                   time_point) { failover_->on_answer(group, instance, reply.term); });
+        make_apis();
+    }
+
+    void make_membership() {
+        fleet_membership::environment environment;
+        environment.self = {settings_.host, settings_.peer_advertise, settings_.failure_domain, {}};
+        environment.fleet = fleet_;
+        environment.store = store_;
+        environment.read_store = [this](time_point deadline) { return sync_->read_now(deadline); };
+        environment.peers = [this]() -> peer_service& { return *peers_; };
+        environment.on_identity = [this](const listed_host& identity) {
+            peers_->set_identity(identity.incarnation, fleet_->snapshot()->hosts.version);
+            limits_->on_joined({identity.id, identity.incarnation});
+            limits_->on_snapshot(fleet_->snapshot());
+        };
+        membership_ =
+            std::make_shared<fleet_membership>(context_.get_executor(), std::move(environment));
+    }
+
+    void make_limits() {
+        share_settings shares;
+        shares.mode = settings_.static_rate_split ? share_mode::static_split : share_mode::shared;
+        const auto self = membership_->self();
+        limits_ = std::make_shared<rate_admission>(
+            host_process{self.id, self.incarnation}, shares,
+            [this](share_envelope envelope) { peers_->send_share_message(std::move(envelope)); });
+    }
+
+    void make_failover() {
+        failover_runtime::environment environment;
+        environment.self = settings_.host;
+        environment.fleet = fleet_;
+        environment.store = store_;
+        environment.send_suspicion = [this](const host_id& recipient, const group_id& group,
+                                            term_number term, bool suspected) {
+            peers_->send(recipient, peer::suspect_report{group, term, suspected});
+        };
+        environment.publish = [this](group_id group) { return publish(std::move(group)); };
+        environment.is_reachable = [this](const host_id& host, time_point now) {
+            return membership_->is_reachable(host, now);
+        };
+        failover_ =
+            std::make_shared<failover_runtime>(context_.get_executor(), std::move(environment));
+    }
+
+    void make_peers() {
+        const auto self = membership_->self();
+        peer::network_options options;
+        options.listen = settings_.peer_listen;
+        options.sender = settings_.host;
+        options.seed = self.incarnation.value();
+        peer_service::handlers handlers;
+        handlers.on_heard = [this](const peer::envelope& message) {
+            membership_->on_heard(message);
+        };
+        handlers.on_exchange = [this](const peer::envelope& message) {
+            return membership_->answer_exchange(message);
+        };
+        handlers.on_suspicion = [this](const host_id& sender, const peer::suspect_report& report) {
+            failover_->on_suspicion(sender, report.group, report.term, report.suspected);
+        };
+        handlers.on_share_message = [this](const share_envelope& envelope) {
+            limits_->on_message(envelope);
+        };
+        peers_ = std::make_unique<peer_service>(context_.get_executor(), std::move(options), fleet_,
+                                                std::move(handlers));
+        peers_->set_identity(self.incarnation, {});
+    }
+
+    void make_apis() {
+        const auto may_start_work = [this] {
+            return membership_->refuse_work(steady_clock::now());
+        };
         statement_service::options options;
         options.own_domain = settings_.failure_domain;
         options.primary_reads_only = settings_.primary_reads_only;
-        share_settings shares;
-        shares.mode = settings_.static_rate_split ? share_mode::static_split : share_mode::shared;
-        limits_ = std::make_shared<rate_admission>(host_process{settings_.host, incarnation_},
-                                                   shares, [](share_envelope) {});
         statements_ = std::make_shared<statement_service>(fleet_, may_start_work, options);
         transactions_ = std::make_shared<transaction_service>(fleet_, may_start_work);
         caller_api_ = std::make_shared<caller_api>(
@@ -103,16 +190,41 @@
         admin.metrics = metrics_;
         admin.transactions = transactions_;
         admin.may_start_work = may_start_work;
-        admin.not_ready = [this, may_start_work]() -> std::optional<std::string> {
-            return stopping_ ? std::optional<std::string>{"the process is stopping"}
-                             : may_start_work();
-        };
-        admin.member_versions = [this] {
-            return std::map<host_id, fleet_version>{{settings_.host, fleet_->snapshot()->version}};
-        };
+        admin.not_ready = [this] { return not_ready(); };
+        admin.member_versions = [this] { return membership_->member_versions(); };
         admin_api_ = std::make_shared<admin_api>(std::move(admin));
     }
 
+    std::optional<std::string> not_ready() const {
+        if (stopping_) {
+            return "the process is stopping";
+        }
+        if (!membership_->joined()) {
+            return "this host is not a member";
+        }
+        if (fleet_->snapshot()->ops.drained_domains.contains(settings_.failure_domain)) {
+            return "the failure domain is drained";
+        }
+        if (!limits_->is_ready()) {
+            return "the rate shares are not complete";
+        }
+        return membership_->refuse_work(steady_clock::now());
+    }
+
+    void on_snapshot(const fleet_snapshot_ptr& snapshot) {
+        membership_->on_snapshot(snapshot);
+        peers_->set_identity(membership_->self().incarnation, snapshot->hosts.version);
+        limits_->on_snapshot(snapshot);
+        failover_->on_snapshot(snapshot);
+    }
+
+    /// Applies what this host has just committed and tells the hosts that serve the group.
+    asio::awaitable<void> publish(group_id group) {
+        co_await sync_->read_now(steady_clock::now() + publish_timeout);
+        const auto snapshot = fleet_->snapshot();
+        membership_->announce(rank_hosts(snapshot->hosts, "home/" + group.str(), home_hosts));
+    }
+
     void make_servers() {
         const auto executor = context_.get_executor();
         callers_ = std::make_unique<http_server>(
@@ -138,6 +250,10 @@
                 group->tick(now);
             }
             transactions_->tick(now);
+            membership_->tick(now);
+            limits_->on_freshness(membership_->fresh_until(now));
+            limits_->tick(now);
+            failover_->tick(now);
             timer.expires_after(tick_interval);
             co_await timer.async_wait(asio::use_awaitable);
         }
@@ -156,20 +272,33 @@
             timer.expires_after(tick_interval);
             co_await timer.async_wait(asio::use_awaitable);
         }
+        co_await leave_fleet();
         context_.stop();
     }
 
+    /// Gives the shares back and leaves the members, so that no other host waits for this one.
+    asio::awaitable<void> leave_fleet() {
+        if (!co_await membership_->leave(steady_clock::now() + leave_timeout)) {
+            log.warning("Stopped without having left the members host={}.", settings_.host);
+            co_return;
+        }
+        limits_->on_left();
+        asio::steady_timer timer{co_await asio::this_coro::executor, handover_time};
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
     proxy_settings settings_;
     asio::io_context context_;
     std::shared_ptr<table_service> store_;
     std::shared_ptr<fleet_state> fleet_;
     std::shared_ptr<request_metrics> metrics_;
     asio::signal_set signals_;
-    work_gate gate_;
     std::atomic<bool> stopping_{false};
     std::shared_ptr<store_sync> sync_;
     std::shared_ptr<rate_admission> limits_;
-    incarnation_number incarnation_;
+    std::shared_ptr<fleet_membership> membership_;
+    std::shared_ptr<failover_runtime> failover_;
+    std::unique_ptr<peer_service> peers_;
     std::shared_ptr<statement_service> statements_;
     std::shared_ptr<transaction_service> transactions_;
     std::shared_ptr<caller_api> caller_api_;
--- a/libs/proxy/src/transaction_service.cpp
+++ b/libs/proxy/src/transaction_service.cpp
@@ -1,16 +1,13 @@
 #include "transaction_service.hpp"
 
-#include <openssl/rand.h>
-
-#include <array>
 #include <utility>
 #include <variant>
 #include <vector>
 
-#include "masticgrade/base/base64url.hpp"
 #include "masticgrade/base/error.hpp"
 #include "masticgrade/base/log.hpp"
 #include "masticgrade/base/scope_guard.hpp"
+#include "random_mark.hpp"
 #include "write_attempt.hpp"
 
 namespace masticgrade {
@@ -23,16 +20,6 @@
 
 /// A transaction holds one of the scarce connections, so it may not stay unused for longer.
 constexpr seconds idle_limit{10};
-constexpr std::size_t id_bytes = 16;
-
-transaction_id make_id() {
-    std::array<unsigned char, id_bytes> bytes{};
-    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
-        throw error("begin", "", "no random bytes for a transaction id");
-    }
-    return transaction_id{
-        encode_base64url({reinterpret_cast<const char*>(bytes.data()), bytes.size()})};
-}
 
 outcome not_found() {
     return refuse(refusal::not_found, "transaction", "there is no such open transaction here");
@@ -110,7 +97,7 @@
         co_return refuse(refusal::unavailable, "begin", "the instance refused the transaction",
                          record.primary.str());
     }
-    auto id = make_id();
+    const transaction_id id{make_random_mark()};
     {
         const std::scoped_lock lock{mutex_};
         entries_.emplace(id, created);
