--- a/libs/peer/include/masticgrade/peer/peer_network.hpp
+++ b/libs/peer/include/masticgrade/peer/peer_network.hpp
@@ -60,6 +60,8 @@
                  message_handler handler);
     peer_network(const peer_network&) = delete;
     peer_network& operator=(const peer_network&) = delete;
+    peer_network(peer_network&&) = delete;
+    peer_network& operator=(peer_network&&) = delete;
     /// Stops the network.
     ~peer_network();
 
--- a/libs/peer/src/outgoing_channel.cpp
+++ b/libs/peer/src/outgoing_channel.cpp
@@ -64,7 +64,9 @@
         self->queue_.clear();
         self->queued_bytes_ = 0;
         self->wake_.cancel();
-        self->disconnect(self->socket_, "network stopped");
+        // A copy, because disconnecting resets the member.
+        const auto socket = self->socket_;
+        self->disconnect(socket, "network stopped");
         self->fail_requests("network stopped");
     });
 }
@@ -266,7 +268,7 @@
     waiter->timer.cancel();
 }
 
-void outgoing_channel::disconnect(socket_ptr socket, const std::string& reason) {
+void outgoing_channel::disconnect(const socket_ptr& socket, const std::string& reason) {
     if (!socket || socket_ != socket) {
         return;
     }
--- a/libs/peer/src/outgoing_channel.hpp
+++ b/libs/peer/src/outgoing_channel.hpp
@@ -60,7 +60,7 @@
     boost::asio::awaitable<void> read_replies(socket_ptr socket);
     void accept_reply(envelope message);
     void drop_expired();
-    void disconnect(socket_ptr socket, const std::string& reason);
+    void disconnect(const socket_ptr& socket, const std::string& reason);
     void fail_requests(const std::string& reason);
     void lengthen_backoff();
 
--- /dev/null
+++ b/libs/process/src/recent_lists.cpp
@@ -0,0 +1,54 @@
+#include "masticgrade/process/recent_lists.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticgrade {
+
+namespace {
+
+/// Peers are rarely further behind: a change of the list waits for the acceptance of the one
+/// before.
+constexpr std::size_t kept_lists = 4;
+
+}  // namespace
+
+std::optional<std::size_t> indexed_list::position(const listed_host& host) const {
+    const auto found = std::lower_bound(
+        hosts.begin(), hosts.end(), host.id,
+        [](const listed_host& listed, const host_id& id) { return listed.id < id; });
+    if (found == hosts.end() || *found != host) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - hosts.begin());
+}
+
+void recent_lists::apply(const members& list) {
+    indexed_list next{list.version, {}};
+    next.hosts.reserve(list.hosts.size());
+    for (const auto& [id, host] : list.hosts) {
+        next.hosts.push_back({id, host.incarnation});
+    }
+    lists_.push_front(std::move(next));
+    if (lists_.size() > kept_lists) {
+        lists_.pop_back();
+    }
+}
+
+std::optional<std::vector<std::optional<std::size_t>>> recent_lists::positions(
+    fleet_version version) const {
+    const auto known = std::find_if(lists_.begin(), lists_.end(), [&](const indexed_list& list) {
+        return list.version == version;
+    });
+    if (known == lists_.end()) {
+        return std::nullopt;
+    }
+    std::vector<std::optional<std::size_t>> positions;
+    positions.reserve(known->hosts.size());
+    for (std::size_t i = 0; i < known->hosts.size(); ++i) {
+        positions.push_back(known == lists_.begin() ? i : current().position(known->hosts[i]));
+    }
+    return positions;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/process/test/membership_test.cpp
@@ -0,0 +1,134 @@
+#include "masticgrade/process/membership.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include "fleet_simulation.hpp"
+
+using namespace masticgrade;
+using masticgrade::test::fleet_simulation;
+
+TEST_CASE("hosts that start together all join") {
+    fleet_simulation fleet{{.hosts = 7}, 1};
+    fleet.run(seconds{15});
+    CHECK(fleet.store_list().hosts.size() == 7);
+    CHECK(fleet.removals() == 0);
+}
+
+TEST_CASE("a dead member is removed in a few seconds and nobody else is") {
+    CHECK(rc::check([](std::uint64_t seed) {
+        fleet_simulation fleet{{.hosts = 7}, seed};
+        fleet.run(seconds{15});
+        const auto dead = seed % 7;
+        fleet.kill(dead);
+        fleet.run(seconds{5});
+        RC_ASSERT(!fleet.listed(dead));
+        RC_ASSERT(fleet.removals() == 1U);
+    }));
+}
+
+// Guards against a fleet that cannot change its members after all processes were restarted at once.
+TEST_CASE("a fleet that restarts as a whole recovers by itself") {
+    fleet_simulation fleet{{.hosts = 5}, 3};
+    fleet.run(seconds{15});
+    for (std::size_t host = 0; host < 5; ++host) {
+        fleet.restart(host);
+    }
+    fleet.run(seconds{15});
+    fleet.kill(0);
+    fleet.run(seconds{6});
+    CHECK(fleet.store_list().hosts.size() == 4);
+    CHECK(fleet.may_start_work(1));
+}
+
+TEST_CASE("a removed host that is alive joins again") {
+    fleet_simulation fleet{{.hosts = 5}, 4};
+    fleet.run(seconds{15});
+    fleet.pause(0, seconds{6});
+    fleet.run(seconds{6});
+    CHECK(!fleet.listed(0));
+    fleet.run(seconds{8});
+    CHECK(fleet.listed(0));
+}
+
+// Guards against a cut-off side that shrinks the list until it is a majority of itself.
+TEST_CASE("a partitioned minority removes nobody, even while it reaches the store") {
+    CHECK(rc::check([](std::uint64_t seed) {
+        fleet_simulation fleet{{.hosts = 7}, seed};
+        fleet.run(seconds{15});
+        std::map<std::size_t, int> side;
+        for (std::size_t i = 0; i < 3; ++i) {
+            side[(seed + i) % 7] = 1;
+        }
+        for (std::size_t host = 0; host < 7; ++host) {
+            fleet.set_store_reachable(host, side.contains(host));
+        }
+        fleet.partition(std::move(side));
+        fleet.run(seconds{20});
+        RC_ASSERT(fleet.removals() == 0U);
+    }));
+}
+
+// Guards against one broken link that removes a host which all others hear.
+TEST_CASE("a link that is cut or flaps between two hosts removes nobody") {
+    CHECK(rc::check([](std::uint64_t seed) {
+        fleet_simulation fleet{{.hosts = 5}, seed};
+        fleet.run(seconds{15});
+        for (int round = 0; round < 20; ++round) {
+            fleet.cut_link(seed % 5, (seed + 1) % 5, round % 2 == 0);
+            fleet.run(seconds{3});
+        }
+        RC_ASSERT(fleet.removals() == 0U);
+    }));
+}
+
+TEST_CASE("a host whose links flap is removed a few times, not each time") {
+    CHECK(rc::check([](std::uint64_t seed) {
+        fleet_simulation fleet{{.hosts = 5}, seed};
+        fleet.run(seconds{15});
+        const std::size_t flapping = seed % 5;
+        for (int round = 0; round < 40; ++round) {
+            fleet.partition({{flapping, 1}});
+            fleet.run(milliseconds{3200});
+            fleet.partition({});
+            fleet.run(milliseconds{2500});
+        }
+        RC_ASSERT(fleet.removals() <= 3U);
+    }));
+}
+
+// Guards against two removers that take out more members than were silent.
+TEST_CASE("racing removers remove only dead members") {
+    CHECK(rc::check([](std::uint64_t seed) {
+        fleet_simulation fleet{{.hosts = 9}, seed};
+        fleet.run(seconds{20});
+        const auto before = fleet.store_list().hosts.size();
+        RC_ASSERT(before == 9U);
+        // Late answers make candidates believe that the ones before them are gone.
+        fleet.set_late(0.02);
+        fleet.kill(seed % 9);
+        fleet.kill((seed + 4) % 9);
+        fleet.run(seconds{10});
+        RC_ASSERT(fleet.removals_of_living() == 0U);
+        RC_ASSERT(fleet.removals() == 2U);
+    }));
+}
+
+TEST_CASE("a host that leaves is taken off the list and does not join again") {
+    const member self{host_id{"a"}, {}, {}, {}};
+    const time_point now{};
+    membership only{self, {}, std::mt19937_64{1}, now};
+    members list{fleet_version{1}};
+    list.hosts[self.id] = {self.id, {}, {}, only.self().incarnation};
+    only.on_list_applied(list, now);
+    only.leave();
+    const auto actions = only.tick(now);
+    REQUIRE(actions.size() == 1);
+    const auto& change = std::get<change_members>(actions.front());
+    CHECK(change.kind == members_change_kind::leave);
+    CHECK(change.based_on == fleet_version{1});
+    CHECK(change.proposed.hosts.empty());
+    only.on_list_applied({fleet_version{2}}, now);
+    CHECK(only.tick(now + seconds{10}).empty());
+}
