--- /dev/null
+++ b/libs/connection/src/outcome_resolution.cpp
@@ -0,0 +1,116 @@
+#include "masticgrade/connection/outcome_resolution.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "masticgrade/base/invariant.hpp"
+
+namespace masticgrade {
+
+outcome_resolution::outcome_resolution(time_point deadline, resolution_settings settings)
+    : deadline_(deadline), settings_(settings), next_(deadline) {}
+
+resolution_actions outcome_resolution::on_primary(const instance_id& primary, term_number term,
+                                                  time_point now) {
+    if (over() || term < term_ || (term == term_ && !primary_.empty())) {
+        return {};
+    }
+    primary_ = primary;
+    term_ = term;
+    wait(now);
+    return proceed(now);
+}
+
+resolution_actions outcome_resolution::on_sealing(term_number term, time_point now) {
+    if (!over() && term > term_) {
+        term_ = term;
+        primary_ = instance_id{};
+        wait(deadline_);
+    }
+    return proceed(now);
+}
+
+resolution_actions outcome_resolution::on_cancel(const cancel_answer& answer, time_point now) {
+    // An answer of an older term may describe a log that the newer term has dropped.
+    if (step_ != step::cancelling || answer.term != term_) {
+        return proceed(now);
+    }
+    if (answer.status == cancel_status::found || answer.status == cancel_status::cancelled) {
+        answer_ = answer;
+        step_ = step::confirming;
+        next_ = deadline_;
+        return {confirm_cancel{answer.term, answer.position, deadline_}};
+    }
+    wait(now + settings_.retry_after);
+    return proceed(now);
+}
+
+resolution_actions outcome_resolution::on_confirmed(term_number term, log_position position,
+                                                    bool acknowledged, time_point now) {
+    if (step_ != step::confirming || term != answer_.term || position != answer_.position) {
+        return proceed(now);
+    }
+    if (!acknowledged) {
+        wait(now + settings_.retry_after);
+        return proceed(now);
+    }
+    if (now > deadline_) {
+        return proceed(now);
+    }
+    confirmed_term_ = term;
+    confirmed_position_ = position;
+    return finish(answer_.status == cancel_status::found ? resolved_outcome::done
+                                                         : resolved_outcome::not_run);
+}
+
+resolution_actions outcome_resolution::on_time(time_point now) { return proceed(now); }
+
+time_point outcome_resolution::next_wakeup() const noexcept { return std::min(next_, deadline_); }
+
+void outcome_resolution::wait(time_point until) {
+    step_ = step::waiting;
+    next_ = until;
+}
+
+resolution_actions outcome_resolution::finish(resolved_outcome outcome) {
+    const bool found = answer_.status == cancel_status::found;
+    const bool confirmed =
+        confirmed_term_ == answer_.term && confirmed_position_ == answer_.position;
+    MG_INVARIANT(
+        "not_run_is_confirmed",
+        outcome == resolved_outcome::outcome_unknown ||
+            (confirmed && confirmed_term_ == term_ && found == (outcome == resolved_outcome::done)),
+        fmt::format("outcome={} term={} answer_term={} position={} confirmed_term={} "
+                    "confirmed_position={}",
+                    static_cast<int>(outcome), term_, answer_.term, answer_.position,
+                    confirmed_term_, confirmed_position_));
+    step_ = step::over;
+    resolution_over over;
+    over.outcome = outcome;
+    if (outcome != resolved_outcome::outcome_unknown) {
+        over.result = found ? std::move(answer_.result) : std::string{};
+        over.term = answer_.term;
+        over.position = answer_.position;
+    }
+    return {std::move(over)};
+}
+
+resolution_actions outcome_resolution::proceed(time_point now) {
+    if (over()) {
+        return {};
+    }
+    if (now >= deadline_) {
+        return finish(resolved_outcome::outcome_unknown);
+    }
+    if (step_ == step::confirming || primary_.empty() || next_ > now) {
+        return {};
+    }
+    // Also repeats a cancel that got no answer: the key makes it harmless.
+    step_ = step::cancelling;
+    next_ = now + settings_.cancel_timeout;
+    return {send_cancel{primary_, term_, std::min(next_, deadline_)}};
+}
+
+}  // namespace masticgrade
