Wire drains and planned switches, and read times under the lock

The invariant currency_proof_not_from_the_future was violated 8 times in a run of 20 s with three proxies: callers read the clock before they took the lock, so that another thread's later time was seen first. Ruled out: relayed ages (the store's reads alone caused it). A change of the members that the store refused at once was proposed again in a tight loop (about 20 a second); it now pauses 500 ms.

--- a/libs/proxy/src/failover_runtime.cpp
+++ b/libs/proxy/src/failover_runtime.cpp
@@ -91,12 +91,8 @@
                 groups_.erase(id);
                 continue;
             }
-            auto& entry =
-                groups_
-                    .try_emplace(id,
-                                 monitored_group{
-                                     failure_detector{environment_.self, {}}, nullptr, {}, false})
-                    .first->second;
+            monitored_group created{failure_detector{environment_.self, {}}};
+            auto& entry = groups_.try_emplace(id, std::move(created)).first->second;
             const auto found = snapshot->groups.find(id);
             const auto record = found == snapshot->groups.end() ? group_record{} : found->second;
             auto& actions = due[id];
@@ -135,23 +131,37 @@
     });
 }
 
-void failover_runtime::start_planned_switch(const group_id& group) {
-    const auto runtime = environment_.fleet->group(group);
-    if (!runtime) {
-        return;
-    }
-    const auto record = runtime->record();
+bool failover_runtime::start_planned_switch(const start_switch& action) {
     std::shared_ptr<promotion> attempt;
     {
         const std::scoped_lock lock{mutex_};
-        const auto found = groups_.find(group);
+        const auto found = groups_.find(action.group);
         if (found == groups_.end() || found->second.attempt ||
-            record.phase != group_phase::active) {
-            return;
+            action.observed.phase != group_phase::active) {
+            return false;
         }
-        attempt = begin_attempt(found->second, group, record, true);
+        attempt = begin_attempt(found->second, action.group, action.observed, true);
     }
-    perform(group, attempt, attempt->start(steady_clock::now()));
+    perform(action.group, attempt, attempt->start(steady_clock::now()));
+    return true;
+}
+
+std::set<group_id> failover_runtime::coordinated_groups() {
+    const auto snapshot = environment_.fleet->snapshot();
+    std::set<group_id> coordinated;
+    const std::scoped_lock lock{mutex_};
+    for (const auto& [id, entry] : groups_) {
+        for (const auto& monitor : monitors_of(snapshot->hosts, id)) {
+            if (monitor == environment_.self) {
+                coordinated.insert(id);
+                break;
+            }
+            if (environment_.is_reachable(monitor)) {
+                break;
+            }
+        }
+    }
+    return coordinated;
 }
 
 void failover_runtime::tick(time_point now) {
@@ -174,7 +184,7 @@
             detector_actions actions;
             for (const auto& monitor : monitors_of(snapshot->hosts, id)) {
                 if (monitor != environment_.self) {
-                    const bool reachable = environment_.is_reachable(monitor, now);
+                    const bool reachable = environment_.is_reachable(monitor);
                     auto more = entry.detector.on_monitor_reachable(monitor, reachable, now);
                     actions.insert(actions.end(), more.begin(), more.end());
                 }
@@ -217,13 +227,18 @@
 
 void failover_runtime::finish_if_over(const group_id& group,
                                       const std::shared_ptr<promotion>& attempt) {
+    bool ended = false;
     with_detector(group, [&](monitored_group& entry, time_point now) {
         if (entry.attempt != attempt || !attempt->finished()) {
             return detector_actions{};
         }
+        ended = true;
         entry.attempt.reset();
         return entry.detector.on_attempt_ended(now);
     });
+    if (ended) {
+        environment_.on_attempt_ended(group);
+    }
 }
 
 /// Precondition: the caller holds the lock and no attempt is running.
@@ -241,8 +256,6 @@
     request.mark = make_random_mark();
     const auto now = steady_clock::now();
     entry.attempt = std::make_shared<promotion>(std::move(request), promotion_settings{}, now);
-    entry.attempt_started = now;
-    entry.planned = planned;
     log.info("Starting a promotion group={} term={} planned={} previous_primary={}.", group,
              entry.attempt->term(), planned, observed.primary);
     return entry.attempt;
@@ -259,14 +272,27 @@
 }
 
 void failover_runtime::act(const group_id& group, const report_suspicion& action) {
-    if (action.suspected) {
-        log.warning("Suspecting the primary group={} term={}.", group, action.term);
-    }
+    log_suspicion(group, action);
     for (const auto& recipient : action.recipients) {
         environment_.send_suspicion(recipient, group, action.term, action.suspected);
     }
 }
 
+/// Suspicions are reported again and again while they last; only the changes are logged.
+void failover_runtime::log_suspicion(const group_id& group, const report_suspicion& action) {
+    const std::scoped_lock lock{mutex_};
+    const auto found = groups_.find(group);
+    if (found == groups_.end() || found->second.suspected == action.suspected) {
+        return;
+    }
+    found->second.suspected = action.suspected;
+    if (action.suspected) {
+        log.warning("Suspecting the primary group={} term={}.", group, action.term);
+    } else {
+        log.info("The primary answers again group={} term={}.", group, action.term);
+    }
+}
+
 void failover_runtime::act(const group_id& group, const start_promotion& action) {
     std::shared_ptr<promotion> attempt;
     {
--- a/libs/proxy/src/failover_runtime.hpp
+++ b/libs/proxy/src/failover_runtime.hpp
@@ -12,6 +12,7 @@
 #include <variant>
 
 #include "fleet_state.hpp"
+#include "masticgrade/failover/drain.hpp"
 #include "masticgrade/failover/failure_detector.hpp"
 #include "masticgrade/failover/promotion.hpp"
 #include "masticgrade/net/table_service.hpp"
@@ -31,7 +32,8 @@
         std::function<void(const host_id&, const group_id&, term_number, bool)> send_suspicion;
         /// Applies what was just committed to the store and tells the hosts that serve the group.
         std::function<boost::asio::awaitable<void>(group_id)> publish;
-        std::function<bool(const host_id&, time_point)> is_reachable;
+        std::function<bool(const host_id&)> is_reachable;
+        std::function<void(const group_id&)> on_attempt_ended;
     };
 
     failover_runtime(boost::asio::any_io_executor executor, environment surroundings);
@@ -40,16 +42,19 @@
     void on_answer(const group_id& group, const instance_id& instance, term_number term);
     void on_suspicion(const host_id& sender, const group_id& group, term_number term,
                       bool suspected);
-    /// Moves the primary of a group away from the given instances, unless a promotion is running.
-    void start_planned_switch(const group_id& group);
+    /// Moves the primary of a group to an instance that is not avoided. Returns false when a
+    /// promotion is running already or the group has no primary to move.
+    bool start_planned_switch(const start_switch& action);
+    /// The groups for which this host is the first reachable monitor.
+    [[nodiscard]] std::set<group_id> coordinated_groups();
     void tick(time_point now);
 
 private:
     struct monitored_group {
         failure_detector detector;
-        std::shared_ptr<promotion> attempt;
-        time_point attempt_started;
-        bool planned = false;
+        std::shared_ptr<promotion> attempt = {};
+        /// What was last logged about the primary.
+        bool suspected = false;
     };
 
     template <class Event>
@@ -64,6 +69,7 @@
     void perform(const group_id& group, const detector_actions& actions);
     void act(const group_id& group, const probe_instance& action);
     void act(const group_id& group, const report_suspicion& action);
+    void log_suspicion(const group_id& group, const report_suspicion& action);
     void act(const group_id& group, const start_promotion& action);
     void act(const group_id& group, const repair_follower& action);
 
--- a/libs/proxy/src/fleet_membership.cpp
+++ b/libs/proxy/src/fleet_membership.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds exchange_timeout{1000};
 constexpr milliseconds store_timeout{1500};
 constexpr milliseconds leave_poll{50};
+constexpr milliseconds change_retry_pause{500};
 
 std::string_view describe(members_change_kind kind) {
     switch (kind) {
@@ -59,14 +60,15 @@
     freshness_.set_self(identity_);
 }
 
-std::optional<std::string> fleet_membership::refuse_work(time_point now) const {
+std::optional<std::string> fleet_membership::refuse_work() const {
     const std::scoped_lock lock{mutex_};
-    const auto refusal = freshness_.refuse_work(now);
+    const auto refusal = freshness_.refuse_work(steady_clock::now());
     return refusal ? std::optional{std::string{describe(*refusal)}} : std::nullopt;
 }
 
-time_point fleet_membership::fresh_until(time_point now) const {
+time_point fleet_membership::fresh_until() const {
     const std::scoped_lock lock{mutex_};
+    const auto now = steady_clock::now();
     const auto age = freshness_.current_age(now);
     if (!age || freshness_.refuse_work(now)) {
         return now;
@@ -84,9 +86,9 @@
     return membership_.self();
 }
 
-bool fleet_membership::is_reachable(const host_id& host, time_point now) const {
+bool fleet_membership::is_reachable(const host_id& host) const {
     const std::scoped_lock lock{mutex_};
-    return membership_.reachable(host, now);
+    return membership_.reachable(host, steady_clock::now());
 }
 
 std::map<host_id, fleet_version> fleet_membership::member_versions() const {
@@ -113,12 +115,12 @@
 }
 
 peer::exchange_reply fleet_membership::answer_exchange(const peer::envelope& message) {
-    const auto now = steady_clock::now();
     const auto theirs = std::get<peer::exchange_request>(message.body).version;
     peer::exchange_reply reply;
     bool behind = false;
     {
         const std::scoped_lock lock{mutex_};
+        const auto now = steady_clock::now();
         versions_[message.sender] = std::max(versions_[message.sender], theirs);
         freshness_.on_version_heard(theirs);
         behind = theirs > freshness_.applied_version();
@@ -141,13 +143,13 @@
     return reply;
 }
 
-void fleet_membership::tick(time_point now) {
+void fleet_membership::tick() {
     std::vector<membership_action> actions;
     listed_host identity;
     bool changed = false;
     {
         const std::scoped_lock lock{mutex_};
-        actions = membership_.tick(now);
+        actions = membership_.tick(steady_clock::now());
         identity = membership_.self();
         changed = identity != identity_;
         if (changed) {
@@ -208,10 +210,9 @@
     } catch (const error& failure) {
         log.debug("Exchange failed peer={} reason=\"{}\".", action.peer, failure.what());
     }
-    const auto now = steady_clock::now();
     if (!answered) {
         const std::scoped_lock lock{mutex_};
-        membership_.on_exchange_failed(action.peer, now);
+        membership_.on_exchange_failed(action.peer, steady_clock::now());
         co_return;
     }
     const auto& reply = std::get<peer::exchange_reply>(message.body);
@@ -231,6 +232,7 @@
     bool behind = false;
     {
         const std::scoped_lock lock{mutex_};
+        const auto now = steady_clock::now();
         versions_[message.sender] = std::max(versions_[message.sender], reply.version);
         freshness_.on_exchange_answer(answer, now);
         membership_.on_exchange_answer(answer, report, now);
@@ -258,7 +260,12 @@
         log.warning("A change of the members is unclear reason=\"{}\".", failure.what());
     }
     // Whatever the outcome, the row that is now in the store decides what comes next.
-    co_await environment_.read_store(steady_clock::now() + store_timeout);
+    const bool read = co_await environment_.read_store(steady_clock::now() + store_timeout);
+    if (!committed && !read) {
+        // A store that is down refuses at once; without a pause it would be asked in a tight loop.
+        asio::steady_timer timer{co_await asio::this_coro::executor, change_retry_pause};
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     const std::scoped_lock lock{mutex_};
     membership_.on_change_finished(committed, steady_clock::now());
 }
--- a/libs/proxy/src/fleet_membership.hpp
+++ b/libs/proxy/src/fleet_membership.hpp
@@ -36,13 +36,15 @@
 
     fleet_membership(boost::asio::any_io_executor executor, environment surroundings);
 
-    /// Why no new work may start at `now`; empty when it may.
-    [[nodiscard]] std::optional<std::string> refuse_work(time_point now) const;
+    // Times are read under the lock, because the modules need times that do not go back.
+
+    /// Why no new work may start now; empty when it may.
+    [[nodiscard]] std::optional<std::string> refuse_work() const;
     /// Until when this host may start new work, as far as it knows now.
-    [[nodiscard]] time_point fresh_until(time_point now) const;
+    [[nodiscard]] time_point fresh_until() const;
     [[nodiscard]] bool joined() const;
     [[nodiscard]] listed_host self() const;
-    [[nodiscard]] bool is_reachable(const host_id& host, time_point now) const;
+    [[nodiscard]] bool is_reachable(const host_id& host) const;
     /// The version that each member is known to have applied.
     [[nodiscard]] std::map<host_id, fleet_version> member_versions() const;
 
@@ -50,7 +52,7 @@
     void on_snapshot(const fleet_snapshot_ptr& snapshot);
     void on_heard(const peer::envelope& message);
     peer::exchange_reply answer_exchange(const peer::envelope& message);
-    void tick(time_point now);
+    void tick();
 
     /// Tells the given members that a newer version exists, so that they fetch it at once.
     void announce(const std::vector<host_id>& recipients);
--- a/libs/proxy/src/fleet_state.cpp
+++ b/libs/proxy/src/fleet_state.cpp
@@ -35,9 +35,12 @@
         log.error("Kept the previous row key={} version={} reason=\"{}\".", rejected.key,
                   rejected.version, rejected.reason);
     }
-    if (update.snapshot == current) {
+    // The first answer of the store counts even when it holds no rows yet: this host is then the
+    // one that creates them.
+    if (update.snapshot == current && applied_once_) {
         return current->version;
     }
+    applied_once_ = true;
     MG_INVARIANT("fleet version never falls", update.snapshot->version >= current->version,
                  fmt::format("from={} to={}", current->version, update.snapshot->version));
     update_groups(update.snapshot);
--- a/libs/proxy/src/fleet_state.hpp
+++ b/libs/proxy/src/fleet_state.hpp
@@ -54,6 +54,7 @@
 
     /// Serialises changes, so that observers see them in order.
     std::mutex change_mutex_;
+    bool applied_once_ = false;
     mutable std::mutex mutex_;
     fleet_snapshot_ptr snapshot_;
     std::map<group_id, std::shared_ptr<group_runtime>> groups_;
--- a/libs/proxy/src/group_runtime.cpp
+++ b/libs/proxy/src/group_runtime.cpp
@@ -75,6 +75,8 @@
             view.id = instance.id;
             view.failure_domain = instance.failure_domain;
             view.draining = draining_.contains(instance.id);
+            const auto share = new_work_shares_.find(instance.id);
+            view.admitted_share = share == new_work_shares_.end() ? 1.0 : share->second;
             if (const auto* known = health_.find(instance.id)) {
                 view.reachable = known->reachable;
                 view.term = known->term;
@@ -130,6 +132,14 @@
     draining_ = std::move(draining);
 }
 
+void group_runtime::set_new_work_shares(const std::map<instance_id, double>& shares) {
+    const std::scoped_lock lock{mutex_};
+    for (const auto& instance : config_.instances) {
+        const auto share = shares.find(instance.id);
+        new_work_shares_[instance.id] = share == shares.end() ? 1.0 : share->second;
+    }
+}
+
 void group_runtime::on_reply(const instance_id& instance, const database_reply& reply,
                              time_point sent_at) {
     const instance_progress progress{instance, reply.term, reply.received_position,
--- a/libs/proxy/src/group_runtime.hpp
+++ b/libs/proxy/src/group_runtime.hpp
@@ -42,6 +42,8 @@
     void on_members(std::size_t member_count);
     /// Instances that are drained or leaving get no new work, unless one of them is the primary.
     void set_draining(std::set<instance_id> draining);
+    /// What part of its normal load each instance may get as new work; see `drain`.
+    void set_new_work_shares(const std::map<instance_id, double>& shares);
     /// Takes note of what every answer of an instance carries.
     void on_reply(const instance_id& instance, const database_reply& reply, time_point sent_at);
     /// A statement for the group arrived; its instances' state is kept up to date for a while.
@@ -94,6 +96,7 @@
     group_health health_;
     acknowledgement acknowledgement_;
     std::set<instance_id> draining_;
+    std::map<instance_id, double> new_work_shares_;
     write_number last_write_;
     std::map<write_number, verdict_result> pending_;
     std::vector<record_result> record_waiters_;
--- a/libs/proxy/src/proxy.cpp
+++ b/libs/proxy/src/proxy.cpp
@@ -16,6 +16,7 @@
 
 #include "admin_api.hpp"
 #include "caller_api.hpp"
+#include "drain_runtime.hpp"
 #include "failover_runtime.hpp"
 #include "fleet_membership.hpp"
 #include "fleet_state.hpp"
@@ -70,6 +71,7 @@
                  settings_.peer_listen);
         start(sync_->run());
         start(tick_loop());
+        start(drain_->watch_hosts());
         start(stop_on_signal());
         callers_->start();
         admin_->start();
@@ -97,6 +99,7 @@
         make_membership();
         make_limits();
         make_failover();
+        make_drain();
         make_peers();
         fleet_->set_observer([this](const fleet_snapshot_ptr& snapshot) { on_snapshot(snapshot); });
         fleet_->set_reply_observer(
@@ -140,13 +143,28 @@
             peers_->send(recipient, peer::suspect_report{group, term, suspected});
         };
         environment.publish = [this](group_id group) { return publish(std::move(group)); };
-        environment.is_reachable = [this](const host_id& host, time_point now) {
-            return membership_->is_reachable(host, now);
+        environment.is_reachable = [this](const host_id& host) {
+            return membership_->is_reachable(host);
+        };
+        environment.on_attempt_ended = [this](const group_id& group) {
+            drain_->on_switch_ended(group);
         };
         failover_ =
             std::make_shared<failover_runtime>(context_.get_executor(), std::move(environment));
     }
 
+    void make_drain() {
+        drain_runtime::environment environment;
+        environment.own_domain = settings_.failure_domain;
+        environment.fleet = fleet_;
+        environment.store = store_;
+        environment.coordinated_groups = [this] { return failover_->coordinated_groups(); };
+        environment.begin_switch = [this](const start_switch& action) {
+            return failover_->start_planned_switch(action);
+        };
+        drain_ = std::make_unique<drain_runtime>(std::move(environment));
+    }
+
     void make_peers() {
         const auto self = membership_->self();
         peer::network_options options;
@@ -172,9 +190,7 @@
     }
 
     void make_apis() {
-        const auto may_start_work = [this] {
-            return membership_->refuse_work(steady_clock::now());
-        };
+        const auto may_start_work = [this] { return membership_->refuse_work(); };
         statement_service::options options;
         options.own_domain = settings_.failure_domain;
         options.primary_reads_only = settings_.primary_reads_only;
@@ -202,13 +218,13 @@
         if (!membership_->joined()) {
             return "this host is not a member";
         }
-        if (fleet_->snapshot()->ops.drained_domains.contains(settings_.failure_domain)) {
+        if (!drain_->own_domain_in_service()) {
             return "the failure domain is drained";
         }
         if (!limits_->is_ready()) {
             return "the rate shares are not complete";
         }
-        return membership_->refuse_work(steady_clock::now());
+        return membership_->refuse_work();
     }
 
     void on_snapshot(const fleet_snapshot_ptr& snapshot) {
@@ -216,6 +232,7 @@
         peers_->set_identity(membership_->self().incarnation, snapshot->hosts.version);
         limits_->on_snapshot(snapshot);
         failover_->on_snapshot(snapshot);
+        drain_->on_snapshot(*snapshot);
     }
 
     /// Applies what this host has just committed and tells the hosts that serve the group.
@@ -250,10 +267,11 @@
                 group->tick(now);
             }
             transactions_->tick(now);
-            membership_->tick(now);
-            limits_->on_freshness(membership_->fresh_until(now));
+            membership_->tick();
+            limits_->on_freshness(membership_->fresh_until());
             limits_->tick(now);
             failover_->tick(now);
+            drain_->tick(now);
             timer.expires_after(tick_interval);
             co_await timer.async_wait(asio::use_awaitable);
         }
@@ -298,6 +316,7 @@
     std::shared_ptr<rate_admission> limits_;
     std::shared_ptr<fleet_membership> membership_;
     std::shared_ptr<failover_runtime> failover_;
+    std::unique_ptr<drain_runtime> drain_;
     std::unique_ptr<peer_service> peers_;
     std::shared_ptr<statement_service> statements_;
     std::shared_ptr<transaction_service> transactions_;
