--- a/libs/process/test/fleet_simulation.cpp
+++ b/libs/process/test/fleet_simulation.cpp
@@ -22,6 +22,15 @@
     for (std::size_t i = 0; i < settings_.hosts; ++i) {
         start(add_host());
     }
+    if (settings_.listed_at_start) {
+        members list;
+        for (const auto& each : hosts_) {
+            auto listed = each.description;
+            listed.incarnation = each.running->membership.self().incarnation;
+            list.hosts[listed.id] = std::move(listed);
+        }
+        record_version(std::move(list));
+    }
 }
 
 void fleet_simulation::run(milliseconds length) {
@@ -59,6 +68,10 @@
 
 std::size_t fleet_simulation::replace(std::size_t host) {
     kill(host);
+    return add();
+}
+
+std::size_t fleet_simulation::add() {
     const auto added = add_host();
     start(added);
     return added;
@@ -86,6 +99,10 @@
            hosts_[host].running->freshness.may_start_work(now_);
 }
 
+std::optional<duration> fleet_simulation::current_age(std::size_t host) const {
+    return hosts_[host].running->freshness.current_age(now_);
+}
+
 bool fleet_simulation::listed(std::size_t host) const {
     return store_list().hosts.contains(hosts_[host].description.id);
 }
@@ -106,6 +123,7 @@
                        endpoint_address{fmt::format("10.0.0.{}:1", number)},
                        failure_domain_id{fmt::format("fd-{}", number % 4)},
                        {}};
+    numbers_[description.id] = number;
     hosts_.push_back({std::move(description), nullptr});
     return number;
 }
@@ -209,6 +227,7 @@
 }
 
 void fleet_simulation::exchange(std::size_t host, const host_id& peer) {
+    ++exchanges_;
     const auto peer_number = number_of(peer);
     const std::weak_ptr<process> asking = hosts_[host].running;
     const auto asker = hosts_[host].running->membership.self();
@@ -356,12 +375,8 @@
 }
 
 std::optional<std::size_t> fleet_simulation::number_of(const host_id& id) const {
-    for (std::size_t i = 0; i < hosts_.size(); ++i) {
-        if (hosts_[i].description.id == id) {
-            return i;
-        }
-    }
-    return std::nullopt;
+    const auto found = numbers_.find(id);
+    return found == numbers_.end() ? std::nullopt : std::optional{found->second};
 }
 
 }  // namespace masticgrade::test
--- a/libs/process/test/fleet_simulation.hpp
+++ b/libs/process/test/fleet_simulation.hpp
@@ -20,6 +20,8 @@
 struct simulation_settings {
     std::size_t hosts = 5;
     milliseconds longest_delay{30};
+    /// Whether all hosts are members from the start, instead of joining one after the other.
+    bool listed_at_start = false;
     membership_settings membership = {};
 };
 
@@ -49,6 +51,8 @@
     /// Ends the process for good and starts one on a new host, which it returns.
     std::size_t replace(std::size_t host);
     void kill(std::size_t host);
+    /// Starts a process on a new host, which it returns.
+    std::size_t add();
     /// Records a change that concerns no members, as an operator would.
     void change_configuration();
 
@@ -65,6 +69,9 @@
     [[nodiscard]] std::size_t work_checks() const noexcept { return work_checks_; }
     [[nodiscard]] std::size_t permitted() const noexcept { return permitted_; }
     [[nodiscard]] std::size_t accepted_versions() const;
+    /// The age of the proof that the host's version is current, if it is within the window.
+    [[nodiscard]] std::optional<duration> current_age(std::size_t host) const;
+    [[nodiscard]] std::size_t exchanges() const noexcept { return exchanges_; }
     [[nodiscard]] std::size_t removals() const noexcept { return removals_; }
     /// Removals of a host that was alive in the simulation when the change was recorded.
     [[nodiscard]] std::size_t removals_of_living() const noexcept { return removals_of_living_; }
@@ -134,6 +141,7 @@
     std::uint64_t next_order_ = 0;
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
     std::vector<host> hosts_;
+    std::map<host_id, std::size_t> numbers_;
     std::map<fleet_version, version_record> versions_;
 
     bool store_available_ = true;
@@ -145,6 +153,7 @@
     std::vector<std::string> violations_;
     std::size_t work_checks_ = 0;
     std::size_t permitted_ = 0;
+    std::size_t exchanges_ = 0;
     std::size_t removals_ = 0;
     std::size_t removals_of_living_ = 0;
 };
--- a/libs/process/test/freshness_test.cpp
+++ b/libs/process/test/freshness_test.cpp
@@ -67,6 +67,50 @@
     }
 }
 
+/// Two sides, of which only side 0 reaches the store and changes the list and the configuration.
+/// Hosts restart and move to the other side, as the evidence that side 1 collects about them must
+/// not outlive what they have accepted on side 0.
+void run_split(fleet_simulation& fleet) {
+    const auto draw = [&](std::size_t end) {
+        return std::uniform_int_distribution<std::size_t>{0, end - 1}(fleet.random());
+    };
+    std::map<std::size_t, int> side;
+    const auto set_side = [&](std::size_t host, int value) {
+        side[host] = value;
+        fleet.set_store_reachable(host, value == 0);
+        fleet.partition(side);
+    };
+    for (const auto host : fleet.alive_hosts()) {
+        set_side(host, static_cast<int>(draw(2)));
+    }
+    for (int step = 0; step < 30; ++step) {
+        const auto alive = fleet.alive_hosts();
+        const auto host = alive[draw(alive.size())];
+        switch (draw(6)) {
+            case 0:
+                fleet.change_configuration();
+                break;
+            case 1:
+                set_side(fleet.add(), 0);
+                break;
+            case 2:
+                fleet.restart(host);
+                break;
+            case 3:
+                fleet.restart(host);
+                set_side(host, 1);
+                break;
+            case 4:
+                set_side(host, 1 - side[host]);
+                break;
+            default:
+                fleet.pause(host, milliseconds{100 + draw(3000)});
+                break;
+        }
+        fleet.run(milliseconds{100 + draw(2000)});
+    }
+}
+
 members list_of(std::uint64_t version, const std::vector<std::string>& ids) {
     members list{fleet_version{version}};
     for (const auto& id : ids) {
@@ -109,6 +153,24 @@
     CHECK(accepted > 500);
 }
 
+// Guards against a second majority on the side that does not hear of a change: by restarted
+// processes that forgot what they accepted, by lists that grew away from the old one, and by
+// evidence about newer versions that is relayed as evidence about the old one.
+TEST_CASE("a side without the store never works under a version that the other side replaced") {
+    std::size_t permitted = 0;
+    std::size_t accepted = 0;
+    CHECK(rc::check([&](std::uint64_t seed) {
+        fleet_simulation fleet{{.hosts = 3 + seed % 4}, seed};
+        fleet.run(seconds{8});
+        run_split(fleet);
+        permitted += fleet.permitted();
+        accepted += fleet.accepted_versions();
+        RC_ASSERT(fleet.violations() == std::vector<std::string>{});
+    }));
+    CHECK(permitted > 10000);
+    CHECK(accepted > 300);
+}
+
 // Guards against quorums that miss each other after a change of the list.
 TEST_CASE("majorities of a list and acceptance quorums of the next list have a member in common") {
     for (std::size_t count = 1; count <= 700; ++count) {
