Pack proof ages into four bits per member

A reply at 550 members took 684 bytes, of which 550 were ages. Steps of 200 ms instead of 100 ms make relayed proofs look older at each hop. Ruled out: three bits (saves 70 bytes more, but the steps of 400 ms at up to nine hops reach the window of 3 s).

The reply frame shrinks by half a byte per member.

--- a/libs/process/src/proof_ages.cpp
+++ b/libs/process/src/proof_ages.cpp
@@ -6,8 +6,12 @@
 
 namespace {
 
-constexpr milliseconds unit{100};
-constexpr std::uint8_t unknown = 255;
+// Four bits per member: 14 steps of 200 ms reach 2.8 s, just below the freshness window. Older
+// proofs would not help a receiver, and half a byte more per member exceeds the bandwidth budget
+// of a large fleet (docs/measurements.md).
+constexpr milliseconds unit{200};
+constexpr std::uint8_t unknown = 15;
+constexpr unsigned bits = 4;
 
 std::uint8_t pack_age(const std::optional<duration>& age) {
     if (!age) {
@@ -20,20 +24,23 @@
 }  // namespace
 
 std::vector<std::uint8_t> pack_ages(const proof_ages& ages) {
-    std::vector<std::uint8_t> packed;
-    packed.reserve(ages.size());
-    std::transform(ages.begin(), ages.end(), std::back_inserter(packed), pack_age);
+    std::vector<std::uint8_t> packed((ages.size() + 1) / 2);
+    for (std::size_t i = 0; i < ages.size(); ++i) {
+        packed[i / 2] |= static_cast<std::uint8_t>(pack_age(ages[i]) << (bits * (i % 2)));
+    }
     return packed;
 }
 
 std::optional<proof_ages> unpack_ages(std::span<const std::uint8_t> packed, std::size_t count) {
-    if (packed.size() != count) {
+    if (packed.size() != (count + 1) / 2) {
         return std::nullopt;
     }
-    proof_ages ages;
-    ages.reserve(count);
-    for (const auto value : packed) {
-        ages.push_back(value == unknown ? std::nullopt : std::optional<duration>{value * unit});
+    proof_ages ages(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto value = packed[i / 2] >> (bits * (i % 2)) & unknown;
+        if (value != unknown) {
+            ages[i] = value * unit;
+        }
     }
     return ages;
 }
--- a/libs/process/test/fleet_simulation.cpp
+++ b/libs/process/test/fleet_simulation.cpp
@@ -139,8 +139,8 @@
     events_.push({now_ + delay, next_order_++, std::move(action)});
 }
 
-void fleet_simulation::deliver(std::size_t host, std::weak_ptr<process> target,
-                               process_action action) {
+void fleet_simulation::deliver(std::size_t host, const std::weak_ptr<process>& target,
+                               const process_action& action) {
     const auto running = target.lock();
     if (!running || hosts_[host].running != running) {
         return;
@@ -154,7 +154,7 @@
     check_work(host);
 }
 
-void fleet_simulation::send(std::size_t from, std::size_t to, process_action action) {
+void fleet_simulation::send(std::size_t from, std::size_t to, const process_action& action) {
     if (!connected(from, to) || chance(loss_) || !hosts_[to].running) {
         return;
     }
@@ -252,8 +252,8 @@
 }
 
 void fleet_simulation::answer_exchange(std::size_t host, std::size_t asker, process& self,
-                                       std::weak_ptr<process> asking, time_point sent_at,
-                                       std::shared_ptr<bool> answered) {
+                                       const std::weak_ptr<process>& asking, time_point sent_at,
+                                       const std::shared_ptr<bool>& answered) {
     if (!self.has_snapshot) {
         return;
     }
@@ -336,14 +336,15 @@
     self.membership.on_list_applied(list, now_);
     self.freshness.set_self(self.membership.self());
     const auto identity = self.membership.self();
-    for (auto& [recorded, record] : versions_) {
-        if (recorded > version || record.accepted_at) {
+    for (auto& entry : versions_) {
+        auto& record = entry.second;
+        if (entry.first > version || record.accepted_at) {
             continue;
         }
         record.applied_by.insert({identity.id, identity.incarnation});
         const auto count = std::count_if(
-            record.list.hosts.begin(), record.list.hosts.end(), [&](const auto& entry) {
-                return record.applied_by.contains({entry.first, entry.second.incarnation});
+            record.list.hosts.begin(), record.list.hosts.end(), [&](const auto& listed) {
+                return record.applied_by.contains({listed.first, listed.second.incarnation});
             });
         if (!record.list.hosts.empty() &&
             static_cast<std::size_t>(count) >= acceptance_quorum(record.list.hosts.size())) {
--- a/libs/process/test/fleet_simulation.hpp
+++ b/libs/process/test/fleet_simulation.hpp
@@ -116,8 +116,9 @@
     void start(std::size_t host);
     void schedule(milliseconds delay, std::function<void()> action);
     /// Runs the action on the process unless it has ended by then; a paused one runs it on resume.
-    void deliver(std::size_t host, std::weak_ptr<process> target, process_action action);
-    void send(std::size_t from, std::size_t to, std::function<void(process&)> action);
+    void deliver(std::size_t host, const std::weak_ptr<process>& target,
+                 const process_action& action);
+    void send(std::size_t from, std::size_t to, const process_action& action);
     [[nodiscard]] bool connected(std::size_t left, std::size_t right) const;
     milliseconds random_delay();
     bool chance(double probability);
@@ -126,8 +127,8 @@
     void poll_store(std::size_t host);
     void exchange(std::size_t host, const host_id& peer);
     void answer_exchange(std::size_t host, std::size_t asker, process& self,
-                         std::weak_ptr<process> asking, time_point sent_at,
-                         std::shared_ptr<bool> answered);
+                         const std::weak_ptr<process>& asking, time_point sent_at,
+                         const std::shared_ptr<bool>& answered);
     void pull_rows(std::size_t host, std::size_t peer);
     void commit_members(std::size_t host, const change_members& change);
     void record_version(members list);
