--- a/libs/control/test/commands_test.cpp
+++ b/libs/control/test/commands_test.cpp
@@ -157,7 +157,8 @@
     const std::string secret{added.document.at("key").as_string()};
     CHECK(decode_base64url(secret).value().size() == 32);
     CHECK(fleet.table.row("fleet/operations").value.find(secret) == std::string::npos);
-    const auto* owner = fleet.snapshot()->keys->find(digest_key(secret));
+    const auto snapshot = fleet.snapshot();
+    const auto* owner = snapshot->keys->find(digest_key(secret));
     REQUIRE(owner != nullptr);
     CHECK(owner->customer == customer_id{"kust"});
 
