Add the fair queue

A bounded queue per instance with deficit round robin over customers (64 each, 512 in all); an entry past its deadline is reported and never handed out; a full queue makes room for a customer with fewer entries than the longest one, and otherwise refuses at once. First come first served is the baseline behind a setting; the property on waiting fails for it, which the test asserts.

--- /dev/null
+++ b/libs/request/test/fair_queue_test.cpp
@@ -0,0 +1,181 @@
+#include "masticgrade/request/fair_queue.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+using namespace masticgrade;
+
+namespace {
+
+struct ticket {
+    int customer = 0;
+    int number = 0;
+};
+using queue = fair_queue<ticket>;
+
+constexpr time_point start{};
+constexpr time_point far_deadline = start + seconds(1000);
+
+customer_id name_of(int customer) { return customer_id{fmt::format("customer-{}", customer)}; }
+
+bool is_pushed(const std::variant<queue::pushed, queue_refusal>& result) {
+    return std::holds_alternative<queue::pushed>(result);
+}
+
+/// Lets customer 0 send five times as often as each of the others and returns the most pops that
+/// an entry of another customer had to wait beyond one round per entry queued before it.
+int worst_wait_beyond_rounds(queue_discipline discipline, const std::vector<int>& arrivals,
+                             int customers) {
+    queue entries({discipline, 64, 512});
+    std::map<int, std::pair<int, int>> allowed;
+    int pops = 0;
+    int number = 0;
+    int worst = 0;
+    for (const auto arrival : arrivals) {
+        const auto customer = arrival % (customers + 4) < 5 ? 0 : arrival % (customers + 4) - 4;
+        const auto ahead = static_cast<int>(entries.size_of(name_of(customer)));
+        if (is_pushed(entries.push(name_of(customer), {customer, number}, far_deadline, start))) {
+            allowed[number] = {pops, (ahead + 1) * customers};
+        }
+        ++number;
+        if (arrival % 3 == 0) {
+            if (const auto next = entries.pop(start).next) {
+                ++pops;
+                const auto [since, limit] = allowed.at(next->number);
+                if (next->customer != 0) {
+                    worst = std::max(worst, pops - since - limit);
+                }
+            }
+        }
+    }
+    while (const auto next = entries.pop(start).next) {
+        ++pops;
+        const auto [since, limit] = allowed.at(next->number);
+        if (next->customer != 0) {
+            worst = std::max(worst, pops - since - limit);
+        }
+    }
+    return worst;
+}
+
+}  // namespace
+
+// Guards against one customer with five times the load that delays all others.
+TEST_CASE("an entry waits at most one round for each entry of its own customer up to itself") {
+    bool baseline_fails = false;
+    const auto holds = rc::check([&] {
+        const auto arrivals =
+            *rc::gen::resize(400, rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 10000)));
+        const auto customers = *rc::gen::inRange(2, 10);
+        RC_ASSERT(worst_wait_beyond_rounds(queue_discipline::fair, arrivals, customers) <= 0);
+        baseline_fails =
+            baseline_fails || worst_wait_beyond_rounds(queue_discipline::first_come_first_served,
+                                                       arrivals, customers) > 0;
+    });
+    CHECK(holds);
+    // The schedules are heavy enough to tell the disciplines apart.
+    CHECK(baseline_fails);
+}
+
+// Guards against starvation by entries of different cost, and against lost or doubled entries.
+TEST_CASE("customers that always have entries get equal cost, and every entry leaves once") {
+    const auto holds = rc::check([] {
+        queue entries;
+        const auto costs =
+            *rc::gen::container<std::vector<unsigned>>(5, rc::gen::inRange(1U, most_cost + 1));
+        int number = 0;
+        for (int customer = 0; customer < 5; ++customer) {
+            for (int count = 0; count < 64; ++count) {
+                RC_ASSERT(is_pushed(entries.push(name_of(customer), {customer, number++},
+                                                 far_deadline, start, costs[customer])));
+            }
+        }
+        std::map<int, unsigned> served;
+        std::set<int> seen;
+        while (const auto next = entries.pop(start).next) {
+            RC_ASSERT(seen.insert(next->number).second);
+            served[next->customer] += costs[next->customer];
+            bool all_waiting = true;
+            for (int customer = 0; customer < 5; ++customer) {
+                all_waiting = all_waiting && entries.size_of(name_of(customer)) > 0;
+            }
+            if (all_waiting) {
+                for (int customer = 0; customer < 5; ++customer) {
+                    const auto least = served[customer] + most_cost;
+                    RC_ASSERT(served[next->customer] <= least + 1);
+                }
+            }
+        }
+        RC_ASSERT(seen.size() == 5U * 64U);
+    });
+    CHECK(holds);
+}
+
+// Guards against late work: a statement that starts after its deadline, or vanishes unreported.
+TEST_CASE("an entry past its deadline is reported and never handed out") {
+    const auto holds = rc::check([] {
+        const auto discipline =
+            *rc::gen::element(queue_discipline::fair, queue_discipline::first_come_first_served);
+        queue entries({discipline, 64, 512});
+        std::map<int, time_point> deadlines;
+        std::set<int> left;
+        const auto waits = *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 100));
+        for (int number = 0; number < static_cast<int>(waits.size()); ++number) {
+            const auto deadline = start + milliseconds(waits[number]);
+            if (is_pushed(
+                    entries.push(name_of(number % 3), {number % 3, number}, deadline, start))) {
+                deadlines[number] = deadline;
+            }
+        }
+        for (int now_ms = 0; now_ms <= 100; now_ms += 5) {
+            const auto now = start + milliseconds(now_ms);
+            const auto result = entries.pop(now);
+            if (result.next) {
+                RC_ASSERT(deadlines.at(result.next->number) > now);
+                RC_ASSERT(left.insert(result.next->number).second);
+            }
+            for (const auto& late : result.expired) {
+                RC_ASSERT(deadlines.at(late.number) <= now);
+                RC_ASSERT(left.insert(late.number).second);
+            }
+            for (const auto& late : entries.take_expired(now)) {
+                RC_ASSERT(deadlines.at(late.number) <= now);
+                RC_ASSERT(left.insert(late.number).second);
+            }
+            RC_ASSERT(entries.next_deadline() > now);
+        }
+        RC_ASSERT(entries.empty());
+        RC_ASSERT(left.size() == deadlines.size());
+    });
+    CHECK(holds);
+}
+
+// Guards against a queue that grows without bound, and against one that large customers fill.
+TEST_CASE("a full queue refuses at once, but not a customer with fewer entries than others") {
+    queue entries({queue_discipline::fair, 4, 8});
+    for (int count = 0; count < 4; ++count) {
+        CHECK(is_pushed(entries.push(name_of(0), {0, count}, far_deadline, start)));
+        CHECK(is_pushed(entries.push(name_of(1), {1, count}, far_deadline, start)));
+    }
+    CHECK(std::get<queue_refusal>(entries.push(name_of(0), {0, 9}, far_deadline, start)) ==
+          queue_refusal::customer_full);
+    const auto pushed = entries.push(name_of(2), {2, 10}, far_deadline, start);
+    REQUIRE(is_pushed(pushed));
+    const auto& displaced = std::get<queue::pushed>(pushed).displaced;
+    REQUIRE(displaced.has_value());
+    CHECK(displaced->number == 3);
+    CHECK(entries.size() == 8);
+    CHECK(entries.remove(std::get<queue::pushed>(pushed).handle)->number == 10);
+    CHECK_FALSE(entries.remove(std::get<queue::pushed>(pushed).handle).has_value());
+
+    queue baseline({queue_discipline::first_come_first_served, 4, 8});
+    for (int count = 0; count < 8; ++count) {
+        CHECK(is_pushed(baseline.push(name_of(0), {0, count}, far_deadline, start)));
+    }
+    CHECK(std::get<queue_refusal>(baseline.push(name_of(2), {2, 10}, far_deadline, start)) ==
+          queue_refusal::queue_full);
+}
