--- a/libs/connection/include/masticgrade/connection/connection_pool.hpp
+++ b/libs/connection/include/masticgrade/connection/connection_pool.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
 #include <optional>
 #include <string>
 #include <variant>
@@ -10,6 +9,7 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
 #include "masticgrade/connection/backend_connection_state.hpp"
+#include "masticgrade/request/fair_queue.hpp"
 
 namespace masticgrade {
 
@@ -41,8 +41,7 @@
 
 struct pool_settings {
     std::size_t max_connections = 2;
-    std::size_t max_waiting = 512;
-    std::size_t max_waiting_per_customer = 64;
+    fair_queue_settings queue;
     /// An instance that refused a connection is not asked again for this long.
     milliseconds open_retry_delay{50};
 };
@@ -67,11 +66,11 @@
     /// The members or the instance's limit changed; excess connections close when they are idle.
     pool_actions set_max_connections(std::size_t limit, time_point now);
     /// Refuses every waiter and closes idle connections; used when the instance leaves.
-    pool_actions refuse_all(const std::string& reason);
+    pool_actions refuse_all(const std::string& reason, time_point now);
     pool_actions on_time(time_point now);
 
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
-    [[nodiscard]] std::size_t waiting() const noexcept { return queued_; }
+    [[nodiscard]] std::size_t waiting() const { return queue_.size(); }
     [[nodiscard]] std::size_t open() const noexcept;
     [[nodiscard]] std::size_t busy() const noexcept;
 
@@ -80,19 +79,9 @@
         connection_number number;
         backend_connection_state state;
     };
-    struct waiter_entry {
-        waiter_number number;
-        time_point deadline;
-    };
-    /// Waiters of one customer in order of arrival.
-    struct customer_queue {
-        customer_id customer;
-        std::deque<waiter_entry> entries;
-    };
-
     connection_slot* find(connection_number number);
-    customer_queue& queue_for(const customer_id& customer);
-    std::optional<waiter_number> next_waiter();
+    std::optional<waiter_number> next_waiter(time_point now, pool_actions& actions);
+    void refuse_waiters(const std::string& reason, time_point now, pool_actions& actions);
     void expire(time_point now, pool_actions& actions);
     void drop_excess(pool_actions& actions);
     void serve(time_point now, pool_actions& actions);
@@ -100,8 +89,7 @@
 
     pool_settings settings_;
     std::vector<connection_slot> connections_;
-    std::deque<customer_queue> queues_;
-    std::size_t queued_ = 0;
+    fair_queue<waiter_number> queue_;
     connection_number last_number_;
     time_point open_allowed_from_;
 };
--- a/libs/connection/src/connection_pool.cpp
+++ b/libs/connection/src/connection_pool.cpp
@@ -8,24 +8,38 @@
 
 namespace masticgrade {
 
-connection_pool::connection_pool(pool_settings settings) : settings_(settings) {}
+namespace {
+
+std::string describe(queue_refusal refusal) {
+    switch (refusal) {
+        case queue_refusal::customer_full:
+            return "too many statements of the customer are waiting";
+        case queue_refusal::queue_full:
+            return "too many statements are waiting";
+        case queue_refusal::deadline_passed:
+            return "the deadline has passed";
+    }
+    return "the statement cannot wait";
+}
+
+}  // namespace
+
+connection_pool::connection_pool(pool_settings settings)
+    : settings_(settings), queue_(settings.queue) {}
 
 pool_actions connection_pool::acquire(waiter_number waiter, const customer_id& customer,
                                       time_point deadline, time_point now) {
     pool_actions actions;
     expire(now, actions);
-    if (deadline <= now) {
-        actions.push_back(refuse_waiter{waiter, "the deadline has passed"});
+    auto pushed = queue_.push(customer, waiter, deadline, now);
+    if (const auto* refusal = std::get_if<queue_refusal>(&pushed)) {
+        actions.push_back(refuse_waiter{waiter, describe(*refusal)});
         return actions;
     }
-    auto& queue = queue_for(customer);
-    if (queued_ >= settings_.max_waiting ||
-        queue.entries.size() >= settings_.max_waiting_per_customer) {
-        actions.push_back(refuse_waiter{waiter, "too many statements are waiting"});
-        return actions;
+    const auto& displaced = std::get<fair_queue<waiter_number>::pushed>(pushed).displaced;
+    if (displaced) {
+        actions.push_back(refuse_waiter{*displaced, "others with fewer statements came first"});
     }
-    queue.entries.push_back({waiter, deadline});
-    ++queued_;
     serve(now, actions);
     return actions;
 }
@@ -48,9 +62,7 @@
     open_allowed_from_ = now + settings_.open_retry_delay;
     if (open() == 0) {
         // Without any connection the waiters may do better at another instance or after a failover.
-        while (const auto waiter = next_waiter()) {
-            actions.push_back(refuse_waiter{*waiter, reason});
-        }
+        refuse_waiters(reason, now, actions);
     }
     return actions;
 }
@@ -88,11 +100,9 @@
     return actions;
 }
 
-pool_actions connection_pool::refuse_all(const std::string& reason) {
+pool_actions connection_pool::refuse_all(const std::string& reason, time_point now) {
     pool_actions actions;
-    while (const auto waiter = next_waiter()) {
-        actions.push_back(refuse_waiter{*waiter, reason});
-    }
+    refuse_waiters(reason, now, actions);
     std::erase_if(connections_, [&](auto& slot) {
         const bool closed = slot.state.close();
         if (closed) {
@@ -111,16 +121,11 @@
 }
 
 std::optional<time_point> connection_pool::next_wakeup() const {
-    std::optional<time_point> earliest;
-    for (const auto& queue : queues_) {
-        for (const auto& entry : queue.entries) {
-            earliest = std::min(earliest.value_or(entry.deadline), entry.deadline);
-        }
+    if (queue_.empty()) {
+        return std::nullopt;
     }
-    if (earliest && open() < settings_.max_connections) {
-        earliest = std::min(*earliest, open_allowed_from_);
-    }
-    return earliest;
+    const auto deadline = queue_.next_deadline();
+    return open() < settings_.max_connections ? std::min(deadline, open_allowed_from_) : deadline;
 }
 
 std::size_t connection_pool::open() const noexcept { return connections_.size(); }
@@ -139,44 +144,25 @@
     return found == connections_.end() ? nullptr : &*found;
 }
 
-connection_pool::customer_queue& connection_pool::queue_for(const customer_id& customer) {
-    const auto found = std::find_if(queues_.begin(), queues_.end(),
-                                    [&](const auto& queue) { return queue.customer == customer; });
-    if (found != queues_.end()) {
-        return *found;
+/// Takes the waiter whose turn it is; those that are too late are refused on the way.
+std::optional<waiter_number> connection_pool::next_waiter(time_point now, pool_actions& actions) {
+    auto popped = queue_.pop(now);
+    for (const auto late : popped.expired) {
+        actions.push_back(refuse_waiter{late, "no connection became free in time"});
     }
-    queues_.push_back({customer, {}});
-    return queues_.back();
+    return popped.next;
 }
 
-/// Takes the first waiter of the customer whose turn it is and moves that customer to the end.
-std::optional<waiter_number> connection_pool::next_waiter() {
-    while (!queues_.empty()) {
-        auto queue = std::move(queues_.front());
-        queues_.pop_front();
-        if (queue.entries.empty()) {
-            continue;
-        }
-        const auto waiter = queue.entries.front().number;
-        queue.entries.pop_front();
-        --queued_;
-        if (!queue.entries.empty()) {
-            queues_.push_back(std::move(queue));
-        }
-        return waiter;
+void connection_pool::refuse_waiters(const std::string& reason, time_point now,
+                                     pool_actions& actions) {
+    while (const auto waiter = next_waiter(now, actions)) {
+        actions.push_back(refuse_waiter{*waiter, reason});
     }
-    return std::nullopt;
 }
 
 void connection_pool::expire(time_point now, pool_actions& actions) {
-    for (auto& queue : queues_) {
-        queued_ -= std::erase_if(queue.entries, [&](const waiter_entry& entry) {
-            if (entry.deadline > now) {
-                return false;
-            }
-            actions.push_back(refuse_waiter{entry.number, "no connection became free in time"});
-            return true;
-        });
+    for (const auto late : queue_.take_expired(now)) {
+        actions.push_back(refuse_waiter{late, "no connection became free in time"});
     }
 }
 
@@ -195,18 +181,17 @@
 
 void connection_pool::serve(time_point now, pool_actions& actions) {
     for (auto& slot : connections_) {
-        if (queued_ == 0) {
-            return;
-        }
         if (slot.state.phase() != connection_phase::idle) {
             continue;
         }
-        const auto waiter = next_waiter();
-        if (waiter && slot.state.lend()) {
-            actions.push_back(grant_connection{*waiter, slot.number});
+        const auto waiter = next_waiter(now, actions);
+        if (!waiter) {
+            return;
         }
+        slot.state.lend();
+        actions.push_back(grant_connection{*waiter, slot.number});
     }
-    while (count(connection_phase::opening) < queued_ && open() < settings_.max_connections &&
+    while (count(connection_phase::opening) < queue_.size() && open() < settings_.max_connections &&
            now >= open_allowed_from_) {
         last_number_ = last_number_.next();
         connections_.push_back({last_number_, {}});
--- a/libs/connection/test/connection_pool_test.cpp
+++ b/libs/connection/test/connection_pool_test.cpp
@@ -11,10 +11,16 @@
 
 namespace {
 
+pool_settings settings_for(std::size_t limit) {
+    pool_settings settings;
+    settings.max_connections = limit;
+    return settings;
+}
+
 /// Plays the instance: opens and loses connections, and checks every grant.
 class pool_model {
 public:
-    explicit pool_model(std::size_t limit) : limit_(limit), pool_({.max_connections = limit}) {}
+    explicit pool_model(std::size_t limit) : limit_(limit), pool_(settings_for(limit)) {}
 
     void acquire(const std::string& customer, milliseconds patience) {
         ++last_waiter_;
--- a/libs/proxy/src/instance_link.cpp
+++ b/libs/proxy/src/instance_link.cpp
@@ -98,7 +98,7 @@
 }
 
 void instance_link::refuse_all(const std::string& reason) {
-    with_pool([&](connection_pool& pool, time_point) { return pool.refuse_all(reason); });
+    with_pool([&](connection_pool& pool, time_point now) { return pool.refuse_all(reason, now); });
 }
 
 void instance_link::tick(time_point now) {
--- a/libs/proxy/src/instance_link.hpp
+++ b/libs/proxy/src/instance_link.hpp
@@ -34,6 +34,7 @@
 
     /// Throws request_error; the connection cannot be used any more then.
     boost::asio::awaitable<database_reply> call(database_request request, time_point deadline);
+    [[nodiscard]] connection_number number() const noexcept { return number_; }
     /// Makes the connection close when the lease ends, for example because a transaction is open.
     void discard() noexcept { reusable_ = false; }
     /// Declares that the connection carries no open transaction any more.
--- a/libs/proxy/src/transaction_service.cpp
+++ b/libs/proxy/src/transaction_service.cpp
@@ -6,7 +6,6 @@
 
 #include "masticgrade/base/error.hpp"
 #include "masticgrade/base/log.hpp"
-#include "masticgrade/base/scope_guard.hpp"
 #include "random_mark.hpp"
 #include "write_attempt.hpp"
 
@@ -21,29 +20,53 @@
 /// A transaction holds one of the scarce connections, so it may not stay unused for longer.
 constexpr seconds idle_limit{10};
 
+/// Bounds how long a caller may keep a connection by one statement after another.
+constexpr seconds longest_transaction{60};
+
+/// Tells the state machine how a commit ended.
+void conclude(transaction_state& state, outcome_kind kind) {
+    const auto connection = state.connection();
+    switch (kind) {
+        case outcome_kind::done:
+            state.answered(connection);
+            state.acknowledged();
+            break;
+        case outcome_kind::not_run:
+            state.refused(connection);
+            break;
+        case outcome_kind::outcome_unknown:
+            state.connection_lost();
+            break;
+    }
+}
+
 outcome not_found() {
     return refuse(refusal::not_found, "transaction", "there is no such open transaction here");
 }
 
 }  // namespace
 
-/// One open transaction. `busy_` and `ended_` are guarded by the mutex of the service; everything
-/// else is used only by the coroutine that set `busy_`.
+/// One open transaction. The state and the time are guarded by the mutex of the service; the lease
+/// is used only by the coroutine whose statement the state has allowed.
 class transaction_service::entry {
 public:
-    entry(customer_id customer, std::shared_ptr<group_runtime> group, group_record record,
-          connection_lease lease)
-        : customer_(std::move(customer)),
-          group_(std::move(group)),
+    entry(transaction_id id, const customer_id& customer, std::shared_ptr<group_runtime> group,
+          group_record record, connection_lease lease)
+        : group_(std::move(group)),
           record_(std::move(record)),
-          lease_(std::move(lease)) {}
+          lease_(std::move(lease)),
+          customer_(customer),
+          state_(std::move(id), customer, lease_.number(),
+                 steady_clock::now() + longest_transaction) {}
 
-    customer_id customer_;
     std::shared_ptr<group_runtime> group_;
     /// The record at the beginning; the transaction never moves to another primary.
     group_record record_;
     connection_lease lease_;
-    bool busy_ = false;
+    customer_id customer_;
+    transaction_state state_;
+    /// Whether a statement is on its way.
+    bool in_use_ = false;
     time_point idle_since_ = steady_clock::now();
 
     [[nodiscard]] database_request make_request(database_call call) const {
@@ -82,12 +105,13 @@
     if (const auto reason = may_start_work_()) {
         co_return refuse(refusal::unavailable, "freshness", *reason);
     }
-    auto created = std::make_shared<entry>(customer, group, record,
+    const transaction_id id{make_random_mark()};
+    auto created = std::make_shared<entry>(id, customer, group, record,
                                            std::get<connection_lease>(std::move(acquired)));
+    auto request = created->make_request(database_call::begin);
     database_reply reply;
     try {
-        reply =
-            co_await created->lease_.call(created->make_request(database_call::begin), deadline);
+        reply = co_await created->lease_.call(std::move(request), deadline);
     } catch (const request_error& failure) {
         co_return refuse(refusal::unavailable, "begin", failure.reason(), failure.peer());
     }
@@ -97,7 +121,7 @@
         co_return refuse(refusal::unavailable, "begin", "the instance refused the transaction",
                          record.primary.str());
     }
-    const transaction_id id{make_random_mark()};
+    created->state_.begun(created->lease_.number());
     {
         const std::scoped_lock lock{mutex_};
         entries_.emplace(id, created);
@@ -112,14 +136,14 @@
 asio::awaitable<outcome> transaction_service::execute(customer_id customer, transaction_id id,
                                                       bool is_write, boost::json::value statement,
                                                       time_point deadline) {
-    const auto current = claim(customer, id);
-    if (!current) {
-        co_return not_found();
-    }
-    const scope_guard guard{[&] { release(*current); }};
     if (const auto reason = may_start_work_()) {
         co_return refuse(refusal::unavailable, "freshness", *reason);
     }
+    const auto claimed = claim(customer, id, transaction_statement::execute, {});
+    if (const auto* refusal = std::get_if<outcome>(&claimed)) {
+        co_return *refusal;
+    }
+    const auto& current = std::get<std::shared_ptr<entry>>(claimed);
     auto request = current->make_request(is_write ? database_call::execute_write
                                                   : database_call::execute_read);
     request.statement = std::move(statement);
@@ -127,21 +151,22 @@
     try {
         reply = co_await current->lease_.call(std::move(request), deadline);
     } catch (const request_error& failure) {
-        remove(id);
+        end(id, *current, [](transaction_state& state) { state.connection_lost(); });
         // Closing the connection rolls the transaction back, so its statements have no effect.
         co_return refuse(refusal::unavailable, "execute",
                          "the connection was lost and the transaction is rolled back",
                          failure.peer());
     }
     const auto& peer = current->record_.primary;
-    if (reply.status == database_status::error) {
-        co_return refuse(refusal::statement_failed, "execute", reply.reason, peer.str());
-    }
-    if (reply.status != database_status::ok) {
-        remove(id);
+    if (reply.status != database_status::ok && reply.status != database_status::error) {
+        end(id, *current, [&](transaction_state& state) { state.refused(state.connection()); });
         co_return refuse(refusal::unavailable, "execute",
                          "the primary was replaced and the transaction is rolled back", peer.str());
     }
+    mark_answered(*current);
+    if (reply.status == database_status::error) {
+        co_return refuse(refusal::statement_failed, "execute", reply.reason, peer.str());
+    }
     outcome answer;
     answer.kind = outcome_kind::done;
     answer.result = std::move(reply.result);
@@ -156,17 +181,17 @@
                                                               time_point deadline) {
     statement_result result;
     result.caller_session = std::move(caller_session);
-    const auto current = claim(customer, id);
-    if (!current) {
-        result.answer = not_found();
-        co_return result;
-    }
-    const scope_guard guard{[&] { release(*current); }};
     if (const auto reason = may_start_work_()) {
         result.answer = refuse(refusal::unavailable, "freshness", *reason);
         co_return result;
     }
-    remove(id);
+    const auto key = idempotency.empty() ? std::nullopt : std::optional{idempotency};
+    const auto claimed = claim(customer, id, transaction_statement::commit, key);
+    if (const auto* refusal = std::get_if<outcome>(&claimed)) {
+        result.answer = *refusal;
+        co_return result;
+    }
+    const auto& current = std::get<std::shared_ptr<entry>>(claimed);
     commit_request commit;
     commit.customer = customer;
     commit.idempotency = std::move(idempotency);
@@ -174,6 +199,7 @@
     commit.deadline = deadline;
     auto written = co_await run_commit(*current->group_, current->lease_, std::move(commit));
     result.answer = std::move(written.answer);
+    end(id, *current, [&](transaction_state& state) { conclude(state, result.answer.kind); });
     if (result.answer.kind == outcome_kind::done) {
         result.caller_session.advance(current->group_->config().name, written.position);
     }
@@ -182,19 +208,20 @@
 
 asio::awaitable<outcome> transaction_service::rollback(customer_id customer, transaction_id id,
                                                        time_point deadline) {
-    const auto current = claim(customer, id);
-    if (!current) {
-        co_return not_found();
+    const auto claimed = claim(customer, id, transaction_statement::rollback, {});
+    if (const auto* refusal = std::get_if<outcome>(&claimed)) {
+        co_return *refusal;
     }
-    const scope_guard guard{[&] { release(*current); }};
-    remove(id);
+    const auto& current = std::get<std::shared_ptr<entry>>(claimed);
+    auto request = current->make_request(database_call::rollback);
     try {
-        const auto reply =
-            co_await current->lease_.call(current->make_request(database_call::rollback), deadline);
+        const auto reply = co_await current->lease_.call(std::move(request), deadline);
         if (reply.status == database_status::ok) {
             current->lease_.mark_reusable();
         }
+        end(id, *current, [](transaction_state& state) { state.answered(state.connection()); });
     } catch (const request_error& failure) {
+        end(id, *current, [](transaction_state& state) { state.connection_lost(); });
         log.info("Closed the connection instead of a rollback peer={} reason=\"{}\".",
                  failure.peer(), failure.reason());
     }
@@ -209,7 +236,7 @@
     const std::scoped_lock lock{mutex_};
     std::erase_if(entries_, [&](auto& item) {
         auto& [id, current] = item;
-        if (current->busy_ || now - current->idle_since_ < idle_limit) {
+        if (current->in_use_ || now - current->idle_since_ < idle_limit) {
             return false;
         }
         log.info("Rolled back an unused transaction group={} customer={}.",
@@ -224,27 +251,40 @@
     return entries_.size();
 }
 
-/// Returns the transaction for the caller's exclusive use, or null when there is none, it belongs
-/// to another customer, or another statement of it is running.
-std::shared_ptr<transaction_service::entry> transaction_service::claim(const customer_id& customer,
-                                                                       const transaction_id& id) {
+/// Returns the transaction when the statement may be sent now, or else the refusal.
+std::variant<std::shared_ptr<transaction_service::entry>, outcome> transaction_service::claim(
+    const customer_id& customer, const transaction_id& id, transaction_statement statement,
+    const std::optional<idempotency_key>& key) {
     const std::scoped_lock lock{mutex_};
     const auto found = entries_.find(id);
-    if (found == entries_.end() || found->second->customer_ != customer || found->second->busy_) {
-        return nullptr;
+    if (found == entries_.end()) {
+        return not_found();
+    }
+    auto& current = *found->second;
+    const auto permission =
+        current.state_.send(statement, customer, current.lease_.number(), key, steady_clock::now());
+    if (permission == statement_permission::wrong_customer) {
+        // Another customer must not learn that the transaction exists.
+        return not_found();
+    }
+    if (permission != statement_permission::allowed) {
+        return refuse(refusal::unavailable, "transaction", std::string{describe(permission)});
     }
-    found->second->busy_ = true;
+    current.in_use_ = true;
     return found->second;
 }
 
-void transaction_service::release(entry& current) {
+void transaction_service::mark_answered(entry& current) {
     const std::scoped_lock lock{mutex_};
-    current.busy_ = false;
+    current.state_.answered(current.lease_.number());
+    current.in_use_ = false;
     current.idle_since_ = steady_clock::now();
 }
 
-void transaction_service::remove(const transaction_id& id) {
+template <class Event>
+void transaction_service::end(const transaction_id& id, entry& current, Event event) {
     const std::scoped_lock lock{mutex_};
+    event(current.state_);
     entries_.erase(id);
 }
 
--- a/libs/proxy/src/transaction_service.hpp
+++ b/libs/proxy/src/transaction_service.hpp
@@ -5,8 +5,11 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <variant>
 
 #include "fleet_state.hpp"
+#include "masticgrade/connection/transaction_state.hpp"
 #include "masticgrade/request/outcome.hpp"
 #include "masticgrade/request/session_token.hpp"
 #include "statement_service.hpp"
@@ -40,9 +43,14 @@
 private:
     class entry;
 
-    std::shared_ptr<entry> claim(const customer_id& customer, const transaction_id& id);
-    void release(entry& current);
-    void remove(const transaction_id& id);
+    std::variant<std::shared_ptr<entry>, outcome> claim(const customer_id& customer,
+                                                        const transaction_id& id,
+                                                        transaction_statement statement,
+                                                        const std::optional<idempotency_key>& key);
+    void mark_answered(entry& current);
+    /// Reports the end to the state machine and forgets the transaction.
+    template <class Event>
+    void end(const transaction_id& id, entry& current, Event event);
 
     std::shared_ptr<fleet_state> fleet_;
     work_permission may_start_work_;
--- a/libs/proxy/src/write_attempt.cpp
+++ b/libs/proxy/src/write_attempt.cpp
@@ -3,10 +3,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/json.hpp>
 #include <utility>
 #include <variant>
 
 #include "masticgrade/base/log.hpp"
+#include "masticgrade/connection/outcome_resolution.hpp"
 
 namespace masticgrade {
 
@@ -76,14 +78,14 @@
                                   refusal::cancelled);
             }
             const auto record = group_.record();
-            if (!has_current_primary(record)) {
+            if (!must_resolve_ && !has_current_primary(record)) {
                 last_reason_ = "no current primary is known";
                 co_await group_.wait_for_newer_record(record.version, request_.deadline);
                 continue;
             }
             step_result step;
             if (must_resolve_) {
-                step = co_await resolve_attempt(record);
+                step = co_await resolve_attempt();
             } else {
                 step = co_await execute(record);
             }
@@ -141,7 +143,7 @@
 
     asio::awaitable<step_result> send(const group_record& record, connection_lease& lease,
                                       database_call call) {
-        auto request = make_request(call, record);
+        auto request = make_request(call, record.term);
         request.statement = request_.statement;
         const auto sent_at = steady_clock::now();
         database_reply reply;
@@ -201,47 +203,109 @@
     }
 
     /// Finds out what became of an attempt whose answer was lost.
-    asio::awaitable<step_result> resolve_attempt(const group_record& record) {
+    asio::awaitable<step_result> resolve_attempt() {
+        outcome_resolution resolution{request_.deadline};
+        auto record = group_.record();
+        auto actions = tell_record(resolution, record);
+        for (;;) {
+            const auto action = actions.empty() ? std::nullopt : std::optional{actions.front()};
+            if (!action) {
+                const auto until = std::min(resolution.next_wakeup(), request_.deadline);
+                co_await group_.wait_for_newer_record(record.version, until);
+                record = group_.record();
+                actions = tell_record(resolution, record);
+                if (actions.empty()) {
+                    actions = resolution.on_time(steady_clock::now());
+                }
+            } else if (const auto* cancel = std::get_if<send_cancel>(&*action)) {
+                const auto answer = co_await cancel_attempt(*cancel);
+                actions = resolution.on_cancel(answer, steady_clock::now());
+            } else if (const auto* confirmation = std::get_if<confirm_cancel>(&*action)) {
+                const auto verdict =
+                    co_await group_.confirm(confirmation->term, confirmation->position,
+                                            primary_received_, confirmation->deadline);
+                actions = resolution.on_confirmed(confirmation->term, confirmation->position,
+                                                  verdict == write_verdict::acknowledged,
+                                                  steady_clock::now());
+            } else {
+                co_return conclude(std::get<resolution_over>(*action), record);
+            }
+        }
+    }
+
+    static resolution_actions tell_record(outcome_resolution& resolution,
+                                          const group_record& record) {
+        const auto now = steady_clock::now();
+        if (record.phase != group_phase::active || record.primary.empty()) {
+            return resolution.on_sealing(record.term, now);
+        }
+        return resolution.on_primary(record.primary, record.term, now);
+    }
+
+    asio::awaitable<cancel_answer> cancel_attempt(const send_cancel& action) {
+        cancel_answer answer;
+        answer.term = action.term;
         auto acquired =
-            co_await group_.link(record.primary).acquire(request_.customer, request_.deadline);
+            co_await group_.link(action.primary).acquire(request_.customer, action.deadline);
         if (const auto* refusal = std::get_if<acquire_refused>(&acquired)) {
-            co_return retry_later{refusal->reason, record.primary.str()};
+            remember(refusal->reason, action.primary.str());
+            co_return answer;
         }
-        auto& lease = std::get<connection_lease>(acquired);
+        auto request = make_request(database_call::cancel, action.term);
         const auto sent_at = steady_clock::now();
-        database_reply reply;
-        std::optional<retry_later> lost;
         try {
-            reply = co_await lease.call(make_request(database_call::cancel, record),
-                                        try_deadline(sent_at));
+            auto& lease = std::get<connection_lease>(acquired);
+            auto reply = co_await lease.call(std::move(request), action.deadline);
+            group_.on_reply(action.primary, reply, sent_at);
+            answer.position = reply.position;
+            primary_received_ = reply.received_position;
+            answer.result = boost::json::serialize(reply.result);
+            answer.status = to_cancel_status(reply.status);
         } catch (const request_error& failure) {
-            lost = retry_later{failure.reason(), failure.peer()};
+            remember(failure.reason(), failure.peer());
         }
-        if (lost) {
-            co_return *lost;
-        }
-        group_.on_reply(record.primary, reply, sent_at);
-        if (reply.status == database_status::found) {
-            co_return co_await confirm(record, std::move(reply));
+        co_return answer;
+    }
+
+    static cancel_status to_cancel_status(database_status status) {
+        switch (status) {
+            case database_status::found:
+                return cancel_status::found;
+            case database_status::cancelled:
+                return cancel_status::cancelled;
+            case database_status::stale_term:
+            case database_status::not_primary:
+                return cancel_status::not_primary;
+            default:
+                return cancel_status::failed;
         }
-        if (reply.status != database_status::cancelled) {
-            co_return retry_later{"the instance refused to cancel", record.primary.str()};
+    }
+
+    step_result conclude(const resolution_over& over, const group_record& record) {
+        log.info("Resolved a write without an answer group={} outcome={} term={} position={}.",
+                 group_.config().name,
+                 over.outcome == resolved_outcome::done      ? "done"
+                 : over.outcome == resolved_outcome::not_run ? "not_run"
+                                                             : "unknown",
+                 over.term, over.position);
+        if (over.outcome == resolved_outcome::not_run) {
+            return next_attempt{};
         }
-        const auto verdict = co_await group_.confirm(record.term, reply.position,
-                                                     reply.received_position, request_.deadline);
-        if (verdict != write_verdict::acknowledged) {
-            co_return retry_later{"the cancellation was not confirmed", record.primary.str()};
+        if (over.outcome == resolved_outcome::outcome_unknown) {
+            return unknown_result("resolve", last_reason_, last_peer_);
         }
-        log.info("Cancelled an attempt without an answer group={} term={} position={}.",
-                 group_.config().name, record.term, reply.position);
-        co_return next_attempt{};
+        write_result result;
+        result.answer.kind = outcome_kind::done;
+        result.answer.result = boost::json::parse(over.result);
+        result.answer.served_by = record.primary;
+        result.position = {over.term, over.position};
+        return result;
     }
 
-    [[nodiscard]] database_request make_request(database_call call,
-                                                const group_record& record) const {
+    [[nodiscard]] database_request make_request(database_call call, term_number term) const {
         database_request request;
         request.call = call;
-        request.term = record.term;
+        request.term = term;
         request.customer = request_.customer;
         request.idempotency = attempt_key(request_.idempotency, attempt_);
         return request;
@@ -286,6 +350,8 @@
     unsigned attempt_ = 1;
     bool must_resolve_ = false;
     bool is_commit_ = false;
+    /// The primary's received position in its last answer to a cancel.
+    log_position primary_received_;
     std::string last_reason_ = "the deadline passed before the write was sent";
     std::string last_peer_;
 };
