--- a/benchmarks/membership/exchange_spread.cpp
+++ b/benchmarks/membership/exchange_spread.cpp
@@ -99,8 +99,7 @@
     print("store answers", observe(fleet, hosts, seconds{20}));
     fmt::print("removals of living hosts={}\n", fleet.removals_of_living());
     fleet.set_store_available(false);
-    fleet.run(seconds{5});
-    print("store outage", observe(fleet, hosts, seconds{20}));
+    print("store outage from its start", observe(fleet, hosts, seconds{25}));
     fleet.set_store_available(true);
     fleet.run(seconds{10});
     fmt::print("one dead host removed after {:.1f} s\n", removal_time(fleet, {0}));
--- a/libs/process/include/masticgrade/process/membership.hpp
+++ b/libs/process/include/masticgrade/process/membership.hpp
@@ -21,6 +21,16 @@
     /// Mean time between two rounds of exchanges; each pause varies by 20%.
     milliseconds exchange_interval{500};
     std::size_t exchange_peers = 3;
+    /// Above this number of members a host asks only `calm_exchange_peers` while the store answers:
+    /// the store then proves the version, and 3 peers exceed the bandwidth budget at 550 members.
+    std::size_t small_fleet = 50;
+    std::size_t calm_exchange_peers = 1;
+    /// The store counts as silent after this time without an answer. Late enough for one poll with
+    /// jitter, early enough to gather member proofs before the last store proof expires.
+    milliseconds store_silence{1500};
+    /// Peers of a host that has to find out whether a member is dead, and its interval.
+    std::size_t search_peers = 16;
+    milliseconds search_interval{250};
     /// A member that a majority has not heard of for this long is removed.
     milliseconds silence_limit{2000};
     /// How much longer each reachable candidate after the first waits before it removes a member.
@@ -46,7 +56,7 @@
 /// Commit this list to the store under the condition that the row still has `based_on`, and report
 /// the outcome.
 struct change_members {
-    members_change_kind kind;
+    members_change_kind kind = members_change_kind::join;
     fleet_version based_on;
     /// The proposed list; its version is that of the row it replaces.
     members proposed;
@@ -89,6 +99,8 @@
     void on_exchange_answer(const exchange_answer& answer, const list_report& report,
                             time_point now);
     void on_exchange_failed(const host_id& peer, time_point now);
+    /// The store answered a poll.
+    void on_store_answered(time_point now) { store_answered_at_ = now; }
     /// Any request or one-way message of another host.
     void on_message_heard(const listed_host& sender, fleet_version members_version, time_point now);
     /// The outcome of a `change_members` action; false when it lost or is unclear.
@@ -113,10 +125,13 @@
         time_point asked_at = time_point::min();
         /// When a direct exchange last failed.
         time_point failed_at = time_point::min();
+        /// When another member last reported that it failed to reach this one.
+        time_point reported_at = time_point::min();
         bool applied_list = false;
 
         [[nodiscard]] time_point last_sign() const { return std::max(heard_at, listed_at); }
         [[nodiscard]] bool unreachable() const { return failed_at > last_sign(); }
+        [[nodiscard]] bool reported() const { return reported_at > last_sign(); }
     };
     struct removal_history {
         unsigned count = 0;
@@ -134,6 +149,8 @@
     [[nodiscard]] time_point majority_told_at(time_point now) const;
     [[nodiscard]] std::vector<std::size_t> silent_members(time_point now) const;
     [[nodiscard]] std::optional<std::size_t> reachable_candidates_ahead(time_point now) const;
+    [[nodiscard]] bool is_search_needed(time_point now) const;
+    [[nodiscard]] bool is_calm(time_point now) const;
     void add_random_exchanges(time_point now, std::vector<membership_action>& actions);
     void add_suspect_exchanges(time_point now, std::vector<membership_action>& actions);
     void add_exchange(std::size_t position, time_point now,
@@ -158,6 +175,7 @@
     bool settled_ = false;
 
     time_point next_exchange_;
+    time_point store_answered_at_ = time_point::min();
     std::optional<time_point> silent_since_;
     /// While a proposed change is under way: when its outcome counts as unknown.
     std::optional<time_point> change_deadline_;
--- a/libs/process/src/membership.cpp
+++ b/libs/process/src/membership.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 #include "masticgrade/base/invariant.hpp"
@@ -21,6 +23,10 @@
 /// Hosts that may remove members of one list; with so many, spread over the failure domains, one
 /// is reachable unless most of the fleet is lost.
 constexpr std::size_t removal_candidates = 16;
+/// Silent members that a candidate asks at the same time: few in normal operation, where slow
+/// gossip makes some look silent, and enough to check a whole failure domain in a few seconds.
+constexpr std::size_t suspects_at_once = 2;
+constexpr std::size_t most_suspects_at_once = 32;
 /// Doublings of the silence limit of a flapping host: at most 16 s.
 constexpr unsigned silence_doublings = 3;
 /// Upper bound of the random pause before a change is proposed again after it lost.
@@ -103,7 +109,16 @@
             }
         }
     }
-    if (answer.members_version != list_.version || settled_) {
+    if (answer.members_version != list_.version) {
+        return;
+    }
+    for (const auto position : report.unreachable) {
+        if (position < states_.size()) {
+            auto& reported_at = states_[position].reported_at;
+            reported_at = std::max(reported_at, answer.sent_at);
+        }
+    }
+    if (settled_) {
         return;
     }
     for (std::size_t i = 0; i < std::min(states_.size(), report.applied.size() * 8); ++i) {
@@ -301,43 +316,88 @@
     return std::nullopt;
 }
 
+bool membership::is_calm(time_point now) const {
+    return states_.size() > settings_.small_fleet && store_answered_at_ != time_point::min() &&
+           now - store_answered_at_ <= settings_.store_silence;
+}
+
+// With few exchanges a host learns too slowly what a majority has heard. The hosts that would
+// remove a member that they cannot reach ask more peers until they know.
+bool membership::is_search_needed(time_point now) const {
+    const auto ahead = reachable_candidates_ahead(now);
+    if (!is_calm(now) || !joined() || !ahead || *ahead > 1) {
+        return false;
+    }
+    return std::any_of(states_.begin(), states_.end(), [&](const member_state& state) {
+        return state.unreachable() && now - state.last_sign() > settings_.silence_limit;
+    });
+}
+
 void membership::add_random_exchanges(time_point now, std::vector<membership_action>& actions) {
     if (now < next_exchange_) {
         return;
     }
+    auto interval = settings_.exchange_interval;
+    auto count = is_calm(now) ? settings_.calm_exchange_peers : settings_.exchange_peers;
+    if (is_search_needed(now)) {
+        interval = settings_.search_interval;
+        count = settings_.search_peers;
+    }
     std::uniform_real_distribution<double> variation(0.8, 1.2);
-    next_exchange_ = now + std::chrono::duration_cast<duration>(settings_.exchange_interval *
-                                                                variation(random_));
+    next_exchange_ = now + std::chrono::duration_cast<duration>(interval * variation(random_));
     std::vector<std::size_t> others;
+    others.reserve(states_.size());
     for (std::size_t i = 0; i < states_.size(); ++i) {
         if (lists_.current().hosts[i].id != self_.id) {
             others.push_back(i);
         }
     }
     std::vector<std::size_t> chosen;
-    std::sample(others.begin(), others.end(), std::back_inserter(chosen), settings_.exchange_peers,
-                random_);
+    std::sample(others.begin(), others.end(), std::back_inserter(chosen), count, random_);
     for (const auto position : chosen) {
         add_exchange(position, now, actions);
     }
 }
 
 // The hosts that would remove a silent member first ask it themselves, so that a member whose signs
-// were merely slow to spread stays.
+// were merely slow to spread stays. They ask few at a time unless others cannot reach more.
 void membership::add_suspect_exchanges(time_point now, std::vector<membership_action>& actions) {
     const auto ahead = reachable_candidates_ahead(now);
     if (!joined() || !ahead || *ahead > 1) {
         return;
     }
+    const auto told_at = majority_told_at(now);
+    if (told_at == time_point::min()) {
+        return;
+    }
+    std::vector<std::size_t> suspects;
+    std::size_t under_way = 0;
+    std::size_t limit = suspects_at_once;
     for (std::size_t i = 0; i < states_.size(); ++i) {
         const auto& state = states_[i];
+        limit += state.reported() || state.unreachable() ? 2 : 0;
         const bool asked = state.asked_at != time_point::min() &&
                            now - state.asked_at < settings_.exchange_interval;
-        if (lists_.current().hosts[i].id != self_.id && !asked &&
-            now - state.last_sign() > settings_.silence_limit / 2) {
-            add_exchange(i, now, actions);
+        if (lists_.current().hosts[i].id == self_.id ||
+            told_at - state.last_sign() <= settings_.silence_limit / 2) {
+            continue;
+        }
+        if (asked) {
+            ++under_way;
+        } else {
+            suspects.push_back(i);
         }
     }
+    limit = std::min(limit, most_suspects_at_once);
+    const auto count = std::min(suspects.size(), limit - std::min(limit, under_way));
+    // Those that were not asked since their last sign come first, then the longest silent.
+    std::sort(suspects.begin(), suspects.end(), [&](std::size_t left, std::size_t right) {
+        return std::tuple{states_[left].unreachable(), states_[left].last_sign(), left} <
+               std::tuple{states_[right].unreachable(), states_[right].last_sign(), right};
+    });
+    for (std::size_t i = 0; i < count; ++i) {
+        add_exchange(suspects[i], now, actions);
+    }
 }
 
 void membership::add_exchange(std::size_t position, time_point now,
--- a/libs/process/test/fleet_simulation.cpp
+++ b/libs/process/test/fleet_simulation.cpp
@@ -214,6 +214,7 @@
             schedule(random_delay(), [=, this] {
                 deliver(host, target, [=, this](process& self) {
                     self.freshness.on_store_read({sent_at, version}, now_);
+                    self.membership.on_store_answered(now_);
                     apply(host, version);
                 });
             });
--- a/libs/process/test/membership_test.cpp
+++ b/libs/process/test/membership_test.cpp
@@ -115,6 +115,21 @@
     }));
 }
 
+// Guards against slow gossip in a large fleet that looks like silence, or hides it.
+TEST_CASE("a large fleet with few exchanges removes the dead and only them") {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        fleet_simulation fleet{{.hosts = 70, .listed_at_start = true}, seed};
+        fleet.run(seconds{30});
+        CHECK(fleet.removals() == 0);
+        for (std::size_t host = 0; host < 70; host += 7) {
+            fleet.kill(host);
+        }
+        fleet.run(seconds{10});
+        CHECK(fleet.removals() == 10);
+        CHECK(fleet.removals_of_living() == 0);
+    }
+}
+
 TEST_CASE("a host that leaves is taken off the list and does not join again") {
     const member self{host_id{"a"}, {}, {}, {}};
     const time_point now{};
