Measure wrongful refusals; keep more of the rate in shares

Cause: after the death of an owner, its pool is unusable for about 5.7 s. The assigned rate followed 1.3 times the demand, so a third of the rate was lost with the pool, and even customers with shares were refused. Ruled out: faults in the takeover, which completed at the expected time.

The property on the death of any host fails: without shares on several hosts a small customer depends on its owner.

--- a/libs/limits/include/masticgrade/limits/share_settings.hpp
+++ b/libs/limits/include/masticgrade/limits/share_settings.hpp
@@ -32,12 +32,9 @@
     /// Kept in the pool for transfers, so that a sudden demand is served before the next round.
     double pool_rate_reserve = 0.1;
     double pool_burst_reserve = 0.3;
-    /// The assigned rate is this multiple of the demand; what remains stays in the pool, so that
-    /// it is not lost for seconds when a holder dies.
-    double demand_headroom = 1.3;
     /// A holder whose part of the burst would be smaller has no share and asks for every token:
     /// fractions of a token on several hosts would add up to statements refused wrongly.
-    double smallest_share_tokens = 4;
+    double smallest_share_tokens = 3;
 };
 
 /// Identifies one process: a host that restarts or joins again is another process.
--- a/libs/limits/src/owner_account.cpp
+++ b/libs/limits/src/owner_account.cpp
@@ -334,9 +334,7 @@
             demand += entry.demand;
         }
     }
-    const auto most_rate = 1 - settings_.pool_rate_reserve;
-    const auto wanted = rate_ > 0 ? settings_.demand_headroom * demand / rate_ : 0;
-    const auto rate = std::clamp(wanted, most_rate / 2, most_rate);
+    const auto rate = 1 - settings_.pool_rate_reserve;
     const auto burst = 1 - settings_.pool_burst_reserve;
     for (auto& [holder, entry] : ledger_) {
         entry.target = {};
@@ -345,7 +343,11 @@
         }
         const auto weight =
             settings_.even_part / active + (1 - settings_.even_part) * entry.demand / demand;
-        if (weight * burst * burst_ >= settings_.smallest_share_tokens) {
+        // A share that exists may become somewhat smaller before it ends, so that a demand near the
+        // limit does not create and end it in every round.
+        const auto least =
+            settings_.smallest_share_tokens * (entry.acknowledged.burst > 0 ? 0.75 : 1);
+        if (weight * burst * burst_ >= least) {
             entry.target = {weight * rate, weight * burst};
         }
     }
--- a/libs/limits/test/rate_shares_test.cpp
+++ b/libs/limits/test/rate_shares_test.cpp
@@ -4,9 +4,14 @@
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
+#include "quiet_fleet.hpp"
 #include "share_simulation.hpp"
 
 using namespace masticgrade;
+using simulation::owns_any;
+using simulation::quiet_fleet;
+using simulation::quiet_hosts;
+using simulation::refused_part;
 
 namespace {
 
@@ -24,6 +29,7 @@
     raise,
     remove_and_cut,
     leave,
+    silence,
     shift_load
 };
 
@@ -96,6 +102,12 @@
             fleet.set_customer("large", 200 + c.amount, 100 + 2 * c.amount);
             fleet.set_customer("small", 2 + c.amount / 10.0, 3 + c.amount / 20.0);
             break;
+        case fault::silence:
+            for (int host = 0; host < hosts; ++host) {
+                fleet.set_load("large", host, 1);
+                fleet.set_load("small", host, 0.1);
+            }
+            break;
         case fault::shift_load:
             for (int host = 0; host < hosts; ++host) {
                 fleet.set_load("large", host, host == c.host ? 400 : 20);
@@ -140,6 +152,10 @@
     return rc::gen::resize(60, rc::gen::container<std::vector<command>>(any_command(hosts)));
 }
 
+auto any_weights() {
+    return rc::gen::container<std::vector<int>>(quiet_hosts, rc::gen::inRange(1, 8));
+}
+
 }  // namespace
 
 // Guards against a customer that gets more than its rate and burst (guarantee 7), whatever is
@@ -153,3 +169,30 @@
     });
     CHECK(holds);
 }
+
+// Guards against wrongful refusals where the demand is uneven but below the rate.
+TEST_CASE("with a quiet network at most 0.1% of the statements in the rate are refused") {
+    const auto holds = rc::check([] {
+        auto fleet = quiet_fleet({}, *rc::gen::arbitrary<std::uint64_t>(),
+                                 *rc::gen::element(0.4, 0.6, 0.8), *any_weights());
+        fleet.run_for(seconds(60));
+        RC_ASSERT(refused_part(fleet) <= 0.001);
+    });
+    CHECK(holds);
+}
+
+// Guards against a holder's share that stays lost when it dies. The death of an owner is a test of
+// its own (tests/rate_shares_death).
+TEST_CASE("in the 10 s after a holder dies at most 1% of the statements in the rate are refused") {
+    const auto holds = rc::check([] {
+        auto fleet = quiet_fleet({}, *rc::gen::arbitrary<std::uint64_t>(),
+                                 *rc::gen::element(0.4, 0.5, 0.6), *any_weights());
+        const auto victim = *rc::gen::suchThat(rc::gen::inRange(0, quiet_hosts),
+                                               [&](int host) { return !owns_any(fleet, host); });
+        fleet.kill(victim);
+        fleet.move_load(victim);
+        fleet.run_for(seconds(10));
+        RC_ASSERT(refused_part(fleet) <= 0.01);
+    });
+    CHECK(holds);
+}
