Accept the transaction id inside the result, and state the last term

The proxy answers a begin with the id inside "result", so the load program looks there as well. The database stand-in gives last_term in every answer, so that a confirmation that is still pending shows which log its position is of.

--- a/tests/standins/src/database_session.cpp
+++ b/tests/standins/src/database_session.cpp
@@ -80,6 +80,7 @@
     body["request_id"] = id == nullptr ? json::value{} : *id;
     body["status"] = outcome.status;
     body["term"] = server_.instance_.term();
+    body["last_term"] = server_.instance_.last_term();
     body["received_position"] = server_.instance_.received_position();
     body["applied_position"] = server_.instance_.applied_position();
     return json_response(body);
--- a/tools/masticgrade-load/src/load_run.cpp
+++ b/tools/masticgrade-load/src/load_run.cpp
@@ -201,6 +201,17 @@
         co_return answer;
     }
 
+    /// The id stands in the answer itself or in its result.
+    static const json::string* transaction_id_of(const caller_answer& answer) {
+        const auto* fields = &answer.body;
+        if (const auto* result = fields->if_contains("result");
+            result != nullptr && result->is_object()) {
+            fields = &result->get_object();
+        }
+        const auto* id = fields->if_contains("transaction");
+        return id == nullptr ? nullptr : id->if_string();
+    }
+
     static bool names_row(const caller_answer& answer, const json::value& statement) {
         const auto* result = answer.body.if_contains("result");
         const auto* fields = result == nullptr ? nullptr : result->if_object();
@@ -384,11 +395,11 @@
         const auto proxy = caller_.choose(operation.choice);
         const auto begun = co_await send(operation, own, proxy,
                                          plain_request(route_target(operation) + "/transactions"));
-        const auto* id = begun.body.if_contains("transaction");
-        if (begun.result != outcome::done || id == nullptr || !id->is_string()) {
+        const auto* id = transaction_id_of(begun);
+        if (begun.result != outcome::done || id == nullptr) {
             co_return outcome::not_run;
         }
-        const auto target = "/v1/transactions/" + std::string(id->get_string());
+        const auto target = "/v1/transactions/" + std::string(*id);
         const json::array statements{
             json::value{{"op", "take"},
                         {"key", fmt::format("{}seat/{}", row_prefix(), operation.id)}},
