Let pools grow under load, and keep one connection for single statements

Ruled out: admission (no refusal by rate) and the confirmations (done writes took 1.4 ms). A pool now keeps its part open, opens more while the instance accepts them, and closes those after 200 ms without use; transactions leave one connection for single statements.

--- a/libs/connection/include/masticgrade/connection/connection_pool.hpp
+++ b/libs/connection/include/masticgrade/connection/connection_pool.hpp
@@ -40,10 +40,19 @@
 using pool_actions = std::vector<pool_action>;
 
 struct pool_settings {
+    /// Kept open even without load, so that no other host can take this host's part of the
+    /// instance's limit.
+    std::size_t kept_connections = 1;
+    /// Opened under load as long as the instance accepts them.
     std::size_t max_connections = 2;
     fair_queue_settings queue;
-    /// An instance that refused a connection is not asked again for this long.
+    /// An instance that refused a connection is not asked again for this long; the pause doubles
+    /// with each failure up to the limit.
     milliseconds open_retry_delay{50};
+    milliseconds open_retry_limit{1000};
+    /// A connection above `kept_connections` closes after this time without a statement, because
+    /// other hosts may need it.
+    milliseconds idle_close_after{200};
 };
 
 /// One host's connections to one instance, and the statements that wait for them.
@@ -64,7 +73,7 @@
     /// An idle connection was lost.
     pool_actions on_lost(connection_number connection, time_point now);
     /// The members or the instance's limit changed; excess connections close when they are idle.
-    pool_actions set_max_connections(std::size_t limit, time_point now);
+    pool_actions set_limits(std::size_t kept, std::size_t limit, time_point now);
     /// Refuses every waiter and closes idle connections; used when the instance leaves.
     pool_actions refuse_all(const std::string& reason, time_point now);
     pool_actions on_time(time_point now);
@@ -78,12 +87,15 @@
     struct connection_slot {
         connection_number number;
         backend_connection_state state;
+        time_point idle_since = {};
     };
     connection_slot* find(connection_number number);
     std::optional<waiter_number> next_waiter(time_point now, pool_actions& actions);
     void refuse_waiters(const std::string& reason, time_point now, pool_actions& actions);
     void expire(time_point now, pool_actions& actions);
     void drop_excess(pool_actions& actions);
+    void close_unused(time_point now, pool_actions& actions);
+    void open_one(pool_actions& actions);
     void serve(time_point now, pool_actions& actions);
     [[nodiscard]] std::size_t count(connection_phase phase) const noexcept;
 
@@ -92,6 +104,7 @@
     fair_queue<waiter_number> queue_;
     connection_number last_number_;
     time_point open_allowed_from_;
+    unsigned open_failures_ = 0;
 };
 
 }  // namespace masticgrade
--- a/libs/connection/src/connection_pool.cpp
+++ b/libs/connection/src/connection_pool.cpp
@@ -48,6 +48,8 @@
     pool_actions actions;
     auto* slot = find(connection);
     MG_PRECONDITION(slot != nullptr && slot->state.opened());
+    slot->idle_since = now;
+    open_failures_ = 0;
     serve(now, actions);
     drop_excess(actions);
     return actions;
@@ -59,7 +61,10 @@
     auto* slot = find(connection);
     MG_PRECONDITION(slot != nullptr && slot->state.failed());
     std::erase_if(connections_, [&](const auto& entry) { return entry.number == connection; });
-    open_allowed_from_ = now + settings_.open_retry_delay;
+    constexpr unsigned most_doublings = 10;
+    const auto doublings = std::min(open_failures_++, most_doublings);
+    open_allowed_from_ =
+        now + std::min(settings_.open_retry_delay * (1 << doublings), settings_.open_retry_limit);
     if (open() == 0) {
         // Without any connection the waiters may do better at another instance or after a failover.
         refuse_waiters(reason, now, actions);
@@ -73,6 +78,7 @@
     auto* slot = find(connection);
     MG_PRECONDITION(slot != nullptr);
     const bool allowed = reusable ? slot->state.give_back() : slot->state.discard();
+    slot->idle_since = now;
     MG_INVARIANT("connection returned once", allowed,
                  fmt::format("connection={} reusable={}", connection, reusable));
     if (!reusable) {
@@ -92,8 +98,9 @@
     return actions;
 }
 
-pool_actions connection_pool::set_max_connections(std::size_t limit, time_point now) {
+pool_actions connection_pool::set_limits(std::size_t kept, std::size_t limit, time_point now) {
     pool_actions actions;
+    settings_.kept_connections = std::min(kept, limit);
     settings_.max_connections = limit;
     serve(now, actions);
     drop_excess(actions);
@@ -117,6 +124,10 @@
     pool_actions actions;
     expire(now, actions);
     serve(now, actions);
+    close_unused(now, actions);
+    while (open() < settings_.kept_connections && now >= open_allowed_from_) {
+        open_one(actions);
+    }
     return actions;
 }
 
@@ -193,11 +204,29 @@
     }
     while (count(connection_phase::opening) < queue_.size() && open() < settings_.max_connections &&
            now >= open_allowed_from_) {
-        last_number_ = last_number_.next();
-        connections_.push_back({last_number_, {}});
-        connections_.back().state.open();
-        actions.push_back(open_connection{last_number_});
+        open_one(actions);
     }
 }
 
+void connection_pool::open_one(pool_actions& actions) {
+    last_number_ = last_number_.next();
+    connections_.push_back({last_number_, {}});
+    connections_.back().state.open();
+    actions.push_back(open_connection{last_number_});
+}
+
+/// Gives connections that were opened under load back to the other hosts.
+void connection_pool::close_unused(time_point now, pool_actions& actions) {
+    auto excess = connections_.size() - std::min(connections_.size(), settings_.kept_connections);
+    std::erase_if(connections_, [&](auto& slot) {
+        const bool unused = now - slot.idle_since >= settings_.idle_close_after;
+        if (excess == 0 || !unused || !slot.state.close()) {
+            return false;
+        }
+        --excess;
+        actions.push_back(close_connection{slot.number});
+        return true;
+    });
+}
+
 }  // namespace masticgrade
--- a/libs/connection/test/connection_pool_test.cpp
+++ b/libs/connection/test/connection_pool_test.cpp
@@ -55,6 +55,7 @@
         now_ += step;
         apply(pool_.on_time(now_));
     }
+    [[nodiscard]] std::size_t open_connections() const { return open_.size(); }
     [[nodiscard]] bool nobody_waits() const { return waiting_.empty(); }
     [[nodiscard]] const std::map<std::uint64_t, std::uint64_t>& grants() const { return grants_; }
 
@@ -139,3 +140,22 @@
     model.finish_statement(true);
     CHECK(model.grants().count(21) == 1);
 }
+
+// Guards against a host that keeps, after a burst, the connections which other hosts need.
+TEST_CASE("connections opened under load close when they are not used any more") {
+    pool_model model{3};
+    for (int i = 0; i < 3; ++i) {
+        model.acquire("a", milliseconds{5000});
+    }
+    for (int i = 0; i < 3; ++i) {
+        model.finish_open(true);
+    }
+    CHECK(model.open_connections() == 3);
+    for (int i = 0; i < 3; ++i) {
+        model.finish_statement(true);
+    }
+    model.advance(milliseconds{150});
+    CHECK(model.open_connections() == 3);
+    model.advance(milliseconds{100});
+    CHECK(model.open_connections() == 1);
+}
--- a/libs/proxy/src/group_runtime.cpp
+++ b/libs/proxy/src/group_runtime.cpp
@@ -34,12 +34,19 @@
     return ids;
 }
 
-/// One connection per host is the control connection; the others are divided evenly.
-std::size_t connections_per_host(const group_config& config, std::size_t members) {
-    const auto hosts = std::max<std::size_t>(members, 1);
-    const auto for_statements =
-        config.max_connections - std::min<std::size_t>(config.max_connections, hosts);
-    return std::max<std::size_t>(1, for_statements * 8 / 10 / hosts);
+/// Each host has a control connection to the instance and keeps a part of what remains open. Under
+/// load it may open more, up to what is left when every other host has its part; more than a few
+/// for each slot of the instance would only wait there.
+connection_limits limits_for(const group_config& config, std::size_t member_count) {
+    constexpr std::size_t useful_per_slot = 2;
+    const auto hosts = std::max<std::size_t>(member_count, 1);
+    const auto limit = std::max<std::size_t>(config.max_connections, hosts) - hosts;
+    connection_limits limits;
+    limits.kept = std::max<std::size_t>(1, limit / hosts / 2);
+    const auto others = (hosts - 1) * limits.kept;
+    limits.most = std::max(limits.kept, limit - std::min(limit, others));
+    limits.most = std::min(limits.most, std::max(limits.kept, useful_per_slot * config.slots + 2));
+    return limits;
 }
 
 }  // namespace
@@ -50,10 +57,10 @@
       config_(std::move(config)),
       health_(instance_ids(config_)),
       acknowledgement_(instance_ids(config_)) {
-    pool_settings settings;
-    settings.max_connections = connections_per_host(config_, member_count);
     for (const auto& instance : config_.instances) {
-        links_.emplace(instance.id, std::make_shared<instance_link>(executor_, instance, settings));
+        auto link = std::make_shared<instance_link>(executor_, instance, pool_settings{});
+        link->set_limits(limits_for(config_, member_count));
+        links_.emplace(instance.id, std::move(link));
     }
 }
 
@@ -123,7 +130,7 @@
 
 void group_runtime::on_members(std::size_t member_count) {
     for (const auto& [id, link] : links_) {
-        link->set_max_connections(connections_per_host(config_, member_count));
+        link->set_limits(limits_for(config_, member_count));
     }
 }
 
--- a/libs/proxy/src/instance_link.cpp
+++ b/libs/proxy/src/instance_link.cpp
@@ -1,9 +1,12 @@
 #include "instance_link.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 namespace masticgrade {
@@ -13,6 +16,7 @@
 namespace {
 
 constexpr milliseconds connect_timeout{1000};
+constexpr milliseconds transaction_poll{10};
 
 }  // namespace
 
@@ -24,7 +28,8 @@
     : link_(std::move(other.link_)),
       number_(other.number_),
       connection_(std::move(other.connection_)),
-      reusable_(other.reusable_) {}
+      reusable_(other.reusable_),
+      holds_transaction_(other.holds_transaction_) {}
 
 connection_lease& connection_lease::operator=(connection_lease&& other) noexcept {
     if (this != &other) {
@@ -33,6 +38,7 @@
         number_ = other.number_;
         connection_ = std::move(other.connection_);
         reusable_ = other.reusable_;
+        holds_transaction_ = other.holds_transaction_;
     }
     return *this;
 }
@@ -42,6 +48,9 @@
 void connection_lease::release() noexcept {
     if (link_) {
         link_->give_back(number_, reusable_ && connection_->is_open());
+        if (holds_transaction_) {
+            link_->release_transaction();
+        }
         link_.reset();
     }
 }
@@ -86,14 +95,51 @@
     co_return std::move(*granted);
 }
 
+asio::awaitable<acquire_result> instance_link::acquire_for_transaction(customer_id customer,
+                                                                       time_point deadline) {
+    asio::steady_timer timer{co_await asio::this_coro::executor};
+    while (!reserve_transaction()) {
+        if (steady_clock::now() >= deadline) {
+            co_return acquire_refused{"too many transactions are open"};
+        }
+        timer.expires_after(transaction_poll);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    auto acquired = co_await acquire(std::move(customer), deadline);
+    if (auto* lease = std::get_if<connection_lease>(&acquired)) {
+        lease->hold_transaction();
+    } else {
+        release_transaction();
+    }
+    co_return acquired;
+}
+
+bool instance_link::reserve_transaction() {
+    const std::scoped_lock lock{mutex_};
+    if (transactions_ >= max_transactions_) {
+        return false;
+    }
+    ++transactions_;
+    return true;
+}
+
+void instance_link::release_transaction() noexcept {
+    const std::scoped_lock lock{mutex_};
+    --transactions_;
+}
+
 asio::awaitable<database_reply> instance_link::control(database_request request,
                                                        time_point deadline) {
     co_return co_await control_->call(std::move(request), deadline);
 }
 
-void instance_link::set_max_connections(std::size_t limit) {
+void instance_link::set_limits(const connection_limits& limits) {
+    {
+        const std::scoped_lock lock{mutex_};
+        max_transactions_ = std::max<std::size_t>(1, limits.most - 1);
+    }
     with_pool([&](connection_pool& pool, time_point now) {
-        return pool.set_max_connections(limit, now);
+        return pool.set_limits(limits.kept, limits.most, now);
     });
 }
 
--- a/libs/proxy/src/instance_link.hpp
+++ b/libs/proxy/src/instance_link.hpp
@@ -39,6 +39,8 @@
     void discard() noexcept { reusable_ = false; }
     /// Declares that the connection carries no open transaction any more.
     void mark_reusable() noexcept { reusable_ = true; }
+    /// Counts the lease as a transaction of its link until it ends.
+    void hold_transaction() noexcept { holds_transaction_ = true; }
 
 private:
     void release() noexcept;
@@ -47,6 +49,7 @@
     connection_number number_;
     std::shared_ptr<database_connection> connection_;
     bool reusable_ = true;
+    bool holds_transaction_ = false;
 };
 
 struct acquire_refused {
@@ -54,6 +57,12 @@
 };
 using acquire_result = std::variant<connection_lease, acquire_refused>;
 
+/// How many of an instance's connections one host keeps, and how many it may have at most.
+struct connection_limits {
+    std::size_t kept = 1;
+    std::size_t most = 1;
+};
+
 /// One host's connections to one instance.
 /// Thread safety: all members may be called from any thread; one lock guards the pool.
 class instance_link : public std::enable_shared_from_this<instance_link> {
@@ -64,11 +73,16 @@
     /// Waits for a connection in fair order. The coroutine must run on a strand.
     boost::asio::awaitable<acquire_result> acquire(customer_id customer, time_point deadline);
 
+    /// As `acquire`, for a transaction that will hold the connection. One connection always stays
+    /// for single statements, so that callers who leave transactions open cannot block them.
+    boost::asio::awaitable<acquire_result> acquire_for_transaction(customer_id customer,
+                                                                   time_point deadline);
+
     /// Calls the instance outside the pool, on the control connection, one call at a time.
     /// Throws request_error.
     boost::asio::awaitable<database_reply> control(database_request request, time_point deadline);
 
-    void set_max_connections(std::size_t limit);
+    void set_limits(const connection_limits& limits);
     void refuse_all(const std::string& reason);
     /// Refuses waiters whose deadline has passed and repeats failed opens.
     void tick(time_point now);
@@ -84,6 +98,8 @@
     using waiter = std::shared_ptr<async_result<acquire_result>>;
 
     void give_back(connection_number number, bool reusable) noexcept;
+    bool reserve_transaction();
+    void release_transaction() noexcept;
     void perform(const pool_actions& actions);
     void act(const grant_connection& action);
     void act(const open_connection& action);
@@ -101,6 +117,8 @@
     std::map<connection_number, std::shared_ptr<database_connection>> connections_;
     std::map<waiter_number, waiter> waiters_;
     waiter_number last_waiter_;
+    std::size_t transactions_ = 0;
+    std::size_t max_transactions_ = 1;
     std::shared_ptr<control_channel> control_;
 };
 
--- a/libs/proxy/src/transaction_service.cpp
+++ b/libs/proxy/src/transaction_service.cpp
@@ -98,7 +98,8 @@
         }
         record = group->record();
     }
-    auto acquired = co_await group->link(record.primary).acquire(customer, deadline);
+    auto acquired =
+        co_await group->link(record.primary).acquire_for_transaction(customer, deadline);
     if (const auto* refusal = std::get_if<acquire_refused>(&acquired)) {
         co_return refuse(refusal::unavailable, "begin", refusal->reason, record.primary.str());
     }
