--- a/libs/control/include/masticgrade/control/proxy_admin.hpp
+++ b/libs/control/include/masticgrade/control/proxy_admin.hpp
@@ -17,6 +17,8 @@
     proxy_admin() = default;
     proxy_admin(const proxy_admin&) = delete;
     proxy_admin& operator=(const proxy_admin&) = delete;
+    proxy_admin(proxy_admin&&) = delete;
+    proxy_admin& operator=(proxy_admin&&) = delete;
     virtual ~proxy_admin() = default;
 
     /// The answer of any proxy to GET /admin/v1/status. Throws masticgrade::error when none answers
--- a/libs/control/src/run.cpp
+++ b/libs/control/src/run.cpp
@@ -42,8 +42,8 @@
     asio::awaitable<command_result> operator()(revoke_key_command command) const {
         return run_revoke_key(services, std::move(command));
     }
-    asio::awaitable<command_result> operator()(help_command) const { return refuse(); }
-    asio::awaitable<command_result> operator()(check_command) const { return refuse(); }
+    asio::awaitable<command_result> operator()(const help_command&) const { return refuse(); }
+    asio::awaitable<command_result> operator()(const check_command&) const { return refuse(); }
 
 private:
     [[noreturn]] static asio::awaitable<command_result> refuse() {
