--- a/libs/process/test/fleet_simulation.cpp
+++ b/libs/process/test/fleet_simulation.cpp
@@ -22,6 +22,15 @@
     for (std::size_t i = 0; i < settings_.hosts; ++i) {
         start(add_host());
     }
+    if (settings_.listed_at_start) {
+        members list;
+        for (const auto& each : hosts_) {
+            auto listed = each.description;
+            listed.incarnation = each.running->membership.self().incarnation;
+            list.hosts[listed.id] = std::move(listed);
+        }
+        record_version(std::move(list));
+    }
 }
 
 void fleet_simulation::run(milliseconds length) {
@@ -59,6 +68,10 @@
 
 std::size_t fleet_simulation::replace(std::size_t host) {
     kill(host);
+    return add();
+}
+
+std::size_t fleet_simulation::add() {
     const auto added = add_host();
     start(added);
     return added;
@@ -86,6 +99,10 @@
            hosts_[host].running->freshness.may_start_work(now_);
 }
 
+std::optional<duration> fleet_simulation::current_age(std::size_t host) const {
+    return hosts_[host].running->freshness.current_age(now_);
+}
+
 bool fleet_simulation::listed(std::size_t host) const {
     return store_list().hosts.contains(hosts_[host].description.id);
 }
@@ -106,6 +123,7 @@
                        endpoint_address{fmt::format("10.0.0.{}:1", number)},
                        failure_domain_id{fmt::format("fd-{}", number % 4)},
                        {}};
+    numbers_[description.id] = number;
     hosts_.push_back({std::move(description), nullptr});
     return number;
 }
@@ -121,8 +139,8 @@
     events_.push({now_ + delay, next_order_++, std::move(action)});
 }
 
-void fleet_simulation::deliver(std::size_t host, std::weak_ptr<process> target,
-                               process_action action) {
+void fleet_simulation::deliver(std::size_t host, const std::weak_ptr<process>& target,
+                               const process_action& action) {
     const auto running = target.lock();
     if (!running || hosts_[host].running != running) {
         return;
@@ -136,7 +154,7 @@
     check_work(host);
 }
 
-void fleet_simulation::send(std::size_t from, std::size_t to, process_action action) {
+void fleet_simulation::send(std::size_t from, std::size_t to, const process_action& action) {
     if (!connected(from, to) || chance(loss_) || !hosts_[to].running) {
         return;
     }
@@ -196,6 +214,7 @@
             schedule(random_delay(), [=, this] {
                 deliver(host, target, [=, this](process& self) {
                     self.freshness.on_store_read({sent_at, version}, now_);
+                    self.membership.on_store_answered(now_);
                     apply(host, version);
                 });
             });
@@ -209,6 +228,7 @@
 }
 
 void fleet_simulation::exchange(std::size_t host, const host_id& peer) {
+    ++exchanges_;
     const auto peer_number = number_of(peer);
     const std::weak_ptr<process> asking = hosts_[host].running;
     const auto asker = hosts_[host].running->membership.self();
@@ -233,8 +253,8 @@
 }
 
 void fleet_simulation::answer_exchange(std::size_t host, std::size_t asker, process& self,
-                                       std::weak_ptr<process> asking, time_point sent_at,
-                                       std::shared_ptr<bool> answered) {
+                                       const std::weak_ptr<process>& asking, time_point sent_at,
+                                       const std::shared_ptr<bool>& answered) {
     if (!self.has_snapshot) {
         return;
     }
@@ -317,14 +337,15 @@
     self.membership.on_list_applied(list, now_);
     self.freshness.set_self(self.membership.self());
     const auto identity = self.membership.self();
-    for (auto& [recorded, record] : versions_) {
-        if (recorded > version || record.accepted_at) {
+    for (auto& entry : versions_) {
+        auto& record = entry.second;
+        if (entry.first > version || record.accepted_at) {
             continue;
         }
         record.applied_by.insert({identity.id, identity.incarnation});
         const auto count = std::count_if(
-            record.list.hosts.begin(), record.list.hosts.end(), [&](const auto& entry) {
-                return record.applied_by.contains({entry.first, entry.second.incarnation});
+            record.list.hosts.begin(), record.list.hosts.end(), [&](const auto& listed) {
+                return record.applied_by.contains({listed.first, listed.second.incarnation});
             });
         if (!record.list.hosts.empty() &&
             static_cast<std::size_t>(count) >= acceptance_quorum(record.list.hosts.size())) {
@@ -356,12 +377,8 @@
 }
 
 std::optional<std::size_t> fleet_simulation::number_of(const host_id& id) const {
-    for (std::size_t i = 0; i < hosts_.size(); ++i) {
-        if (hosts_[i].description.id == id) {
-            return i;
-        }
-    }
-    return std::nullopt;
+    const auto found = numbers_.find(id);
+    return found == numbers_.end() ? std::nullopt : std::optional{found->second};
 }
 
 }  // namespace masticgrade::test
