Do not let single statements decide the shares of small customers

Cause: the demand of a customer with 1 statement/s comes from one host at a time, and that host got 70% of the burst; the next statement came to another host and found 1.5 tokens. Hosts now count as active for 30 s and each has 1 statement/s added to its demand.

Also adds the benchmark program and the report program.

--- /dev/null
+++ b/benchmarks/limits/limits_benchmark.cpp
@@ -0,0 +1,221 @@
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+#include <malloc.h>
+
+#include <memory>
+#include <vector>
+
+#include "masticgrade/limits/rate_shares.hpp"
+#include "masticgrade/request/fair_queue.hpp"
+
+using namespace masticgrade;
+
+namespace {
+
+constexpr time_point start = time_point{} + seconds(1000);
+
+host_id host_name(std::int64_t host) { return host_id{fmt::format("host-{}", host)}; }
+customer_id customer_name(std::int64_t customer) {
+    return customer_id{fmt::format("customer-{}", customer)};
+}
+
+fleet_snapshot_ptr make_snapshot(std::int64_t hosts, std::int64_t customers) {
+    fleet_snapshot snapshot;
+    snapshot.version = fleet_version{1};
+    snapshot.hosts.version = fleet_version{1};
+    for (std::int64_t host = 0; host < hosts; ++host) {
+        const auto id = host_name(host);
+        snapshot.hosts.hosts[id] = {id, endpoint_address{}, failure_domain_id{},
+                                    incarnation_number{1}};
+    }
+    for (std::int64_t customer = 0; customer < customers; ++customer) {
+        const auto id = customer_name(customer);
+        snapshot.config.customers[id] = {id, 1e6, 1e6, {}, {}};
+    }
+    return std::make_shared<const fleet_snapshot>(std::move(snapshot));
+}
+
+/// An owner of every customer with a share of each member in its ledger, and a report from every
+/// member, as before a round of rebalancing.
+struct loaded_owner {
+    explicit loaded_owner(std::int64_t hosts, std::int64_t customers)
+        : snapshot(make_snapshot(1, customers)),
+          owner({host_name(0), {incarnation_number{1}}}, {}, start) {
+        share_actions actions;
+        owner.on_freshness(start + std::chrono::hours(1));
+        owner.on_snapshot(snapshot, start, actions);
+        answer(0, customers, snapshot->version);
+        now += seconds(4);
+        owner.on_timer(now, actions);
+        // Members that join a complete ledger hold nothing and report demand only.
+        auto grown = *snapshot;
+        grown.version = fleet_version{2};
+        for (std::int64_t host = 1; host < hosts; ++host) {
+            grown.hosts.hosts[host_name(host)] = {host_name(host), {}, {}, incarnation_number{1}};
+        }
+        owner.on_snapshot(std::make_shared<const fleet_snapshot>(std::move(grown)), now, actions);
+        report(hosts, customers);
+    }
+
+    void answer(std::int64_t host, std::int64_t customers, fleet_version ownership) {
+        share_report report;
+        for (std::int64_t customer = 0; customer < customers; ++customer) {
+            report.shares.push_back({customer_name(customer), ownership, {}, 10});
+        }
+        deliver(host, std::move(report));
+    }
+
+    void report(std::int64_t hosts, std::int64_t customers) {
+        for (std::int64_t host = 0; host < hosts; ++host) {
+            answer(host, customers, fleet_version{});
+        }
+    }
+
+    void deliver(std::int64_t host, share_message body) {
+        share_actions actions;
+        owner.on_message({host_name(host), incarnation_number{1}, host_name(0),
+                          incarnation_number{1}, fleet_version{1}, std::move(body)},
+                         now, actions);
+        acknowledge(actions);
+    }
+
+    void acknowledge(const share_actions& actions) {
+        for (const auto& action : actions) {
+            const auto* message = std::get_if<send_message>(&action);
+            const auto* assignment = message == nullptr
+                                         ? nullptr
+                                         : std::get_if<share_assignment>(&message->envelope.body);
+            if (assignment == nullptr) {
+                continue;
+            }
+            share_ack ack;
+            for (const auto& share : assignment->shares) {
+                ack.shares.push_back({share.customer, share.ownership, share.sequence, 0});
+            }
+            auto reply = message->envelope;
+            std::swap(reply.sender, reply.recipient);
+            reply.body = std::move(ack);
+            share_actions more;
+            owner.on_message(reply, now, more);
+        }
+    }
+
+    fleet_snapshot_ptr snapshot;
+    time_point now = start;
+    share_owner owner;
+};
+
+}  // namespace
+
+/// The admission check of one statement with a share, for a number of customers.
+void admission_check(benchmark::State& state) {
+    const auto customers = state.range(0);
+    share_settings settings;
+    settings.mode = share_mode::static_split;
+    share_holder holder({host_name(0), incarnation_number{1}}, settings, start);
+    share_actions actions;
+    holder.on_freshness(start + std::chrono::hours(100));
+    holder.on_snapshot(make_snapshot(1, customers), start, actions);
+    std::vector<customer_id> names;
+    for (std::int64_t customer = 0; customer < customers; ++customer) {
+        names.push_back(customer_name(customer));
+        holder.admit(names.back(), start + seconds(5), start, actions);
+    }
+    auto now = start + seconds(10);
+    std::size_t next = 0;
+    std::int64_t admitted_count = 0;
+    for (auto _ : state) {
+        now += microseconds(2);
+        const auto result = holder.admit(names[next], now + seconds(5), now, actions);
+        admitted_count += std::holds_alternative<admitted>(result);
+        next = next + 1 == names.size() ? 0 : next + 1;
+    }
+    state.counters["admitted"] =
+        static_cast<double>(admitted_count) / static_cast<double>(state.iterations());
+}
+BENCHMARK(admission_check)->Arg(8)->Arg(64)->Arg(512)->Arg(4096);
+
+/// One rebalancing round of an owner: reports from all members and the timer, per customer.
+void owner_round(benchmark::State& state) {
+    const auto hosts = state.range(0);
+    const auto customers = state.range(1);
+    loaded_owner loaded(hosts, customers);
+    for (auto _ : state) {
+        loaded.now += milliseconds(500);
+        loaded.report(hosts, customers);
+        share_actions actions;
+        loaded.owner.on_timer(loaded.now, actions);
+        loaded.acknowledge(actions);
+    }
+    state.counters["us_per_customer"] = benchmark::Counter(
+        static_cast<double>(customers) * 1e-6,
+        benchmark::Counter::kIsIterationInvariantRate | benchmark::Counter::kInvert);
+    state.counters["complete"] = loaded.owner.is_complete(customer_name(0)) ? 1 : 0;
+}
+BENCHMARK(owner_round)
+    ->Args({7, 8})
+    ->Args({7, 64})
+    ->Args({35, 8})
+    ->Args({140, 8})
+    ->Args({550, 8})
+    ->Args({550, 32});
+
+/// A new members list: which customers an owner owns, for hosts and customers.
+void members_change(benchmark::State& state) {
+    const auto customers = state.range(1);
+    auto snapshot = *make_snapshot(state.range(0), customers);
+    share_owner owner({host_name(0), incarnation_number{1}}, {}, start);
+    share_actions actions;
+    for (auto _ : state) {
+        snapshot.version = snapshot.hosts.version = snapshot.version.next();
+        owner.on_snapshot(std::make_shared<const fleet_snapshot>(snapshot), start, actions);
+        actions.clear();
+    }
+}
+BENCHMARK(members_change)->Args({7, 64})->Args({35, 64})->Args({140, 64})->Args({550, 64});
+
+/// Bytes per customer at an owner with a share of every member, and at a holder.
+void memory_per_customer(benchmark::State& state) {
+    const auto hosts = state.range(0);
+    constexpr std::int64_t customers = 64;
+    double owner_bytes = 0;
+    double holder_bytes = 0;
+    for (auto _ : state) {
+        const auto before = mallinfo2().uordblks;
+        auto loaded = std::make_unique<loaded_owner>(hosts, customers);
+        const auto with_owner = mallinfo2().uordblks;
+        share_holder holder({host_name(0), incarnation_number{1}}, {}, start);
+        share_actions actions;
+        holder.on_freshness(start + seconds(10));
+        holder.on_snapshot(loaded->snapshot, start, actions);
+        actions = {};
+        const auto empty_holder = mallinfo2().uordblks;
+        for (std::int64_t customer = 0; customer < customers; ++customer) {
+            holder.admit(customer_name(customer), start, start, actions);
+        }
+        const auto with_holder = mallinfo2().uordblks;
+        owner_bytes = static_cast<double>(with_owner - before) / customers;
+        holder_bytes = static_cast<double>(with_holder - empty_holder) / customers;
+    }
+    state.counters["owner_bytes"] = owner_bytes;
+    state.counters["holder_bytes"] = holder_bytes;
+}
+BENCHMARK(memory_per_customer)->Arg(7)->Arg(35)->Arg(140)->Arg(550)->Iterations(3);
+
+/// One push and one pop of a queue that holds entries of a number of customers.
+void fair_queue_step(benchmark::State& state) {
+    const auto customers = state.range(0);
+    fair_queue<std::int64_t> queue;
+    std::vector<customer_id> names;
+    for (std::int64_t customer = 0; customer < customers; ++customer) {
+        names.push_back(customer_name(customer));
+        for (int count = 0; count < 4; ++count) {
+            queue.push(names.back(), customer, start + seconds(5), start);
+        }
+    }
+    for (auto _ : state) {
+        const auto taken = queue.pop(start);
+        queue.push(names[*taken.next], *taken.next, start + seconds(5), start);
+    }
+}
+BENCHMARK(fair_queue_step)->Arg(1)->Arg(8)->Arg(32)->Arg(100);
--- a/libs/limits/include/masticgrade/limits/share_settings.hpp
+++ b/libs/limits/include/masticgrade/limits/share_settings.hpp
@@ -29,6 +29,11 @@
     double clock_margin = 0.01;
     /// The part of the assigned rate and burst that is spread evenly; the rest follows demand.
     double even_part = 0.3;
+    /// A host counts as serving a customer for so long after its last statement.
+    duration active_window = seconds(30);
+    /// Statements per second added to the demand of each active host. Without it, the one host that
+    /// happened to see a statement of a small customer would get nearly the whole burst.
+    double demand_noise = 1;
     /// Kept in the pool for transfers, so that a sudden demand is served before the next round.
     double pool_rate_reserve = 0.1;
     double pool_burst_reserve = 0.3;
--- a/libs/limits/src/owner_account.cpp
+++ b/libs/limits/src/owner_account.cpp
@@ -106,7 +106,9 @@
     // A member that is not in the ledger joined after it was complete and holds nothing.
     auto& entry = ledger_[holder];
     entry.demand = share.demand;
-    entry.demand_time = now;
+    if (share.demand > 0) {
+        entry.demand_time = now;
+    }
     return false;
 }
 
@@ -318,8 +320,8 @@
 }
 
 bool owner_account::is_active(const ledger_entry& entry, time_point now) const {
-    return !entry.removed && entry.demand > 0 &&
-           now - entry.demand_time <= 4 * settings_.rebalance_interval;
+    return !entry.removed && entry.demand_time != time_point{} &&
+           now - entry.demand_time <= settings_.active_window;
 }
 
 void owner_account::plan(time_point now) {
@@ -331,7 +333,7 @@
     for (const auto& [holder, entry] : ledger_) {
         if (is_active(entry, now)) {
             active += 1;
-            demand += entry.demand;
+            demand += entry.demand + settings_.demand_noise;
         }
     }
     const auto rate = 1 - settings_.pool_rate_reserve;
@@ -341,8 +343,8 @@
         if (!is_active(entry, now)) {
             continue;
         }
-        const auto weight =
-            settings_.even_part / active + (1 - settings_.even_part) * entry.demand / demand;
+        const auto by_demand = (entry.demand + settings_.demand_noise) / demand;
+        const auto weight = settings_.even_part / active + (1 - settings_.even_part) * by_demand;
         // A share that exists may become somewhat smaller before it ends, so that a demand near the
         // limit does not create and end it in every round.
         const auto least =
