--- a/benchmarks/limits/limits_benchmark.cpp
+++ b/benchmarks/limits/limits_benchmark.cpp
@@ -7,6 +7,7 @@
 
 #include "masticgrade/limits/rate_shares.hpp"
 #include "masticgrade/request/fair_queue.hpp"
+#include "masticgrade/version/rendezvous.hpp"
 
 using namespace masticgrade;
 
@@ -19,7 +20,31 @@
     return customer_id{fmt::format("customer-{}", customer)};
 }
 
-fleet_snapshot_ptr make_snapshot(std::int64_t hosts, std::int64_t customers) {
+/// Names of customers that the first host owns among so many hosts.
+std::vector<customer_id> owned_names(std::int64_t hosts, std::int64_t count) {
+    members list;
+    for (std::int64_t host = 0; host < hosts; ++host) {
+        list.hosts[host_name(host)] = {};
+        list.hosts[host_name(host)].id = host_name(host);
+    }
+    std::vector<customer_id> names;
+    for (std::int64_t tried = 0; static_cast<std::int64_t>(names.size()) < count; ++tried) {
+        if (rank_hosts(list, customer_name(tried).str(), 1).front() == host_name(0)) {
+            names.push_back(customer_name(tried));
+        }
+    }
+    return names;
+}
+
+std::vector<customer_id> first_names(std::int64_t count) {
+    std::vector<customer_id> names;
+    for (std::int64_t customer = 0; customer < count; ++customer) {
+        names.push_back(customer_name(customer));
+    }
+    return names;
+}
+
+fleet_snapshot_ptr make_snapshot(std::int64_t hosts, const std::vector<customer_id>& customers) {
     fleet_snapshot snapshot;
     snapshot.version = fleet_version{1};
     snapshot.hosts.version = fleet_version{1};
@@ -28,8 +53,7 @@
         snapshot.hosts.hosts[id] = {id, endpoint_address{}, failure_domain_id{},
                                     incarnation_number{1}};
     }
-    for (std::int64_t customer = 0; customer < customers; ++customer) {
-        const auto id = customer_name(customer);
+    for (const auto& id : customers) {
         snapshot.config.customers[id] = {id, 1e6, 1e6, {}, {}};
     }
     return std::make_shared<const fleet_snapshot>(std::move(snapshot));
@@ -39,12 +63,13 @@
 /// member, as before a round of rebalancing.
 struct loaded_owner {
     explicit loaded_owner(std::int64_t hosts, std::int64_t customers)
-        : snapshot(make_snapshot(1, customers)),
-          owner({host_name(0), {incarnation_number{1}}}, {}, start) {
+        : names(owned_names(hosts, customers)),
+          snapshot(make_snapshot(1, names)),
+          owner({host_name(0), incarnation_number{1}}, {}, start) {
         share_actions actions;
         owner.on_freshness(start + std::chrono::hours(1));
         owner.on_snapshot(snapshot, start, actions);
-        answer(0, customers, snapshot->version);
+        answer(0, snapshot->version);
         now += seconds(4);
         owner.on_timer(now, actions);
         // Members that join a complete ledger hold nothing and report demand only.
@@ -54,20 +79,20 @@
             grown.hosts.hosts[host_name(host)] = {host_name(host), {}, {}, incarnation_number{1}};
         }
         owner.on_snapshot(std::make_shared<const fleet_snapshot>(std::move(grown)), now, actions);
-        report(hosts, customers);
+        report(hosts);
     }
 
-    void answer(std::int64_t host, std::int64_t customers, fleet_version ownership) {
+    void answer(std::int64_t host, fleet_version ownership) {
         share_report report;
-        for (std::int64_t customer = 0; customer < customers; ++customer) {
-            report.shares.push_back({customer_name(customer), ownership, {}, 10});
+        for (const auto& customer : names) {
+            report.shares.push_back({customer, ownership, {}, 10});
         }
         deliver(host, std::move(report));
     }
 
-    void report(std::int64_t hosts, std::int64_t customers) {
+    void report(std::int64_t hosts) {
         for (std::int64_t host = 0; host < hosts; ++host) {
-            answer(host, customers, fleet_version{});
+            answer(host, fleet_version{});
         }
     }
 
@@ -100,6 +125,7 @@
         }
     }
 
+    std::vector<customer_id> names;
     fleet_snapshot_ptr snapshot;
     time_point now = start;
     share_owner owner;
@@ -109,17 +135,15 @@
 
 /// The admission check of one statement with a share, for a number of customers.
 void admission_check(benchmark::State& state) {
-    const auto customers = state.range(0);
+    const auto names = first_names(state.range(0));
     share_settings settings;
     settings.mode = share_mode::static_split;
     share_holder holder({host_name(0), incarnation_number{1}}, settings, start);
     share_actions actions;
     holder.on_freshness(start + std::chrono::hours(100));
-    holder.on_snapshot(make_snapshot(1, customers), start, actions);
-    std::vector<customer_id> names;
-    for (std::int64_t customer = 0; customer < customers; ++customer) {
-        names.push_back(customer_name(customer));
-        holder.admit(names.back(), start + seconds(5), start, actions);
+    holder.on_snapshot(make_snapshot(1, names), start, actions);
+    for (const auto& name : names) {
+        holder.admit(name, start + seconds(5), start, actions);
     }
     auto now = start + seconds(10);
     std::size_t next = 0;
@@ -142,7 +166,7 @@
     loaded_owner loaded(hosts, customers);
     for (auto _ : state) {
         loaded.now += milliseconds(500);
-        loaded.report(hosts, customers);
+        loaded.report(hosts);
         share_actions actions;
         loaded.owner.on_timer(loaded.now, actions);
         loaded.acknowledge(actions);
@@ -150,7 +174,7 @@
     state.counters["us_per_customer"] = benchmark::Counter(
         static_cast<double>(customers) * 1e-6,
         benchmark::Counter::kIsIterationInvariantRate | benchmark::Counter::kInvert);
-    state.counters["complete"] = loaded.owner.is_complete(customer_name(0)) ? 1 : 0;
+    state.counters["complete"] = loaded.owner.is_complete(loaded.names.front()) ? 1 : 0;
 }
 BENCHMARK(owner_round)
     ->Args({7, 8})
@@ -162,8 +186,7 @@
 
 /// A new members list: which customers an owner owns, for hosts and customers.
 void members_change(benchmark::State& state) {
-    const auto customers = state.range(1);
-    auto snapshot = *make_snapshot(state.range(0), customers);
+    auto snapshot = *make_snapshot(state.range(0), first_names(state.range(1)));
     share_owner owner({host_name(0), incarnation_number{1}}, {}, start);
     share_actions actions;
     for (auto _ : state) {
@@ -190,8 +213,8 @@
         holder.on_snapshot(loaded->snapshot, start, actions);
         actions = {};
         const auto empty_holder = mallinfo2().uordblks;
-        for (std::int64_t customer = 0; customer < customers; ++customer) {
-            holder.admit(customer_name(customer), start, start, actions);
+        for (const auto& name : loaded->names) {
+            holder.admit(name, start, start, actions);
         }
         const auto with_holder = mallinfo2().uordblks;
         owner_bytes = static_cast<double>(with_owner - before) / customers;
