--- a/libs/connection/include/masticgrade/connection/transaction_state.hpp
+++ b/libs/connection/include/masticgrade/connection/transaction_state.hpp
@@ -50,6 +50,8 @@
 public:
     transaction_state(transaction_id id, customer_id customer, connection_number connection,
                       time_point deadline);
+    transaction_state(const transaction_state&) = delete;
+    transaction_state& operator=(const transaction_state&) = delete;
     transaction_state(transaction_state&&) noexcept;
     transaction_state& operator=(transaction_state&&) noexcept;
     ~transaction_state();
--- a/libs/failover/include/masticgrade/failover/group_health.hpp
+++ b/libs/failover/include/masticgrade/failover/group_health.hpp
@@ -32,7 +32,7 @@
 /// Thread safety: none; the owner serialises calls.
 class group_health {
 public:
-    explicit group_health(std::vector<instance_id> instances);
+    explicit group_health(const std::vector<instance_id>& instances);
 
     /// Answers of older requests than the last one, and of older terms, change nothing but
     /// reachability.
--- a/libs/failover/src/acknowledgement.cpp
+++ b/libs/failover/src/acknowledgement.cpp
@@ -151,7 +151,8 @@
 void acknowledgement::resolve(time_point now, acknowledgement_actions& actions) {
     const auto confirmed = majority_position();
     while (!by_target_.empty() && by_target_.begin()->first <= confirmed) {
-        const auto [target, write] = *by_target_.begin();
+        const auto target = by_target_.begin()->first;
+        const auto write = by_target_.begin()->second;
         MG_INVARIANT(
             "acknowledged_by_majority",
             accepting_ && target >= start_position_ && holders(target) >= instances_.size() / 2 + 1,
--- a/libs/failover/src/group_health.cpp
+++ b/libs/failover/src/group_health.cpp
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-group_health::group_health(std::vector<instance_id> instances) { on_instances(instances); }
+group_health::group_health(const std::vector<instance_id>& instances) { on_instances(instances); }
 
 void group_health::on_progress(const instance_progress& progress) {
     for (std::size_t i = 0; i < instances_.size(); ++i) {
--- a/libs/failover/src/promotion.cpp
+++ b/libs/failover/src/promotion.cpp
@@ -32,7 +32,7 @@
 struct commit_in_doubt {};
 
 // A state names its request, how often it is repeated, how long the state may last, and the
-// failure that follows when it lasts longer.
+// failure that follows when it lasts longer, unless the attempt then goes on in another way.
 
 struct preparing_step {
     static constexpr auto failure = promotion_failure::no_candidate;
@@ -56,7 +56,6 @@
 };
 
 struct sealing_primary_step {
-    static constexpr auto failure = promotion_failure::no_majority;
     static duration retry(const promotion_settings& settings) { return settings.instance_retry; }
     static duration limit(const promotion_attempt& attempt) {
         return attempt.settings().catch_up_limit;
@@ -64,7 +63,6 @@
     static void request(promotion_attempt& attempt) { attempt.request_seal_of_primary(); }
 };
 struct catching_up_step {
-    static constexpr auto failure = promotion_failure::no_majority;
     static duration retry(const promotion_settings& settings) { return settings.catch_up_poll; }
     static duration limit(const promotion_attempt& attempt) {
         return attempt.settings().catch_up_limit;
@@ -88,7 +86,6 @@
     static void request(promotion_attempt& attempt) { attempt.request_promote(); }
 };
 struct following_step {
-    static constexpr auto failure = promotion_failure::superseded;
     static duration retry(const promotion_settings& settings) { return settings.instance_retry; }
     static duration limit(const promotion_attempt& attempt) {
         return attempt.settings().follow_limit;
@@ -107,7 +104,7 @@
         attempt.repeat_requests_in(Step::retry(attempt.settings()));
         Step::request(attempt);
     }
-    static constexpr promotion_failure failure = Step::failure;
+    using step = Step;
 };
 
 struct idle : front::state<> {};
@@ -166,8 +163,8 @@
 };
 struct give_up {
     template <class Event, class Machine, class Source, class Target>
-    void operator()(const Event&, Machine& machine, Source& source, Target&) const {
-        machine.attempt->report_failure(source.failure);
+    void operator()(const Event&, Machine& machine, Source&, Target&) const {
+        machine.attempt->report_failure(Source::step::failure);
     }
 };
 
--- a/libs/failover/test/group_model.cpp
+++ b/libs/failover/test/group_model.cpp
@@ -25,9 +25,15 @@
     for (int i = 0; i < host_count; ++i) {
         start_host(i);
     }
+    measure_gaps();
     after(tick_interval, [this] { tick(); });
 }
 
+void group_model::measure_gaps() {
+    last_acknowledged_.assign(host_count, now_);
+    longest_gap_.assign(host_count, duration::zero());
+}
+
 void group_model::start_host(int number) {
     auto& started = hosts_[index(number)];
     ++started.epoch;
--- a/libs/failover/test/group_model.hpp
+++ b/libs/failover/test/group_model.hpp
@@ -57,7 +57,9 @@
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
     [[nodiscard]] std::size_t acknowledged() const { return acknowledged_.size(); }
     [[nodiscard]] std::size_t cancelled() const { return cancelled_.size(); }
-    [[nodiscard]] const std::vector<duration>& write_gaps() const { return write_gaps_; }
+    /// Starts to measure the longest time between two acknowledgements of each host.
+    void measure_gaps();
+    [[nodiscard]] duration longest_gap(int host) const { return longest_gap_[index(host)]; }
     [[nodiscard]] const group_record& record() const { return row_; }
     [[nodiscard]] int primary_index() const;
     /// The instance that was promoted last, whatever the store says.
@@ -175,8 +177,8 @@
     std::set<std::string> cancelled_;
     std::map<term_number, instance_id> promoted_at_;
     std::map<term_number, instance_id> acknowledged_at_;
-    time_point last_acknowledged_{seconds{1000}};
-    std::vector<duration> write_gaps_;
+    std::vector<time_point> last_acknowledged_;
+    std::vector<duration> longest_gap_;
     std::vector<std::string> violations_;
 };
 
--- a/libs/failover/test/group_model_actions.cpp
+++ b/libs/failover/test/group_model_actions.cpp
@@ -138,8 +138,9 @@
     op.over = true;
     (op.found ? acknowledged_ : cancelled_).insert(op.key);
     check_held_by_majority(op);
-    write_gaps_.push_back(now_ - last_acknowledged_);
-    last_acknowledged_ = now_;
+    auto& last = last_acknowledged_[index(number)];
+    longest_gap_[index(number)] = std::max(longest_gap_[index(number)], now_ - last);
+    last = now_;
     const auto author = promoted_at_[op.term];
     if (!acknowledged_at_.emplace(op.term, author).second && acknowledged_at_[op.term] != author) {
         violated(fmt::format("two instances acknowledged at term {}", op.term));
