--- a/libs/proxy/src/group_runtime.hpp
+++ b/libs/proxy/src/group_runtime.hpp
@@ -29,6 +29,10 @@
 
     [[nodiscard]] const group_config& config() const noexcept { return config_; }
     [[nodiscard]] group_record record() const;
+    [[nodiscard]] bool has_instance(const instance_id& instance) const {
+        return links_.contains(instance);
+    }
+    /// Precondition: the group has the instance.
     [[nodiscard]] instance_link& link(const instance_id& instance) const;
     [[nodiscard]] std::vector<instance_view> views(time_point now) const;
     [[nodiscard]] std::vector<instance_health> health() const;
@@ -38,6 +42,8 @@
     void on_members(std::size_t member_count);
     /// Instances that are drained or leaving get no new work, unless one of them is the primary.
     void set_draining(std::set<instance_id> draining);
+    /// What part of its normal load each instance may get as new work; see `drain`.
+    void set_new_work_shares(const std::map<instance_id, double>& shares);
     /// Takes note of what every answer of an instance carries.
     void on_reply(const instance_id& instance, const database_reply& reply, time_point sent_at);
     /// A statement for the group arrived; its instances' state is kept up to date for a while.
@@ -90,6 +96,7 @@
     group_health health_;
     acknowledgement acknowledgement_;
     std::set<instance_id> draining_;
+    std::map<instance_id, double> new_work_shares_;
     write_number last_write_;
     std::map<write_number, verdict_result> pending_;
     std::vector<record_result> record_waiters_;
