--- a/libs/net/include/masticgrade/net/platform_client.hpp
+++ b/libs/net/include/masticgrade/net/platform_client.hpp
@@ -12,6 +12,8 @@
 class platform_client final : public table_service {
 public:
     platform_client(const boost::asio::any_io_executor& executor, endpoint_address platform);
+    platform_client(const platform_client&) = delete;
+    platform_client& operator=(const platform_client&) = delete;
     ~platform_client() override;
 
     boost::asio::awaitable<scan_result> scan(std::string prefix, fleet_version modified_after,
--- a/libs/net/src/endpoint.cpp
+++ b/libs/net/src/endpoint.cpp
@@ -4,7 +4,6 @@
 #include <string_view>
 
 #include "masticgrade/base/error.hpp"
-#include "masticgrade/net/address.hpp"
 
 namespace masticgrade {
 
@@ -27,13 +26,4 @@
     return {ip, port};
 }
 
-bool is_valid_address(const endpoint_address& address) {
-    try {
-        parse_endpoint(address);
-        return true;
-    } catch (const error&) {
-        return false;
-    }
-}
-
 }  // namespace masticgrade
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/version.hpp>
+#include <cerrno>
 #include <utility>
 
 #include "endpoint.hpp"
@@ -56,6 +57,10 @@
     }
 
     asio::awaitable<http_response> exchange(http_request request, time_point deadline) {
+        if (is_stale()) {
+            shut_down();
+            throw request_error("send", peer_.str(), "the peer had closed the connection", false);
+        }
         http::request<http::string_body> message;
         message.method_string(request.method);
         message.target(request.target);
@@ -84,6 +89,16 @@
         }
     }
 
+    /// Whether the peer closed the idle connection, or sent bytes that belong to no request.
+    /// Nothing of the next request has been sent then, so the caller may safely use another
+    /// connection.
+    bool is_stale() {
+        char byte = 0;
+        const auto received =
+            ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     void shut_down() {
         open_ = false;
         boost::system::error_code ignored;
--- a/libs/proxy/src/settings.cpp
+++ b/libs/proxy/src/settings.cpp
@@ -8,7 +8,7 @@
 #include <sstream>
 
 #include "masticgrade/base/error.hpp"
-#include "masticgrade/net/address.hpp"
+#include "masticgrade/version/text_rules.hpp"
 
 namespace masticgrade {
 
@@ -19,7 +19,6 @@
 constexpr unsigned max_threads = 64;
 constexpr unsigned max_balancer_grace_ms = 600000;
 constexpr std::size_t min_secret_length = 16;
-constexpr std::size_t max_name_length = 64;
 
 po::options_description describe_options() {
     po::options_description options{"Settings (flag, or environment variable MASTICGRADE_<FLAG>)"};
@@ -71,21 +70,18 @@
 
 std::string checked_name(const po::variables_map& values, const std::string& name) {
     const auto value = required(values, name);
-    const bool valid = !value.empty() && value.size() <= max_name_length &&
-                       std::all_of(value.begin(), value.end(),
-                                   [](unsigned char c) { return c > ' ' && c != '"' && c != 127; });
-    if (!valid) {
-        reject(name, value, "a name of 1 to 64 characters without spaces");
+    // The members row refuses other names, and would then be unreadable for the whole fleet.
+    if (!is_valid_name(value)) {
+        reject(name, value, "a name of 1 to 128 bytes without spaces and / ? # % \" \\");
     }
     return value;
 }
 
 endpoint_address checked_address(const std::string& name, const std::string& value) {
-    const endpoint_address address{value};
-    if (!is_valid_address(address)) {
+    if (!is_valid_address(value)) {
         reject(name, value, "of the form ip:port");
     }
-    return address;
+    return endpoint_address{value};
 }
 
 unsigned checked_number(const po::variables_map& values, const std::string& name, unsigned lowest,
--- a/libs/proxy/src/statement_service.cpp
+++ b/libs/proxy/src/statement_service.cpp
@@ -20,6 +20,13 @@
 constexpr milliseconds replica_wait{20};
 constexpr milliseconds record_wait{500};
 
+/// A read may be repeated, so that a connection that has gone silent costs only a part of its time.
+time_point try_deadline(time_point deadline, time_point now) {
+    constexpr int share = 3;
+    constexpr milliseconds shortest{200};
+    return std::min(deadline, now + std::max<duration>((deadline - now) / share, shortest));
+}
+
 double draw_fraction() {
     thread_local std::minstd_rand random{std::random_device{}()};
     return std::uniform_real_distribution<double>{0, 1}(random);
@@ -131,7 +138,7 @@
     database_reply reply;
     try {
         auto& lease = std::get<connection_lease>(acquired);
-        reply = co_await lease.call(std::move(call), request.deadline);
+        reply = co_await lease.call(std::move(call), try_deadline(request.deadline, sent_at));
         if (reply.status == database_status::too_many_connections) {
             lease.discard();
         }
