--- a/libs/connection/include/masticgrade/connection/connection_pool.hpp
+++ b/libs/connection/include/masticgrade/connection/connection_pool.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
 #include <optional>
 #include <string>
 #include <variant>
@@ -10,6 +9,7 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
 #include "masticgrade/connection/backend_connection_state.hpp"
+#include "masticgrade/request/fair_queue.hpp"
 
 namespace masticgrade {
 
@@ -40,11 +40,19 @@
 using pool_actions = std::vector<pool_action>;
 
 struct pool_settings {
+    /// Kept open even without load, so that no other host can take this host's part of the
+    /// instance's limit.
+    std::size_t kept_connections = 1;
+    /// Opened under load as long as the instance accepts them.
     std::size_t max_connections = 2;
-    std::size_t max_waiting = 512;
-    std::size_t max_waiting_per_customer = 64;
-    /// An instance that refused a connection is not asked again for this long.
+    fair_queue_settings queue;
+    /// An instance that refused a connection is not asked again for this long; the pause doubles
+    /// with each failure up to the limit.
     milliseconds open_retry_delay{50};
+    milliseconds open_retry_limit{1000};
+    /// A connection above `kept_connections` closes after this time without a statement, because
+    /// other hosts may need it.
+    milliseconds idle_close_after{200};
 };
 
 /// One host's connections to one instance, and the statements that wait for them.
@@ -65,13 +73,13 @@
     /// An idle connection was lost.
     pool_actions on_lost(connection_number connection, time_point now);
     /// The members or the instance's limit changed; excess connections close when they are idle.
-    pool_actions set_max_connections(std::size_t limit, time_point now);
+    pool_actions set_limits(std::size_t kept, std::size_t limit, time_point now);
     /// Refuses every waiter and closes idle connections; used when the instance leaves.
-    pool_actions refuse_all(const std::string& reason);
+    pool_actions refuse_all(const std::string& reason, time_point now);
     pool_actions on_time(time_point now);
 
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
-    [[nodiscard]] std::size_t waiting() const noexcept { return queued_; }
+    [[nodiscard]] std::size_t waiting() const { return queue_.size(); }
     [[nodiscard]] std::size_t open() const noexcept;
     [[nodiscard]] std::size_t busy() const noexcept;
 
@@ -79,31 +87,24 @@
     struct connection_slot {
         connection_number number;
         backend_connection_state state;
+        time_point idle_since = {};
     };
-    struct waiter_entry {
-        waiter_number number;
-        time_point deadline;
-    };
-    /// Waiters of one customer in order of arrival.
-    struct customer_queue {
-        customer_id customer;
-        std::deque<waiter_entry> entries;
-    };
-
     connection_slot* find(connection_number number);
-    customer_queue& queue_for(const customer_id& customer);
-    std::optional<waiter_number> next_waiter();
+    std::optional<waiter_number> next_waiter(time_point now, pool_actions& actions);
+    void refuse_waiters(const std::string& reason, time_point now, pool_actions& actions);
     void expire(time_point now, pool_actions& actions);
     void drop_excess(pool_actions& actions);
+    void close_unused(time_point now, pool_actions& actions);
+    void open_one(pool_actions& actions);
     void serve(time_point now, pool_actions& actions);
     [[nodiscard]] std::size_t count(connection_phase phase) const noexcept;
 
     pool_settings settings_;
     std::vector<connection_slot> connections_;
-    std::deque<customer_queue> queues_;
-    std::size_t queued_ = 0;
+    fair_queue<waiter_number> queue_;
     connection_number last_number_;
     time_point open_allowed_from_;
+    unsigned open_failures_ = 0;
 };
 
 }  // namespace masticgrade
--- a/libs/failover/test/group_model_actions.cpp
+++ b/libs/failover/test/group_model_actions.cpp
@@ -138,8 +138,9 @@
     op.over = true;
     (op.found ? acknowledged_ : cancelled_).insert(op.key);
     check_held_by_majority(op);
-    write_gaps_.push_back(now_ - last_acknowledged_);
-    last_acknowledged_ = now_;
+    auto& last = last_acknowledged_[index(number)];
+    longest_gap_[index(number)] = std::max(longest_gap_[index(number)], now_ - last);
+    last = now_;
     const auto author = promoted_at_[op.term];
     if (!acknowledged_at_.emplace(op.term, author).second && acknowledged_at_[op.term] != author) {
         violated(fmt::format("two instances acknowledged at term {}", op.term));
@@ -276,12 +277,13 @@
         call(
             number, index_of(action.instance),
             [action](instance& at) {
+                const bool active = at.term == action.term && at.role != instance_role::sealed;
                 if (action.term > at.term) {
                     at.term = action.term;
                     at.role = instance_role::sealed;
                 }
-                return seal_answer{at.id, action.term, at.term == action.term, at.last_term(),
-                                   at.received()};
+                return seal_answer{at.id,   action.term,    !active && at.term == action.term,
+                                   at.term, at.last_term(), at.received()};
             },
             [=, this](const seal_answer& answer) { feed(number, answer); });
     };
@@ -301,7 +303,7 @@
                 }
                 return promote_answer{at.id, action.term,
                                       action.term == at.term && at.role == instance_role::primary,
-                                      at.start};
+                                      at.term, at.start};
             },
             [=, this](const promote_answer& answer) { feed(number, answer); });
     };
