--- a/libs/process/include/masticgrade/process/membership.hpp
+++ b/libs/process/include/masticgrade/process/membership.hpp
@@ -14,6 +14,7 @@
 #include "masticgrade/process/freshness.hpp"
 #include "masticgrade/process/recent_lists.hpp"
 #include "masticgrade/version/fleet_snapshot.hpp"
+#include "masticgrade/version/table_row.hpp"
 
 namespace masticgrade {
 
@@ -62,6 +63,9 @@
     members proposed;
 };
 
+/// The commit for a proposed change. Precondition: `mark` is not empty. Thread safety: reentrant.
+table_commit make_commit(const change_members& change, std::string mark);
+
 using membership_action = std::variant<exchange_with, change_members>;
 
 /// What an exchange reply says about the members list, for the list that the sender has applied.
--- a/libs/process/src/membership.cpp
+++ b/libs/process/src/membership.cpp
@@ -13,6 +13,7 @@
 #include "masticgrade/process/proof_ages.hpp"
 #include "masticgrade/process/quorum.hpp"
 #include "masticgrade/version/rendezvous.hpp"
+#include "masticgrade/version/row_codec.hpp"
 
 namespace masticgrade {
 
@@ -34,6 +35,12 @@
 
 }  // namespace
 
+table_commit make_commit(const change_members& change, std::string mark) {
+    const std::string key{members_row_key};
+    return {{{key, change.based_on}},
+            {{key, encode_members_row(change.proposed, std::move(mark))}}};
+}
+
 membership::membership(member self, membership_settings settings, std::mt19937_64 random,
                        time_point now)
     : self_(std::move(self)),
--- a/libs/process/test/membership_test.cpp
+++ b/libs/process/test/membership_test.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 
 #include "fleet_simulation.hpp"
+#include "masticgrade/version/row_codec.hpp"
 
 using namespace masticgrade;
 using masticgrade::test::fleet_simulation;
@@ -144,6 +145,10 @@
     CHECK(change.kind == members_change_kind::leave);
     CHECK(change.based_on == fleet_version{1});
     CHECK(change.proposed.hosts.empty());
+    const auto commit = make_commit(change, "mark");
+    CHECK(commit.conditions.at(0).version == fleet_version{1});
+    CHECK(decode_members_row({"fleet/members", fleet_version{2}, commit.puts.at(0).value})
+              .marks.contains("mark"));
     only.on_list_applied({fleet_version{2}}, now);
     CHECK(only.tick(now + seconds{10}).empty());
 }
