--- a/libs/limits/test/share_simulation.cpp
+++ b/libs/limits/test/share_simulation.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 fleet::fleet(options settings, std::uint64_t seed)
-    : options_(std::move(settings)), random_(seed), now_(time_point{} + seconds(1000)) {
+    : options_(settings), random_(seed), now_(time_point{} + seconds(1000)) {
     fleet_snapshot first;
     for (int index = 0; index < options_.hosts; ++index) {
         auto& added = hosts_.emplace_back();
