Name the members list in exchange replies

The envelope's members_version is added when a reply is sent. Between building and sending, the host may apply another list; the receiver would then match ages and the settled flag with the wrong list, and count a proof for a process that did not give it. The reply now names the list it was made with.

--- a/benchmarks/membership/exchange_messages.hpp
+++ b/benchmarks/membership/exchange_messages.hpp
@@ -45,6 +45,7 @@
     reply.unreachable = report.unreachable;
     reply.members_settled = report.settled;
     reply.members_applied = report.applied;
+    reply.list_version = fresh.list_version();
     return reply;
 }
 
--- a/libs/peer/include/masticgrade/peer/messages.hpp
+++ b/libs/peer/include/masticgrade/peer/messages.hpp
@@ -26,8 +26,8 @@
     fleet_version version;
     /// How long ago it was certain that no version above `version` had been accepted.
     std::optional<milliseconds> current_age;
-    /// Ages of the proofs of all members in the order of their ids, in the list that the envelope's
-    /// `members_version` names; packed by `masticgrade/process/proof_ages.hpp`.
+    /// Ages of the proofs of all members in the order of their ids, in the list that `list_version`
+    /// names; packed by `masticgrade/process/proof_ages.hpp`.
     std::vector<std::uint8_t> ages;
     /// Positions in that list of the members that the sender itself failed to reach.
     std::vector<std::uint16_t> unreachable;
@@ -36,6 +36,10 @@
     /// Bit per member (least significant first) that is known to have applied that list; empty when
     /// settled.
     std::vector<std::uint8_t> members_applied;
+    /// The members list that this reply was made with. The envelope's `members_version` is added
+    /// when the reply is sent, and by then the sender may have applied another list: with that one
+    /// a proof would count for the wrong member.
+    fleet_version list_version = {};
 
     friend bool operator==(const exchange_reply&, const exchange_reply&) = default;
 };
--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -62,7 +62,8 @@
     const auto applied = write_bytes(out, body.members_applied);
     return {wire::Body::ExchangeReply,
             wire::CreateExchangeReply(out, body.version.value(), age_field(body.current_age), ages,
-                                      unreachable, body.members_settled, applied)};
+                                      unreachable, body.members_settled, applied,
+                                      body.list_version.value())};
 }
 
 written_body<wire::RowsRequest> write_body(FlatBufferBuilder& out, const rows_request& body) {
@@ -207,6 +208,7 @@
         reply.unreachable = numbers(body.unreachable());
         reply.members_settled = body.members_settled();
         reply.members_applied = numbers(body.members_applied());
+        reply.list_version = fleet_version{body.list_version()};
         return reply;
     }
 
--- a/libs/peer/test/codec_test.cpp
+++ b/libs/peer/test/codec_test.cpp
@@ -23,7 +23,8 @@
     const double amount = static_cast<double>(number) / 8;
     return {
         exchange_request{version},
-        exchange_reply{version, milliseconds{number % 65535}, opaque, {1, 2}, true, opaque},
+        exchange_reply{
+            version, milliseconds{number % 65535}, opaque, {1, 2}, true, opaque, version},
         exchange_reply{version, std::nullopt, {}, {}, false, {}},
         rows_request{version},
         rows_reply{version, number % 2 == 0, {{text, version, text}, {}}},
@@ -32,8 +33,12 @@
         share_report{{{customer, version, {0.25, 0.5}, amount}, {}}},
         share_assignment{{{customer, version, share_sequence{number}, {1, 0}, amount}}},
         share_ack{{{customer, version, share_sequence{number}, amount}}},
-        share_handover{
-            customer, version, {{host_id{text}, incarnation_number{number}, {0.5, 1}}}, true, amount, 2},
+        share_handover{customer,
+                       version,
+                       {{host_id{text}, incarnation_number{number}, {0.5, 1}}},
+                       true,
+                       amount,
+                       2},
         token_request{customer, request_number{number}, amount},
         token_grant{customer, version, request_number{number}, amount},
         token_receipt{customer, version, request_number{number}},
--- a/libs/process/include/masticgrade/process/freshness.hpp
+++ b/libs/process/include/masticgrade/process/freshness.hpp
@@ -25,7 +25,7 @@
     listed_host peer;
     /// The version that the peer had applied when it replied.
     fleet_version version;
-    /// The members list that the peer had applied; `ages` follows its order.
+    /// The members list that the peer's reply was made with; `ages` follows its order.
     fleet_version members_version;
     std::optional<duration> current_age;
     /// As packed by `pack_ages`.
@@ -78,6 +78,8 @@
 
     /// For replies to other hosts: the age of the currency proof, if it is within the window.
     [[nodiscard]] std::optional<duration> current_age(time_point now) const;
+    /// The members list whose order `packed_ages` follows; a reply has to name it.
+    [[nodiscard]] fleet_version list_version() const noexcept { return lists_.current().version; }
     /// For replies to other hosts: the packed ages of all member proofs.
     [[nodiscard]] std::vector<std::uint8_t> packed_ages(time_point now) const;
 
