--- a/libs/failover/test/group_model.cpp
+++ b/libs/failover/test/group_model.cpp
@@ -71,7 +71,8 @@
     events_.push({now_ + time, next_sequence_++, std::move(run)});
 }
 
-void group_model::deliver(std::function<bool()> reachable, std::function<void()> run) {
+void group_model::deliver(const std::function<bool()>& reachable,
+                          const std::function<void()>& run) {
     const int copies = chance(fault_rate_) ? 0 : chance(fault_rate_) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
         after(delay(), [reachable, run] {
--- a/libs/failover/test/group_model.hpp
+++ b/libs/failover/test/group_model.hpp
@@ -131,12 +131,12 @@
     duration delay();
     void after(duration time, std::function<void()> run);
     /// Delivers a message with random faults; `reachable` is asked on arrival.
-    void deliver(std::function<bool()> reachable, std::function<void()> run);
+    void deliver(const std::function<bool()>& reachable, const std::function<void()>& run);
     void to_host(int host, std::uint64_t epoch, std::function<void()> run);
     template <class Request, class Answer>
     void call(int host, int instance, Request request, Answer answer);
     template <class Answer>
-    void store_call(int host, std::function<void()> effect, Answer answer);
+    void store_call(int host, const std::function<void()>& effect, Answer answer);
 
     void start_host(int host);
     void tick();
--- a/libs/failover/test/group_model_actions.cpp
+++ b/libs/failover/test/group_model_actions.cpp
@@ -14,6 +14,8 @@
 struct overloaded : Cases... {
     using Cases::operator()...;
 };
+template <class... Cases>
+overloaded(Cases...) -> overloaded<Cases...>;
 
 }  // namespace
 
@@ -31,7 +33,7 @@
 }
 
 template <class Answer>
-void group_model::store_call(int number, std::function<void()> effect, Answer answer) {
+void group_model::store_call(int number, const std::function<void()>& effect, Answer answer) {
     const auto epoch = hosts_[index(number)].epoch;
     const auto reachable = [this, number] {
         return store_mode_ != store_mode::down && !hosts_[index(number)].cut_off;
