--- a/tests/standins/src/database_server.cpp
+++ b/tests/standins/src/database_server.cpp
@@ -66,11 +66,16 @@
     // An age that is not known is reported as older than any bound.
     constexpr auto unknown = milliseconds{std::numeric_limits<std::uint32_t>::max()};
     const auto staleness = instance_.staleness(steady_clock::now()).value_or(unknown);
-    return {{"instance", settings_.instance},       {"role", name_of(instance_.role())},
-            {"last_term", instance_.last_term()},   {"start_position", instance_.start_position()},
-            {"staleness_ms", staleness.count()},    {"primary", instance_.primary_address()},
-            {"leaving", faults_.leaving},           {"connections", connections_},
-            {"peak_connections", peak_connections_}};
+    return {{"instance", settings_.instance},
+            {"role", name_of(instance_.role())},
+            {"last_term", instance_.last_term()},
+            {"start_position", instance_.start_position()},
+            {"staleness_ms", staleness.count()},
+            {"primary", instance_.primary_address()},
+            {"leaving", faults_.leaving},
+            {"connections", connections_},
+            {"peak_connections", peak_connections_},
+            {"statements", statements_}};
 }
 
 void database_server::control_changed(const json::object& request) {
--- a/tests/standins/src/database_server.hpp
+++ b/tests/standins/src/database_server.hpp
@@ -53,6 +53,7 @@
     wake_signal changed_;
     unsigned connections_ = 0;
     unsigned peak_connections_ = 0;
+    std::uint64_t statements_ = 0;
     http_server server_;
     control_port control_;
 };
--- a/tests/standins/src/database_session.cpp
+++ b/tests/standins/src/database_session.cpp
@@ -150,6 +150,7 @@
 
 asio::awaitable<reply> database_server::session::execute(const fields& request) {
     auto& instance = server_.instance_;
+    ++server_.statements_;
     const auto kind = text(request, "kind");
     if (kind != "read" && kind != "write") {
         throw std::invalid_argument("kind is neither read nor write");
--- a/tools/masticgrade-load/src/load_run.cpp
+++ b/tools/masticgrade-load/src/load_run.cpp
@@ -27,6 +27,8 @@
 struct session {
     std::size_t customer = 0;
     std::uint64_t number = 0;
+    /// How many rows the session has started.
+    std::uint64_t rows = 0;
     std::string row;
     std::string token;
     std::uint64_t sent = 0;
@@ -142,15 +144,15 @@
         added->customer = operation.customer;
         added->number = count;
         added->busy = true;
-        start_row(*added, operation.id);
+        start_row(*added);
         sessions.push_back(std::move(added));
         return *sessions.back();
     }
 
     /// A write with an unknown outcome may still run late, so the session continues on a new row.
-    void start_row(session& own, std::uint64_t operation) const {
+    void start_row(session& own) const {
         own.row = fmt::format("{}{}/s{}-{}", row_prefix(), options_.customers[own.customer].name,
-                              own.number, operation);
+                              own.number, ++own.rows);
         own.sent = 0;
         own.acknowledged = 0;
         own.acknowledgements.clear();
@@ -246,7 +248,7 @@
         } else if (result == outcome::done) {
             acknowledge(own, operation, number);
         } else if (result == outcome::unknown && !booking) {
-            start_row(own, operation.id);
+            start_row(own);
         }
         co_return result;
     }
@@ -427,7 +429,7 @@
         if (committed.result == outcome::done) {
             acknowledge(own, operation, number);
         } else if (committed.result == outcome::unknown) {
-            start_row(own, operation.id);
+            start_row(own);
         }
         co_return committed.result;
     }
