--- a/libs/proxy/src/admin_api.cpp
+++ b/libs/proxy/src/admin_api.cpp
@@ -102,6 +102,15 @@
                            {"incarnation", host.incarnation.value()},
                            {"version", known == versions.end() ? 0 : known->second.value()}});
     }
+    json::array customers;
+    for (const auto& [name, customer] : snapshot->config.customers) {
+        const auto held = parts_.held_share(name);
+        customers.push_back({{"name", name.str()},
+                             {"rate", customer.rate},
+                             {"burst", customer.burst},
+                             {"held_rate", held.rate * customer.rate},
+                             {"held_burst", held.burst * customer.burst}});
+    }
     json::array groups;
     for (const auto& group : parts_.fleet->groups()) {
         groups.push_back(describe(*group, now));
@@ -115,6 +124,7 @@
                       {"may_start_work", !refusal.has_value()},
                       {"reason", refusal.value_or("")},
                       {"members", std::move(members)},
+                      {"customers", std::move(customers)},
                       {"groups", std::move(groups)},
                       {"drained_domains", names(snapshot->ops.drained_domains)},
                       {"drained_servers", names(parts_.fleet->draining())},
--- a/libs/proxy/src/admin_api.hpp
+++ b/libs/proxy/src/admin_api.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "fleet_state.hpp"
+#include "masticgrade/limits/share_messages.hpp"
 #include "masticgrade/net/http_server.hpp"
 #include "request_metrics.hpp"
 #include "statement_service.hpp"
@@ -28,6 +29,8 @@
         work_permission may_start_work;
         /// Why the balancer should send no callers here; empty when it may.
         std::function<std::optional<std::string>()> not_ready;
+        /// The part of rate and burst that this host holds of a customer.
+        std::function<share_fraction(const customer_id&)> held_share;
         /// The version that each member is known to have applied.
         std::function<std::map<host_id, fleet_version>()> member_versions;
     };
--- a/libs/proxy/src/proxy.cpp
+++ b/libs/proxy/src/proxy.cpp
@@ -207,6 +207,7 @@
         admin.transactions = transactions_;
         admin.may_start_work = may_start_work;
         admin.not_ready = [this] { return not_ready(); };
+        admin.held_share = [this](const customer_id& customer) { return limits_->held(customer); };
         admin.member_versions = [this] { return membership_->member_versions(); };
         admin_api_ = std::make_shared<admin_api>(std::move(admin));
     }
