Report demand after a late join

Cause: a holder that is not a member counts down four farewell reports, one every 500 ms, and never reported again once they were used up.

Connections to drained instances close after their last answer (process_run_drained_connections). Exchange replies name the members list that their ages follow.

--- a/libs/limits/src/share_holder.cpp
+++ b/libs/limits/src/share_holder.cpp
@@ -12,6 +12,13 @@
 
 namespace masticgrade {
 
+namespace {
+
+/// Lost reports after a removal are made up for by the next ones.
+constexpr int reports_after_removal = 4;
+
+}  // namespace
+
 class share_holder::implementation {
 public:
     implementation(host_process self, share_settings settings, time_point now)
@@ -62,7 +69,7 @@
     request_number last_request_;
     time_point next_report_;
     /// Reports to send after the removal of this process from the members.
-    int farewells_ = 4;
+    int farewells_ = 0;
 };
 
 holder_account& share_holder::implementation::account(const customer_id& customer, time_point now) {
@@ -240,10 +247,16 @@
 }
 
 void share_holder::implementation::send_report(time_point now, share_actions& out) {
-    if (settings_.mode != share_mode::shared || snapshot_ == nullptr || farewells_ == 0) {
+    if (settings_.mode != share_mode::shared || snapshot_ == nullptr) {
         return;
     }
-    if (!is_member_) {
+    // A process that has not joined yet has nothing to report; only one that was a member says
+    // that it holds nothing any more.
+    if (is_member_) {
+        farewells_ = reports_after_removal;
+    } else if (farewells_ == 0) {
+        return;
+    } else {
         --farewells_;
     }
     std::map<host_process, share_report> reports;
--- a/libs/proxy/src/failover_runtime.cpp
+++ b/libs/proxy/src/failover_runtime.cpp
@@ -95,6 +95,9 @@
             auto& entry = groups_.try_emplace(id, std::move(created)).first->second;
             const auto found = snapshot->groups.find(id);
             const auto record = found == snapshot->groups.end() ? group_record{} : found->second;
+            entry.primary = record.primary;
+            entry.stall_logged = false;
+            entry.replication.on_group(instance_ids(config), record.primary, record.term);
             auto& actions = due[id];
             for (auto&& batch : {entry.detector.on_monitors(std::move(monitors), now),
                                  entry.detector.on_group(instance_ids(config), record, now)}) {
@@ -117,13 +120,46 @@
     }
 }
 
-void failover_runtime::on_answer(const group_id& group, const instance_id& instance,
-                                 term_number term) {
+void failover_runtime::on_answer(const group_id& group, const instance_progress& progress) {
     with_detector(group, [&](monitored_group& entry, time_point now) {
-        return entry.detector.on_answer(instance, term, now);
+        entry.replication.on_progress(progress, now);
+        if (!counts(entry, progress.instance, now)) {
+            return detector_actions{};
+        }
+        return entry.detector.on_answer(progress.instance, progress.term, now);
     });
 }
 
+bool failover_runtime::counts(const monitored_group& entry, const instance_id& instance,
+                              time_point now) {
+    return instance != entry.primary || !entry.replication.stalled(now);
+}
+
+/// Keeps the state of the replicas up to date while the primary is ahead of them, and logs a stall.
+void failover_runtime::watch_replication(const group_id& group) {
+    bool behind = false;
+    {
+        const std::scoped_lock lock{mutex_};
+        const auto found = groups_.find(group);
+        if (found == groups_.end()) {
+            return;
+        }
+        auto& entry = found->second;
+        const auto now = steady_clock::now();
+        behind = entry.replication.behind();
+        const bool stalled = entry.replication.stalled(now);
+        if (stalled && !entry.stall_logged) {
+            log.warning("The primary answers but reaches no majority group={} primary={}.", group,
+                        entry.primary);
+        }
+        entry.stall_logged = stalled;
+    }
+    const auto runtime = environment_.fleet->group(group);
+    if (behind && runtime) {
+        runtime->mark_active(steady_clock::now());
+    }
+}
+
 void failover_runtime::on_suspicion(const host_id& sender, const group_id& group, term_number term,
                                     bool suspected) {
     with_detector(group, [&](monitored_group& entry, time_point now) {
@@ -180,6 +216,7 @@
     }
     const auto snapshot = environment_.fleet->snapshot();
     for (const auto& id : due_detectors) {
+        watch_replication(id);
         with_detector(id, [&](monitored_group& entry, time_point) {
             detector_actions actions;
             for (const auto& monitor : monitors_of(snapshot->hosts, id)) {
@@ -251,6 +288,7 @@
     request.coordinator = environment_.self;
     request.observed = observed;
     request.instances = instance_ids(environment_.fleet->snapshot()->config.groups.at(group));
+    exclude_stalled_primary(entry, planned, request);
     request.avoided = environment_.fleet->draining();
     request.planned = planned;
     request.mark = make_random_mark();
@@ -261,6 +299,17 @@
     return entry.attempt;
 }
 
+/// A primary that answers but reaches no replica has the longest log, and would be promoted again.
+/// Every acknowledged write is on a majority, so that a majority without it is enough to seal; the
+/// majority of the other instances is one of the whole group only when the group's size is odd.
+void failover_runtime::exclude_stalled_primary(const monitored_group& entry, bool planned,
+                                               promotion_request& request) {
+    const bool odd = request.instances.size() % 2 == 1;
+    if (!planned && odd && entry.replication.stalled(steady_clock::now())) {
+        std::erase(request.instances, entry.primary);
+    }
+}
+
 void failover_runtime::perform(const group_id& group, const detector_actions& actions) {
     for (const auto& action : actions) {
         std::visit([&](const auto& value) { act(group, value); }, action);
@@ -346,6 +395,9 @@
     const auto reply = co_await call(group, action.instance, std::move(request));
     if (reply && reply->status == database_status::ok) {
         with_detector(group, [&](monitored_group& entry, time_point now) {
+            if (!counts(entry, action.instance, now)) {
+                return detector_actions{};
+            }
             return entry.detector.on_state(to_state(action.instance, *reply, sent_at), now);
         });
     }
--- a/libs/proxy/src/failover_runtime.hpp
+++ b/libs/proxy/src/failover_runtime.hpp
@@ -15,6 +15,7 @@
 #include "masticgrade/failover/drain.hpp"
 #include "masticgrade/failover/failure_detector.hpp"
 #include "masticgrade/failover/promotion.hpp"
+#include "masticgrade/failover/replication_watch.hpp"
 #include "masticgrade/net/table_service.hpp"
 
 namespace masticgrade {
@@ -39,7 +40,7 @@
     failover_runtime(boost::asio::any_io_executor executor, environment surroundings);
 
     void on_snapshot(const fleet_snapshot_ptr& snapshot);
-    void on_answer(const group_id& group, const instance_id& instance, term_number term);
+    void on_answer(const group_id& group, const instance_progress& progress);
     void on_suspicion(const host_id& sender, const group_id& group, term_number term,
                       bool suspected);
     /// Moves the primary of a group to an instance that is not avoided. Returns false when a
@@ -52,9 +53,12 @@
 private:
     struct monitored_group {
         failure_detector detector;
+        replication_watch replication = replication_watch{};
         std::shared_ptr<promotion> attempt = {};
         /// What was last logged about the primary.
         bool suspected = false;
+        bool stall_logged = false;
+        instance_id primary = {};
     };
 
     template <class Event>
@@ -63,12 +67,17 @@
                       const promotion_event& event);
     std::shared_ptr<promotion> begin_attempt(monitored_group& entry, const group_id& group,
                                              const group_record& observed, bool planned);
+    static void exclude_stalled_primary(const monitored_group& entry, bool planned,
+                                        promotion_request& request);
     void finish_if_over(const group_id& group, const std::shared_ptr<promotion>& attempt);
     std::vector<host_id> monitors_of(const members& hosts, const group_id& group) const;
 
     void perform(const group_id& group, const detector_actions& actions);
     void act(const group_id& group, const probe_instance& action);
     void act(const group_id& group, const report_suspicion& action);
+    /// Whether an answer of the instance still counts as a sign that the primary works.
+    static bool counts(const monitored_group& entry, const instance_id& instance, time_point now);
+    void watch_replication(const group_id& group);
     void log_suspicion(const group_id& group, const report_suspicion& action);
     void act(const group_id& group, const start_promotion& action);
     void act(const group_id& group, const repair_follower& action);
--- a/libs/proxy/src/fleet_membership.cpp
+++ b/libs/proxy/src/fleet_membership.cpp
@@ -100,7 +100,9 @@
 
 void fleet_membership::on_store_read(time_point sent_at, fleet_version version) {
     const std::scoped_lock lock{mutex_};
-    freshness_.on_store_read({sent_at, version}, steady_clock::now());
+    const auto now = steady_clock::now();
+    freshness_.on_store_read({sent_at, version}, now);
+    membership_.on_store_answered(now);
 }
 
 void fleet_membership::on_snapshot(const fleet_snapshot_ptr& snapshot) {
@@ -125,6 +127,7 @@
         freshness_.on_version_heard(theirs);
         behind = theirs > freshness_.applied_version();
         reply.version = freshness_.applied_version();
+        reply.list_version = freshness_.list_version();
         if (const auto age = freshness_.current_age(now)) {
             reply.current_age = std::chrono::ceil<milliseconds>(*age);
         }
@@ -220,7 +223,7 @@
     answer.sent_at = sent_at;
     answer.peer = sender_of(message);
     answer.version = reply.version;
-    answer.members_version = message.members_version;
+    answer.members_version = reply.list_version;
     if (reply.current_age) {
         answer.current_age = *reply.current_age;
     }
--- a/libs/proxy/src/group_runtime.cpp
+++ b/libs/proxy/src/group_runtime.cpp
@@ -56,7 +56,8 @@
     : executor_(std::move(executor)),
       config_(std::move(config)),
       health_(instance_ids(config_)),
-      acknowledgement_(instance_ids(config_)) {
+      acknowledgement_(instance_ids(config_)),
+      member_count_(member_count) {
     for (const auto& instance : config_.instances) {
         auto link = std::make_shared<instance_link>(executor_, instance, pool_settings{});
         link->set_limits(limits_for(config_, member_count));
@@ -123,20 +124,42 @@
                                               now)
                    : acknowledgement_.on_newer_term(record.term, now);
     });
+    apply_limits();
     for (const auto& waiter : waiters) {
         waiter->set(true);
     }
 }
 
 void group_runtime::on_members(std::size_t member_count) {
-    for (const auto& [id, link] : links_) {
-        link->set_limits(limits_for(config_, member_count));
+    {
+        const std::scoped_lock lock{mutex_};
+        member_count_ = member_count;
     }
+    apply_limits();
 }
 
 void group_runtime::set_draining(std::set<instance_id> draining) {
-    const std::scoped_lock lock{mutex_};
-    draining_ = std::move(draining);
+    {
+        const std::scoped_lock lock{mutex_};
+        draining_ = std::move(draining);
+    }
+    apply_limits();
+}
+
+/// Connections to drained instances close after their last answer; a drained primary keeps its own
+/// until it is moved.
+void group_runtime::apply_limits() {
+    std::set<instance_id> closed;
+    connection_limits limits;
+    {
+        const std::scoped_lock lock{mutex_};
+        limits = limits_for(config_, member_count_);
+        closed = draining_;
+        closed.erase(record_.primary);
+    }
+    for (const auto& [id, link] : links_) {
+        link->set_limits(closed.contains(id) ? connection_limits{0, 0} : limits);
+    }
 }
 
 void group_runtime::set_new_work_shares(const std::map<instance_id, double>& shares) {
--- a/libs/proxy/src/group_runtime.hpp
+++ b/libs/proxy/src/group_runtime.hpp
@@ -78,6 +78,7 @@
     using verdict_result = std::shared_ptr<async_result<write_verdict>>;
     using record_result = std::shared_ptr<async_result<bool>>;
 
+    void apply_limits();
     void perform(const acknowledgement_actions& actions);
     void act(const send_confirm& action);
     void act(const write_resolved& action);
@@ -96,6 +97,7 @@
     group_health health_;
     acknowledgement acknowledgement_;
     std::set<instance_id> draining_;
+    std::size_t member_count_ = 1;
     std::map<instance_id, double> new_work_shares_;
     write_number last_write_;
     std::map<write_number, verdict_result> pending_;
--- a/libs/proxy/src/instance_link.cpp
+++ b/libs/proxy/src/instance_link.cpp
@@ -136,7 +136,7 @@
 void instance_link::set_limits(const connection_limits& limits) {
     {
         const std::scoped_lock lock{mutex_};
-        max_transactions_ = std::max<std::size_t>(1, limits.most - 1);
+        max_transactions_ = std::max<std::size_t>(limits.most, 2) - 1;
     }
     with_pool([&](connection_pool& pool, time_point now) {
         return pool.set_limits(limits.kept, limits.most, now);
--- a/libs/proxy/src/proxy.cpp
+++ b/libs/proxy/src/proxy.cpp
@@ -102,9 +102,11 @@
         make_drain();
         make_peers();
         fleet_->set_observer([this](const fleet_snapshot_ptr& snapshot) { on_snapshot(snapshot); });
-        fleet_->set_reply_observer(
-            [this](const group_id& group, const instance_id& instance, const database_reply& reply,
-                   time_point) { failover_->on_answer(group, instance, reply.term); });
+        fleet_->set_reply_observer([this](const group_id& group, const instance_id& instance,
+                                          const database_reply& reply, time_point sent_at) {
+            failover_->on_answer(group, {instance, reply.term, reply.received_position,
+                                         reply.applied_position, sent_at});
+        });
         make_apis();
     }
 
