End the process when a background task fails; mend lint findings; test planned stops and leaving servers

An exception in the timer loop would have ended the loop silently, and the proxy would have gone on without deadlines, polls and freshness updates; the process now logs the reason and ends.

--- a/libs/connection/include/masticgrade/connection/backend_connection_state.hpp
+++ b/libs/connection/include/masticgrade/connection/backend_connection_state.hpp
@@ -12,6 +12,8 @@
 class backend_connection_state {
 public:
     backend_connection_state();
+    backend_connection_state(const backend_connection_state&) = delete;
+    backend_connection_state& operator=(const backend_connection_state&) = delete;
     backend_connection_state(backend_connection_state&&) noexcept;
     backend_connection_state& operator=(backend_connection_state&&) noexcept;
     ~backend_connection_state();
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -25,7 +25,7 @@
 
 namespace {
 
-constexpr std::size_t max_answer_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_answer_bytes = std::size_t{4} * 1024 * 1024;
 
 /// Bounds how long sent data may stay unacknowledged, so that a path that has silently gone away is
 /// noticed by the kernel.
--- a/libs/proxy/src/failover_runtime.cpp
+++ b/libs/proxy/src/failover_runtime.cpp
@@ -48,14 +48,6 @@
     return request;
 }
 
-std::vector<instance_id> instance_ids(const group_config& config) {
-    std::vector<instance_id> ids;
-    for (const auto& instance : config.instances) {
-        ids.push_back(instance.id);
-    }
-    return ids;
-}
-
 instance_state to_state(const instance_id& instance, const database_reply& reply,
                         time_point sent_at) {
     instance_state state;
@@ -96,11 +88,12 @@
             const auto found = snapshot->groups.find(id);
             const auto record = found == snapshot->groups.end() ? group_record{} : found->second;
             entry.primary = record.primary;
+            entry.instances = instance_ids(config);
             entry.stall_logged = false;
-            entry.replication.on_group(instance_ids(config), record.primary, record.term);
+            entry.replication.on_group(entry.instances, record.primary, record.term);
             auto& actions = due[id];
             for (auto&& batch : {entry.detector.on_monitors(std::move(monitors), now),
-                                 entry.detector.on_group(instance_ids(config), record, now)}) {
+                                 entry.detector.on_group(entry.instances, record, now)}) {
                 actions.insert(actions.end(), batch.begin(), batch.end());
             }
         }
@@ -287,7 +280,7 @@
     request.group = group;
     request.coordinator = environment_.self;
     request.observed = observed;
-    request.instances = instance_ids(environment_.fleet->snapshot()->config.groups.at(group));
+    request.instances = entry.instances;
     exclude_stalled_primary(entry, planned, request);
     request.avoided = environment_.fleet->draining();
     request.planned = planned;
--- a/libs/proxy/src/failover_runtime.hpp
+++ b/libs/proxy/src/failover_runtime.hpp
@@ -59,6 +59,7 @@
         bool suspected = false;
         bool stall_logged = false;
         instance_id primary = {};
+        std::vector<instance_id> instances = {};
     };
 
     template <class Event>
--- a/libs/proxy/src/group_runtime.cpp
+++ b/libs/proxy/src/group_runtime.cpp
@@ -26,14 +26,6 @@
 /// How long an instance may hold back the answer to a confirm until it has received the entry.
 constexpr milliseconds confirm_wait{200};
 
-std::vector<instance_id> instance_ids(const group_config& config) {
-    std::vector<instance_id> ids;
-    for (const auto& instance : config.instances) {
-        ids.push_back(instance.id);
-    }
-    return ids;
-}
-
 /// Each host has a control connection to the instance and keeps a part of what remains open. Under
 /// load it may open more, up to what is left when every other host has its part; more than a few
 /// for each slot of the instance would only wait there.
--- a/libs/proxy/src/proxy.cpp
+++ b/libs/proxy/src/proxy.cpp
@@ -2,7 +2,6 @@
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -10,6 +9,8 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <cstdlib>
+#include <exception>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -77,9 +78,9 @@
         admin_->start();
         std::vector<std::thread> threads;
         for (unsigned i = 1; i < settings_.threads; ++i) {
-            threads.emplace_back([this] { context_.run(); });
+            threads.emplace_back([this] { run_context(); });
         }
-        context_.run();
+        run_context();
         for (auto& thread : threads) {
             thread.join();
         }
@@ -87,8 +88,24 @@
     }
 
 private:
+    void run_context() noexcept {
+        try {
+            context_.run();
+        } catch (const std::exception& failure) {
+            log.error("A task failed; ending the process reason=\"{}\".", failure.what());
+            std::abort();
+        }
+    }
+
+    /// Runs a task for the life of the process. A task that fails ends the process: one that serves
+    /// without its polls or timers would be worse than one that is replaced.
     void start(asio::awaitable<void> task) {
-        asio::co_spawn(asio::make_strand(context_), std::move(task), asio::detached);
+        asio::co_spawn(asio::make_strand(context_), std::move(task),
+                       [](const std::exception_ptr& failure) {
+                           if (failure) {
+                               std::rethrow_exception(failure);
+                           }
+                       });
     }
 
     void make_services() {
--- a/libs/proxy/src/settings.cpp
+++ b/libs/proxy/src/settings.cpp
@@ -69,7 +69,7 @@
 }
 
 std::string checked_name(const po::variables_map& values, const std::string& name) {
-    const auto value = required(values, name);
+    auto value = required(values, name);
     // The members row refuses other names, and would then be unreadable for the whole fleet.
     if (!is_valid_name(value)) {
         reject(name, value, "a name of 1 to 128 bytes without spaces and / ? # % \" \\");
--- a/libs/version/include/masticgrade/version/configuration.hpp
+++ b/libs/version/include/masticgrade/version/configuration.hpp
@@ -49,6 +49,9 @@
     unsigned slots = 0;
 };
 
+/// The instances of a group in the order of the configuration. Thread safety: reentrant.
+std::vector<instance_id> instance_ids(const group_config& group);
+
 /// One accepted, validated configuration. Thread safety: read-only once published.
 struct configuration {
     std::map<customer_id, customer_config> customers;
--- a/tests/process/operation_test.cpp
+++ b/tests/process/operation_test.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <csignal>
+
 #include "http_client.hpp"
 #include "test_fleet.hpp"
 
@@ -120,3 +122,30 @@
     }
     CHECK(connections == 0);
 }
+
+// Guards against requests that a planned stop interrupts.
+TEST_CASE("planned_stop: a proxy that is told to stop answers every request it has taken") {
+    test_fleet fleet({.scenario = "planned_stop"});
+    background_load load(fleet.load(seconds{8}));
+    pause(seconds{2});
+    fleet.proxy(1).signal(SIGTERM);
+    CHECK(fleet.proxy(1).wait() == 0);
+    const auto result = load.finish();
+    CHECK(result.customers.at("clerk").unknown == 0);
+    CHECK(result.customers.at("clerk").done > 0);
+}
+
+// Guards against work that goes to a backend server which the platform lists as leaving.
+TEST_CASE("server_leaving: a leaving server that holds the primary is relieved and gets no work") {
+    test_fleet fleet({.scenario = "server_leaving"});
+    background_load load(fleet.load(seconds{12}));
+    pause(seconds{1});
+    fleet.set_server_leaving(0, true);
+    // The host list is read every 2 s, and the primary is moved before the server is idle.
+    pause(seconds{5});
+    const auto statements = fleet.instance_state(0).at("statements");
+    pause(seconds{2});
+    CHECK(fleet.instance_state(0).at("statements") == statements);
+    const auto result = load.finish();
+    CHECK(result.customers.at("clerk").done > 0);
+}
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -237,6 +237,16 @@
     call_json(instances_[index].control, "/control", fault_body(fault, on, value));
 }
 
+void test_fleet::set_server_leaving(std::size_t index, bool leaving) const {
+    const auto& server = instances_[index];
+    const json::object host{{"id", server.id},
+                            {"address", server.address},
+                            {"failure_domain", "domain-" + std::to_string(index)},
+                            {"kind", "backend"},
+                            {"state", leaving ? "leaving" : "live"}};
+    call_json(platform_.front().control, "/control", json::object{{"hosts", json::array{host}}});
+}
+
 json::value test_fleet::row(const std::string& key) const {
     const auto scan = call_json(platform_.front().address, "/v1/scan",
                                 json::object{{"prefix", key}, {"modified_after", 0}});
--- a/tests/process/test_fleet.hpp
+++ b/tests/process/test_fleet.hpp
@@ -56,6 +56,8 @@
     void platform_fault(const char* fault, bool on, std::uint64_t value = 0) const;
     void instance_fault(std::size_t index, const char* fault, bool on,
                         std::uint64_t value = 0) const;
+    /// Sets whether the platform's host list names the server of an instance as leaving.
+    void set_server_leaving(std::size_t index, bool leaving) const;
     /// Replaces the row fleet/operations.
     void set_operations(const std::vector<std::string>& drained_domains,
                         const std::vector<std::string>& revoked_keys) const;
