--- /dev/null
+++ b/libs/gateway/include/masticgrade/gateway/placement.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "masticgrade/base/time.hpp"
+#include "masticgrade/base/types.hpp"
+
+namespace masticgrade {
+
+/// One instance that may serve an operation, as this host sees it.
+struct placement_candidate {
+    instance_id instance;
+    bool is_primary = false;
+    bool same_domain = false;
+    /// Statements of this host under way there.
+    unsigned outstanding = 0;
+    unsigned slots = 1;
+    /// Smoothed time of recent statements there.
+    microseconds service_time{0};
+    /// A connection that is free and opened for the customer.
+    bool has_free_connection = false;
+    /// A connection can be opened without closing another.
+    bool can_open = false;
+    /// A free connection of another customer can be closed to open one.
+    bool can_replace = false;
+};
+
+/// Chooses the instance with the least expected completion time among those that can take the
+/// operation at once; nothing when it has to wait.
+///
+/// Answers these load patterns: an instance several times slower than its neighbours keeps only the
+/// statements that it finishes as soon as they would; connections are scarce and belong to one
+/// customer, so a warm one is worth its set-up time; a read leaves the primary to the writes, which
+/// can run nowhere else, unless the replicas are clearly busier.
+///
+/// Thread safety: reentrant.
+std::optional<instance_id> choose_instance(const std::vector<placement_candidate>& candidates,
+                                           microseconds connection_setup);
+
+/// A host's part of an instance's connections.
+struct connection_share {
+    /// Connections that are kept open when idle.
+    unsigned kept = 1;
+    /// Connections under load.
+    unsigned most = 1;
+};
+
+/// Divides `max_connections` by demand: half evenly over `hosts`, half by `own_part`, the part of the
+/// operations that this host serves. One in ten is left free for hosts that join and for orders.
+///
+/// Answers this load pattern: the balancer's hash and the failure domains' sizes give some hosts
+/// twice the traffic of others, and open transactions hold connections through their pauses. A fixed
+/// even part would leave a busy host waiting beside idle connections; without any part one host
+/// could take them all.
+///
+/// Precondition: hosts > 0. Thread safety: reentrant.
+connection_share divide_connections(unsigned max_connections, std::size_t hosts, double own_part);
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/backend_context.cpp
@@ -0,0 +1,54 @@
+#include "masticgrade/gateway/session_state.hpp"
+
+#include <algorithm>
+
+namespace masticgrade {
+
+namespace {
+
+/// Prepared statements that one connection keeps before it is reset.
+constexpr std::size_t max_prepared = 256;
+
+}  // namespace
+
+std::string backend_context::name_of(const prepared_shape& shape) {
+    return (shape.access == access_kind::read ? "r_" : "w_") + shape.shape;
+}
+
+bool backend_context::must_reset(const session_context& session) const {
+    const bool has_foreign_value =
+        std::any_of(values_.begin(), values_.end(),
+                    [&](const auto& value) { return !session.values.contains(value.first); });
+    return has_foreign_value || prepared_.size() >= max_prepared;
+}
+
+std::vector<backend_request> backend_context::align(const session_context& session,
+                                                    const prepared_shape* needed) const {
+    std::vector<backend_request> requests;
+    const bool reset = must_reset(session);
+    if (reset) {
+        requests.emplace_back(backend_reset{});
+    }
+    for (const auto& [name, value] : session.values) {
+        const auto found = values_.find(name);
+        if (reset || found == values_.end() || found->second != value) {
+            requests.emplace_back(backend_set{name, value});
+        }
+    }
+    if (needed != nullptr && (reset || !prepared_.contains(*needed))) {
+        requests.emplace_back(backend_prepare{name_of(*needed), needed->access, needed->shape});
+    }
+    return requests;
+}
+
+void backend_context::applied(const session_context& session, const prepared_shape* needed) {
+    if (must_reset(session)) {
+        prepared_.clear();
+    }
+    values_ = session.values;
+    if (needed != nullptr) {
+        prepared_.emplace(*needed, name_of(*needed));
+    }
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/connection_lease.cpp
@@ -0,0 +1,118 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "backend_group.hpp"
+#include "masticgrade/base/scope_guard.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+
+connection_lease::connection_lease(std::shared_ptr<backend_group> group,
+                                   std::unique_ptr<pooled_connection> connection)
+    : group_(std::move(group)), connection_(std::move(connection)) {}
+
+connection_lease::~connection_lease() {
+    if (connection_) {
+        group_->give_back(std::move(connection_));
+    }
+}
+
+void connection_lease::discard() { connection_->link->close(); }
+
+asio::awaitable<std::vector<statement_answer>> connection_lease::run(
+    std::vector<backend_request> requests, time_point deadline) {
+    auto answers = co_await connection_->link->run(std::move(requests), deadline);
+    connection_->last_used = steady_clock::now();
+    connection_->in_transaction = answers.back().phase != transaction_phase::none;
+    co_return answers;
+}
+
+asio::awaitable<std::optional<statement_answer>> connection_lease::align(
+    const session_context& session, const prepared_shape* needed, time_point deadline) {
+    auto requests = connection_->context.align(session, needed);
+    if (requests.empty()) {
+        co_return std::nullopt;
+    }
+    const auto sent_at = steady_clock::now();
+    group_->on_sent(connection_->instance, false);
+    std::vector<statement_answer> answers;
+    try {
+        answers = co_await run(std::move(requests), deadline);
+    } catch (const link_error&) {
+        group_->on_silence(connection_->instance, false);
+        throw;
+    }
+    for (auto& answer : answers) {
+        if (answer.code != answer_code::done) {
+            // What the connection holds now is unknown.
+            discard();
+            co_return std::move(answer);
+        }
+    }
+    group_->on_answer(connection_->instance, false, steady_clock::now() - sent_at, answers.back());
+    connection_->context.applied(session, needed);
+    co_return std::nullopt;
+}
+
+asio::awaitable<statement_answer> connection_lease::begin(bool read_only,
+                                                          std::optional<log_index> at_least,
+                                                          time_point deadline) {
+    std::vector<backend_request> requests;
+    requests.emplace_back(backend_begin{read_only, at_least});
+    const auto boot_sent_at = boot_clock::now();
+    const auto sent_at = steady_clock::now();
+    group_->on_sent(connection_->instance, false);
+    std::vector<statement_answer> answers;
+    try {
+        answers = co_await run(std::move(requests), deadline);
+    } catch (const link_error&) {
+        group_->on_silence(connection_->instance, false);
+        throw;
+    }
+    const auto& answer = answers.front();
+    group_->on_answer(connection_->instance, false, steady_clock::now() - sent_at, answer);
+    if (answer.code == answer_code::done && !read_only && answer.position) {
+        group_->add_proof(connection_->instance, boot_sent_at, *answer.position);
+    }
+    if (answer.code == answer_code::read_only) {
+        group_->on_denied(connection_->instance);
+    }
+    if (answer.code == answer_code::lagging && at_least) {
+        group_->on_lagging(connection_->instance, *at_least);
+    }
+    co_return answer;
+}
+
+asio::awaitable<statement_answer> connection_lease::execute(backend_request request, bool is_commit,
+                                                            bool proves_position,
+                                                            time_point deadline) {
+    std::vector<backend_request> requests;
+    requests.push_back(std::move(request));
+    const auto boot_sent_at = boot_clock::now();
+    const auto sent_at = steady_clock::now();
+    group_->on_sent(connection_->instance, is_commit);
+    std::vector<statement_answer> answers;
+    try {
+        answers = co_await run(std::move(requests), deadline);
+    } catch (const link_error&) {
+        group_->on_silence(connection_->instance, is_commit);
+        throw;
+    }
+    auto answer = std::move(answers.front());
+    group_->on_answer(connection_->instance, is_commit, steady_clock::now() - sent_at, answer);
+    if (answer.code == answer_code::done && proves_position && answer.position) {
+        group_->add_proof(connection_->instance, boot_sent_at, *answer.position);
+    }
+    if (answer.code == answer_code::read_only) {
+        group_->on_denied(connection_->instance);
+    }
+    if (answer.code == answer_code::unknown_prepared) {
+        // The connection lost what it was given; it must not be used for another session.
+        discard();
+    }
+    co_return answer;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/control_state.cpp
@@ -0,0 +1,48 @@
+#include "control_state.hpp"
+
+#include <algorithm>
+
+#include "masticgrade/base/event_log.hpp"
+
+namespace masticgrade {
+
+bool control_state::apply(const control_reading& reading, boot_time sent_at) {
+    if (!reading.configuration ||
+        (configuration_ && reading.configuration->version < configuration_->version)) {
+        event_line{"configuration_ignored"}
+            .field("version", reading.configuration ? reading.configuration->version : 0)
+            .field("in_force", configuration_ ? configuration_->version : 0)
+            .write();
+        return false;
+    }
+    const bool changed = !configuration_ ||
+                         configuration_->version != reading.configuration->version ||
+                         evacuated_ != reading.evacuated;
+    proven_at_ = proven_at_ ? std::max(*proven_at_, sent_at) : sent_at;
+    if (!changed) {
+        return false;
+    }
+    configuration_ = reading.configuration;
+    evacuated_ = reading.evacuated;
+    event_line{"configuration_applied"}
+        .field("version", configuration_->version)
+        .field("databases", configuration_->routes.size())
+        .field("customers", configuration_->limits.size())
+        .field("evacuated_domains", evacuated_.size())
+        .age("read_age_ms", boot_clock::now() - sent_at)
+        .write();
+    return true;
+}
+
+std::optional<boot_clock::duration> control_state::proof_age(boot_time now) const {
+    if (!proven_at_) {
+        return std::nullopt;
+    }
+    return now - *proven_at_;
+}
+
+bool control_state::is_current(boot_time now, milliseconds lifetime) const {
+    return proven_at_ && now - *proven_at_ < lifetime;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/gateway.cpp
@@ -0,0 +1,362 @@
+#include "masticgrade/gateway/gateway.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cstdlib>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "backend_group.hpp"
+#include "caller_session.hpp"
+#include "control_state.hpp"
+#include "gateway_metrics.hpp"
+#include "group_failover.hpp"
+#include "host_registry.hpp"
+#include "instance_directory.hpp"
+#include "masticgrade/base/event_log.hpp"
+#include "masticgrade/base/scope_guard.hpp"
+#include "masticgrade/limits/usage_limiter.hpp"
+#include "masticgrade/peer/peer_network.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds tick_interval{50};
+/// Readings of the operators' rows; their bound is 3 s after a change was taken.
+constexpr milliseconds control_interval{1000};
+constexpr milliseconds control_retry_interval{300};
+/// Readings of the instances' entries, which they renew about once a second.
+constexpr milliseconds directory_interval{1000};
+constexpr milliseconds early_directory_interval{150};
+constexpr milliseconds read_timeout{700};
+constexpr milliseconds report_interval{250};
+constexpr milliseconds report_lifetime{400};
+constexpr seconds host_list_interval{4};
+/// The balancer takes a host out after two misses, one second apart.
+constexpr milliseconds balancer_delay{2200};
+
+}  // namespace
+
+class gateway::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(asio::any_io_executor executor, gateway_settings settings,
+                   gateway_services services)
+        : executor_(std::move(executor)),
+          settings_(std::move(settings)),
+          services_(services),
+          incarnation_(std::random_device{}()),
+          limiter_(boot_clock::now()),
+          hosts_(services.store, settings_.host, settings_.peer_address),
+          sessions_environment_{executor_, control_, limiter_, metrics_,
+                                [this](const group_id& name) { return find_group(name); }} {
+        peer::network_options options;
+        options.listen = settings_.peer_address;
+        options.sender = settings_.host;
+        options.seed = incarnation_.value();
+        peers_ = std::make_unique<peer::peer_network>(
+            executor_, std::move(options),
+            [this](peer::envelope message) { return on_peer_message(std::move(message)); });
+        peers_->set_identity(incarnation_, {});
+    }
+
+    void start() {
+        spawn(control_loop());
+        spawn(directory_loop());
+        spawn(host_list_loop());
+        spawn(report_loop());
+        spawn(tick_loop());
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<caller_link> link) {
+        const auto self = shared_from_this();
+        auto session = std::make_shared<caller_session>(std::move(link), sessions_environment_);
+        sessions_.insert(session);
+        const scope_guard leave{[&] { sessions_.erase(session); }};
+        co_await session->run();
+    }
+
+    bool is_ready() const {
+        return !stopping_ && control_.configuration() != nullptr && directory_.is_known() &&
+               control_.is_current(boot_clock::now(), control_state::ready_lifetime);
+    }
+
+    asio::awaitable<void> stop() {
+        const auto self = shared_from_this();
+        stopping_ = true;
+        const auto started = steady_clock::now();
+        event_line{"stopping"}.field("sessions", sessions_.size()).write();
+        for (auto& [name, failover] : failovers_) {
+            failover->stop();
+        }
+        const auto transactions_end = started + settings_.stop_grace / 2;
+        const auto last_moment = started + settings_.stop_grace * 5 / 6;
+        const auto close_from = started + std::min(balancer_delay, settings_.stop_grace / 3);
+        while (steady_clock::now() < last_moment) {
+            const auto now = steady_clock::now();
+            if (now >= close_from) {
+                end_sessions(now >= transactions_end);
+                if (sessions_.empty() && !is_promoting()) {
+                    break;
+                }
+            }
+            co_await sleep(tick_interval);
+        }
+        send_report(true);
+        co_await sleep(tick_interval);
+        event_line{"stopped"}.field("sessions", sessions_.size()).write();
+    }
+
+    std::string scrape() {
+        const auto now = boot_clock::now();
+        const auto age = control_.proof_age(now);
+        using fractional_seconds = std::chrono::duration<double>;
+        metrics_.set_gauge("masticgrade_configuration_proof_age_seconds",
+                           "Age of the last proof that the configuration is current.",
+                           age ? fractional_seconds(*age).count() : -1);
+        metrics_.set_gauge("masticgrade_configuration_version", "Version in force.",
+                           control_.configuration()
+                               ? static_cast<double>(control_.configuration()->version)
+                               : 0);
+        metrics_.set_gauge("masticgrade_sessions", "Open sessions.",
+                           static_cast<double>(sessions_.size()));
+        metrics_.set_gauge("masticgrade_live_hosts", "Hosts heard of lately, this one counted.",
+                           static_cast<double>(live_hosts()));
+        metrics_.set_gauge("masticgrade_log_lines_suppressed", "Log lines dropped.",
+                           static_cast<double>(suppressed_event_lines()));
+        return metrics_.scrape();
+    }
+
+private:
+    void spawn(asio::awaitable<void> task) {
+        asio::co_spawn(executor_, std::move(task), [](const std::exception_ptr& failure) {
+            // A host without one of its loops would serve on old knowledge; its successor will not.
+            if (failure) {
+                std::rethrow_exception(failure);
+            }
+        });
+    }
+
+    asio::awaitable<void> sleep(duration length) {
+        asio::steady_timer timer{executor_, length};
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    bool is_promoting() const {
+        return std::any_of(failovers_.begin(), failovers_.end(),
+                           [](const auto& entry) { return entry.second->is_promoting(); });
+    }
+
+    void end_sessions(bool abort_transactions) {
+        const auto sessions = sessions_;
+        for (const auto& session : sessions) {
+            if (abort_transactions) {
+                session->abort_transaction("host_stops");
+            }
+            session->close_when_idle();
+        }
+    }
+
+    std::size_t live_hosts() const { return limiter_.live_peers(boot_clock::now()) + 1; }
+
+    std::shared_ptr<backend_group> find_group(const group_id& name) {
+        auto& group = groups_[name];
+        if (!group) {
+            group_environment environment{executor_,
+                                          services_.connector,
+                                          metrics_,
+                                          settings_.failure_domain,
+                                          [this] { return live_hosts(); },
+                                          [this] { return limiter_.own_part(boot_clock::now()); },
+                                          [this] { refresh_directory(); }};
+            group = std::make_shared<backend_group>(name, std::move(environment));
+            failover_environment failover{executor_,
+                                          settings_.host,
+                                          services_.store,
+                                          services_.promotions,
+                                          services_.connector,
+                                          metrics_,
+                                          [this] { return live_host_ids(); },
+                                          [this] { refresh_directory(); }};
+            failovers_[name] = std::make_shared<group_failover>(group, std::move(failover));
+            spawn(failovers_[name]->run());
+        }
+        return group;
+    }
+
+    std::vector<host_id> live_host_ids() const {
+        std::vector<host_id> result{settings_.host};
+        for (const auto& [id, address] : hosts_.others()) {
+            if (limiter_.is_live(id, boot_clock::now())) {
+                result.push_back(id);
+            }
+        }
+        return result;
+    }
+
+    void refresh_directory() { directory_wanted_ = true; }
+
+    void update_groups() {
+        const auto& configuration = control_.configuration();
+        if (!configuration || !directory_.is_known()) {
+            return;
+        }
+        for (const auto& [name, settings] : configuration->groups) {
+            find_group(name)->update(settings, directory_.entries_of(name), control_.evacuated());
+        }
+    }
+
+    asio::awaitable<void> control_loop() {
+        bool reachable = true;
+        for (;;) {
+            const auto sent_at = boot_clock::now();
+            const auto started = steady_clock::now();
+            bool succeeded = false;
+            try {
+                const auto deadline = started + read_timeout;
+                const auto reading = co_await services_.control.read_control(deadline);
+                succeeded = true;
+                if (control_.apply(reading, sent_at)) {
+                    limiter_.configure(control_.configuration()->limits, boot_clock::now());
+                    update_groups();
+                }
+            } catch (const error& failure) {
+                note_store(reachable, false, failure.what());
+            }
+            if (succeeded) {
+                note_store(reachable, true, "");
+            }
+            const auto next =
+                started + (succeeded ? control_interval : control_retry_interval);
+            co_await sleep(std::max<duration>(next - steady_clock::now(), milliseconds{1}));
+        }
+    }
+
+    void note_store(bool& reachable, bool now_reachable, std::string_view reason) {
+        if (reachable == now_reachable) {
+            return;
+        }
+        reachable = now_reachable;
+        event_line{now_reachable ? "store_regained" : "store_lost"}
+            .age("proof_age_ms",
+                 control_.proof_age(boot_clock::now()).value_or(boot_clock::duration{}))
+            .field("reason", reason)
+            .write();
+    }
+
+    asio::awaitable<void> directory_loop() {
+        for (;;) {
+            const auto started = steady_clock::now();
+            directory_wanted_ = false;
+            try {
+                const auto deadline = started + read_timeout;
+                const auto entries = co_await services_.control.read_instances(deadline);
+                directory_.apply(entries, boot_clock::now());
+                update_groups();
+            } catch (const error& failure) {
+                directory_.on_store_lost();
+                metrics_.count("masticgrade_store_failures_total",
+                               "Readings of the store that failed.", "instances");
+            }
+            while (steady_clock::now() - started <
+                   (directory_wanted_ ? early_directory_interval : directory_interval)) {
+                co_await sleep(tick_interval);
+            }
+        }
+    }
+
+    asio::awaitable<void> host_list_loop() {
+        for (;;) {
+            try {
+                co_await hosts_.refresh(steady_clock::now() + read_timeout);
+            } catch (const error& failure) {
+                metrics_.count("masticgrade_store_failures_total",
+                               "Readings of the store that failed.", "hosts");
+            }
+            constexpr seconds unknown_host_interval{1};
+            co_await sleep(hosts_.is_registered() ? duration{host_list_interval}
+                                                  : duration{unknown_host_interval});
+        }
+    }
+
+    asio::awaitable<void> report_loop() {
+        for (;;) {
+            send_report(false);
+            co_await sleep(report_interval);
+        }
+    }
+
+    void send_report(bool leaving) {
+        const auto report = limiter_.report(boot_clock::now(), leaving);
+        for (const auto& [id, address] : hosts_.others()) {
+            peers_->send(address, report, steady_clock::now() + report_lifetime);
+        }
+    }
+
+    asio::awaitable<std::optional<peer::message_body>> on_peer_message(peer::envelope message) {
+        if (const auto* report = std::get_if<usage_report>(&message.body)) {
+            limiter_.on_report(message.sender, message.incarnation, *report, boot_clock::now());
+            hosts_.on_heard(message.sender);
+        }
+        co_return std::nullopt;
+    }
+
+    asio::awaitable<void> tick_loop() {
+        for (;;) {
+            const auto now = steady_clock::now();
+            for (auto& [name, group] : groups_) {
+                group->tick(now);
+            }
+            const auto sessions = sessions_;
+            for (const auto& session : sessions) {
+                session->tick(now);
+            }
+            co_await sleep(tick_interval);
+        }
+    }
+
+    asio::any_io_executor executor_;
+    gateway_settings settings_;
+    gateway_services services_;
+    incarnation_number incarnation_;
+    control_state control_;
+    usage_limiter limiter_;
+    gateway_metrics metrics_;
+    instance_directory directory_;
+    host_registry hosts_;
+    session_environment sessions_environment_;
+    std::unique_ptr<peer::peer_network> peers_;
+    std::map<group_id, std::shared_ptr<backend_group>> groups_;
+    std::map<group_id, std::shared_ptr<group_failover>> failovers_;
+    std::set<std::shared_ptr<caller_session>> sessions_;
+    bool directory_wanted_ = false;
+    bool stopping_ = false;
+};
+
+gateway::gateway(asio::any_io_executor executor, gateway_settings settings,
+                 gateway_services services)
+    : implementation_(std::make_shared<implementation>(std::move(executor), std::move(settings),
+                                                       services)) {}
+
+gateway::~gateway() = default;
+
+void gateway::start() { implementation_->start(); }
+
+asio::awaitable<void> gateway::serve(std::shared_ptr<caller_link> link) {
+    return implementation_->serve(std::move(link));
+}
+
+bool gateway::is_ready() const { return implementation_->is_ready(); }
+
+asio::awaitable<void> gateway::stop() { return implementation_->stop(); }
+
+std::string gateway::scrape() { return implementation_->scrape(); }
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/group_connections.cpp
@@ -0,0 +1,263 @@
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "backend_group.hpp"
+#include "masticgrade/base/event_log.hpp"
+#include "masticgrade/base/scope_guard.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A caller's patience with a new session is 2 s; two attempts fit.
+constexpr milliseconds connect_timeout{600};
+constexpr milliseconds connect_pause{100};
+constexpr milliseconds longest_connect_pause{800};
+/// How long an instance that refused a connection for their number gets no extra ones.
+constexpr milliseconds full_pause{500};
+/// Idle connections above the kept ones close after this time.
+constexpr milliseconds extra_idle_lifetime{400};
+constexpr seconds rollback_timeout{2};
+
+}  // namespace
+
+struct backend_group::pending {
+    const acquire_request& request;
+    asio::steady_timer timer;
+    std::optional<assignment> result;
+};
+
+asio::awaitable<acquire_result> backend_group::acquire(acquire_request request) {
+    const auto self = shared_from_this();
+    const auto started = steady_clock::now();
+    for (;;) {
+        const auto now = steady_clock::now();
+        if (now >= request.order.give_up) {
+            co_return acquire_failure::timed_out;
+        }
+        if (primary_ && !queue_.expects_turn(request.order, now, releases_per_second_)) {
+            co_return acquire_failure::overloaded;
+        }
+        std::optional<assignment> given;
+        {
+            pending entry{request, asio::steady_timer{environment_.executor, request.order.give_up},
+                          std::nullopt};
+            const auto number = queue_.add(request.order);
+            waiting_.emplace(number, &entry);
+            const scope_guard leave_queue{[&] {
+                queue_.remove(number);
+                waiting_.erase(number);
+            }};
+            pump();
+            if (!entry.result) {
+                boost::system::error_code ignored;
+                co_await entry.timer.async_wait(
+                    asio::redirect_error(asio::use_awaitable, ignored));
+            }
+            given = std::move(entry.result);
+        }
+        if (!given) {
+            co_return acquire_failure::timed_out;
+        }
+        auto connection = std::move(given->connection);
+        if (!connection) {
+            connection = co_await open(given->instance, given->epoch, request.order.customer,
+                                       request.order.give_up);
+        }
+        if (connection) {
+            environment_.metrics.observe_wait(name_, steady_clock::now() - started);
+            co_return connection_lease{self, std::move(connection)};
+        }
+    }
+}
+
+void backend_group::pump() {
+    if (waiting_.empty()) {
+        return;
+    }
+    const auto now = steady_clock::now();
+    for (const auto number : queue_.order(now, under_way_)) {
+        const auto found = waiting_.find(number);
+        if (found == waiting_.end() || found->second->result) {
+            continue;
+        }
+        auto& entry = *found->second;
+        entry.result = assign(entry.request, now);
+        if (entry.result) {
+            queue_.remove(number);
+            entry.timer.cancel();
+        }
+    }
+}
+
+asio::awaitable<std::unique_ptr<pooled_connection>> backend_group::open(instance_id instance,
+                                                                        std::uint64_t epoch,
+                                                                        customer_id customer,
+                                                                        time_point deadline) {
+    std::optional<answer_code> refused;
+    if (const auto* state = find_state(instance, epoch)) {
+        const auto started = steady_clock::now();
+        const auto entry = state->entry;
+        try {
+            on_sent(instance, false);
+            auto link = co_await environment_.connector.connect(
+                entry, customer, std::min(deadline, started + connect_timeout));
+            const auto elapsed = steady_clock::now() - started;
+            constexpr int weight = 8;
+            setup_time_ +=
+                (std::chrono::duration_cast<microseconds>(elapsed) - setup_time_) / weight;
+            statement_answer opened;
+            opened.position = link->initial_position();
+            on_answer(instance, false, elapsed, opened);
+            auto connection = std::make_unique<pooled_connection>();
+            connection->link = std::move(link);
+            connection->instance = instance;
+            connection->customer = customer;
+            connection->epoch = epoch;
+            connection->last_used = steady_clock::now();
+            environment_.metrics.count("masticgrade_backend_connections_opened_total",
+                                       "Connections opened to instances.");
+            co_return connection;
+        } catch (const refusal_error& failure) {
+            refused = failure.code();
+        } catch (const link_error& failure) {
+            event_line{"connect_failed"}
+                .field("group", name_)
+                .field("instance", instance)
+                .field("reason", failure.what())
+                .write();
+        }
+    }
+    on_connect_failed(instance, epoch, refused);
+    end_use(customer);
+    pump();
+    co_return nullptr;
+}
+
+backend_group::instance_state* backend_group::find_state(const instance_id& instance,
+                                                         std::uint64_t epoch) {
+    const auto found = instances_.find(instance);
+    return found == instances_.end() || found->second.epoch != epoch ? nullptr : &found->second;
+}
+
+void backend_group::end_use(const customer_id& customer) {
+    const auto found = under_way_.find(customer);
+    if (found != under_way_.end() && --found->second == 0) {
+        under_way_.erase(found);
+    }
+}
+
+void backend_group::on_connect_failed(const instance_id& instance, std::uint64_t epoch,
+                                      std::optional<answer_code> code) {
+    environment_.metrics.count("masticgrade_backend_connections_failed_total",
+                               "Connections that an instance refused or that failed.",
+                               code ? std::string{to_string(*code)} : "silent");
+    auto* state = find_state(instance, epoch);
+    if (state == nullptr) {
+        return;
+    }
+    const auto now = steady_clock::now();
+    --state->open;
+    --state->outstanding;
+    if (code == answer_code::connection_limit || code == answer_code::busy) {
+        state->full_until = now + full_pause;
+        state->connect_after = now + connect_pause / 4;
+        return;
+    }
+    ++state->failures;
+    state->connect_after =
+        now + std::min(longest_connect_pause, connect_pause * (1U << std::min(state->failures, 4U)));
+    if (primary_ == instance && !code) {
+        watch_.on_connection_refused(now);
+    }
+    if (code == answer_code::wrong_instance) {
+        environment_.refresh_directory();
+    }
+}
+
+void backend_group::give_back(std::unique_ptr<pooled_connection> connection) {
+    if (connection->in_transaction && connection->link->is_open()) {
+        asio::co_spawn(environment_.executor, roll_back(std::move(connection)), asio::detached);
+        return;
+    }
+    end_use(connection->customer);
+    ++releases_;
+    auto* state = find_state(connection->instance, connection->epoch);
+    if (state == nullptr) {
+        connection->link->close();
+        return;
+    }
+    --state->outstanding;
+    if (connection->link->is_open() && !state->unwanted_since) {
+        connection->last_used = steady_clock::now();
+        state->idle.push_back(std::move(connection));
+    } else {
+        close(std::move(connection));
+    }
+    pump();
+}
+
+void backend_group::close(std::unique_ptr<pooled_connection> connection) {
+    connection->link->close();
+    if (auto* state = find_state(connection->instance, connection->epoch)) {
+        --state->open;
+    }
+}
+
+asio::awaitable<void> backend_group::roll_back(std::unique_ptr<pooled_connection> connection) {
+    const auto self = shared_from_this();
+    try {
+        std::vector<backend_request> requests;
+        requests.emplace_back(backend_rollback{});
+        const auto answers = co_await connection->link->run(
+            std::move(requests), steady_clock::now() + rollback_timeout);
+        if (answers.front().phase != transaction_phase::none) {
+            connection->link->close();
+        }
+    } catch (const link_error& failure) {
+        event_line{"rollback_failed"}
+            .field("group", name_)
+            .field("instance", connection->instance)
+            .field("reason", failure.what())
+            .write();
+    }
+    connection->in_transaction = false;
+    give_back(std::move(connection));
+}
+
+void backend_group::trim_idle(instance_state& instance, time_point now) {
+    const auto kept = share().kept;
+    while (!instance.idle.empty() &&
+           (!instance.idle.front()->link->is_open() || instance.unwanted_since ||
+            (instance.open > kept && now - instance.idle.front()->last_used > extra_idle_lifetime))) {
+        auto connection = std::move(instance.idle.front());
+        instance.idle.pop_front();
+        close(std::move(connection));
+    }
+}
+
+asio::awaitable<statement_answer> backend_group::order(instance_id instance,
+                                                       backend_request request,
+                                                       time_point deadline) {
+    const auto self = shared_from_this();
+    const auto found = instances_.find(instance);
+    if (found == instances_.end()) {
+        throw link_error("order", instance.str(), "the instance is not listed any more", false);
+    }
+    const auto entry = found->second.entry;
+    const auto customer = last_customer_.empty() ? customer_id{"-"} : last_customer_;
+    auto link = co_await environment_.connector.connect(entry, customer, deadline);
+    std::vector<backend_request> requests;
+    requests.push_back(std::move(request));
+    auto answers = co_await link->run(std::move(requests), deadline);
+    link->close();
+    co_return answers.front();
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/host_registry.cpp
@@ -0,0 +1,57 @@
+#include "host_registry.hpp"
+
+#include <utility>
+
+#include "masticgrade/base/event_log.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string host_rows = "hosts/";
+/// A host that has not been heard of for this long gets no more reports; a live one sends reports
+/// itself and is then heard of again.
+constexpr seconds silent_host_lifetime{30};
+
+}  // namespace
+
+host_registry::host_registry(table_service& store, host_id self, endpoint_address address)
+    : store_(store), self_(std::move(self)), address_(std::move(address)) {}
+
+void host_registry::on_heard(const host_id& host) { heard_[host] = steady_clock::now(); }
+
+asio::awaitable<void> host_registry::refresh(time_point deadline) {
+    const auto now = steady_clock::now();
+    const auto rows = co_await store_.scan(host_rows, {}, deadline);
+    std::map<host_id, endpoint_address> others;
+    fleet_version own_version;
+    bool listed = false;
+    for (const auto& row : rows.rows) {
+        const host_id host{row.key.substr(host_rows.size())};
+        if (host == self_) {
+            own_version = row.version;
+            listed = row.value == address_.str();
+            continue;
+        }
+        const auto heard = heard_.try_emplace(host, now).first;
+        if (now - heard->second < silent_host_lifetime) {
+            others.emplace(host, endpoint_address{row.value});
+        }
+    }
+    if (others != others_) {
+        event_line{"hosts_changed"}.field("others", others.size()).write();
+    }
+    others_ = std::move(others);
+    if (!listed) {
+        table_commit change;
+        change.conditions.push_back({host_rows + self_.str(), own_version});
+        change.puts.push_back({host_rows + self_.str(), address_.str()});
+        const auto result = co_await store_.commit(std::move(change), deadline);
+        listed = result.committed;
+    }
+    registered_ = listed;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/host_registry.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+
+#include "masticgrade/base/time.hpp"
+#include "masticgrade/base/types.hpp"
+#include "masticgrade/net/table_service.hpp"
+
+namespace masticgrade {
+
+/// The hosts of the fleet and their addresses, which each host writes to a row of its own.
+/// Lives as long as the process. Thread safety: none; one executor.
+class host_registry {
+public:
+    host_registry(table_service& store, host_id self, endpoint_address address);
+
+    /// Reads the rows and writes the own one where it is missing or names another address.
+    /// Throws masticgrade::error.
+    boost::asio::awaitable<void> refresh(time_point deadline);
+    void on_heard(const host_id& host);
+
+    [[nodiscard]] bool is_registered() const { return registered_; }
+    [[nodiscard]] const std::map<host_id, endpoint_address>& others() const { return others_; }
+
+private:
+
+    table_service& store_;
+    host_id self_;
+    endpoint_address address_;
+    bool registered_ = false;
+    std::map<host_id, endpoint_address> others_;
+    std::map<host_id, time_point> heard_;
+};
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/instance_directory.cpp
@@ -0,0 +1,41 @@
+#include "instance_directory.hpp"
+
+#include <set>
+
+namespace masticgrade {
+
+void instance_directory::apply(const std::vector<instance_entry>& entries, boot_time now) {
+    if (outage_) {
+        for (auto& [id, known] : entries_) {
+            known.missing_since.reset();
+        }
+        outage_ = false;
+    }
+    std::set<instance_id> listed;
+    for (const auto& entry : entries) {
+        listed.insert(entry.id);
+        entries_[entry.id] = {entry, std::nullopt};
+    }
+    for (auto& [id, known] : entries_) {
+        if (!listed.contains(id) && !known.missing_since) {
+            known.missing_since = now;
+        }
+    }
+    std::erase_if(entries_, [&](const auto& item) {
+        const auto& missing_since = item.second.missing_since;
+        return missing_since && now - *missing_since > missing_grace;
+    });
+    known_ = true;
+}
+
+std::vector<instance_entry> instance_directory::entries_of(const group_id& group) const {
+    std::vector<instance_entry> result;
+    for (const auto& [id, known] : entries_) {
+        if (known.entry.group == group) {
+            result.push_back(known.entry);
+        }
+    }
+    return result;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/placement.cpp
@@ -0,0 +1,69 @@
+#include "masticgrade/gateway/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace masticgrade {
+
+namespace {
+
+/// Used until an instance has answered something; a typical statement.
+constexpr microseconds default_service_time{20000};
+/// Waiting statements that a read counts a primary for beyond what this host sees there.
+constexpr double primary_reserve = 1.0;
+/// Advantage of an instance in the own failure domain: two crossings between domains.
+constexpr microseconds domain_crossing{2000};
+
+double expected_us(const placement_candidate& item, microseconds connection_setup) {
+    const auto service = item.service_time.count() > 0 ? item.service_time : default_service_time;
+    const double waiting = static_cast<double>(item.outstanding) /
+                               static_cast<double>(std::max(1U, item.slots)) +
+                           (item.is_primary ? primary_reserve : 0);
+    double cost = static_cast<double>(service.count()) * (1 + waiting);
+    if (!item.has_free_connection) {
+        cost += static_cast<double>(connection_setup.count()) * (item.can_open ? 1 : 2);
+    }
+    if (!item.same_domain) {
+        cost += static_cast<double>(domain_crossing.count());
+    }
+    return cost;
+}
+
+}  // namespace
+
+std::optional<instance_id> choose_instance(const std::vector<placement_candidate>& candidates,
+                                           microseconds connection_setup) {
+    const placement_candidate* best = nullptr;
+    double best_cost = 0;
+    for (const auto& item : candidates) {
+        if (!item.has_free_connection && !item.can_open && !item.can_replace) {
+            continue;
+        }
+        const double cost = expected_us(item, connection_setup);
+        if (best == nullptr || cost < best_cost) {
+            best = &item;
+            best_cost = cost;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return best->instance;
+}
+
+connection_share divide_connections(unsigned max_connections, std::size_t hosts, double own_part) {
+    constexpr double usable = 0.9;
+    constexpr double even_part = 0.5;
+    constexpr double growth = 2.0;
+    constexpr double largest_part = 0.5;
+    const double total = usable * max_connections;
+    const double own = total * (even_part / static_cast<double>(hosts) + (1 - even_part) * own_part);
+    connection_share share;
+    share.kept = std::max(1U, static_cast<unsigned>(std::floor(own)));
+    const double most =
+        std::min(growth * own, std::max(own, largest_part * static_cast<double>(max_connections)));
+    share.most = std::max(share.kept + 1, static_cast<unsigned>(std::floor(most)));
+    return share;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -0,0 +1,53 @@
+#include "masticgrade/gateway/promotion_choice.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace masticgrade {
+
+namespace {
+
+/// Time for which a host of a better rank is left to act; about the time of a hold and a call.
+constexpr milliseconds rank_step{350};
+/// Ranks above this wait no longer.
+constexpr std::size_t slowest_rank = 4;
+
+}  // namespace
+
+std::optional<promotion_choice> choose_target(const std::vector<replica_view>& replicas,
+                                              term_number term) {
+    const replica_view* best = nullptr;
+    for (const auto& item : replicas) {
+        if (!item.held || item.held->held != term || item.held->is_primary) {
+            return std::nullopt;
+        }
+        if (best == nullptr || std::tuple(item.held->received, !item.unwanted) >
+                                   std::tuple(best->held->received, !best->unwanted)) {
+            best = &item;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return promotion_choice{best->id, best->held->received};
+}
+
+milliseconds takeover_delay(std::size_t rank) noexcept {
+    return rank_step * static_cast<milliseconds::rep>(std::min(rank, slowest_rank));
+}
+
+std::size_t rank_for(const group_id& group, const host_id& self,
+                     const std::vector<host_id>& hosts) {
+    const auto weight = [&](const host_id& host) {
+        const auto text = group.str() + '\n' + host.str();
+        return XXH3_64bits(text.data(), text.size());
+    };
+    const auto own = weight(self);
+    return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](const auto& host) {
+        return host != self && weight(host) > own;
+    }));
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/session_statements.cpp
@@ -0,0 +1,309 @@
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "caller_session.hpp"
+#include "masticgrade/base/event_log.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// The part of a statement's time that may pass before it is offered to an instance.
+constexpr double waiting_part = 0.6;
+/// The first try of a read may use this part of the time left; the rest is for another instance.
+constexpr double first_try_part = 0.5;
+constexpr unsigned most_tries = 4;
+/// Taken off a route's staleness for the way to the instance and its queue.
+constexpr milliseconds staleness_margin{250};
+/// Pause before a statement is offered again to an instance that was too busy to start it.
+constexpr milliseconds busy_pause{20};
+constexpr unsigned most_busy_tries = 3;
+constexpr milliseconds default_statement_timeout{5000};
+
+time_point part_of(time_point from, time_point until, double part) {
+    return from + std::chrono::duration_cast<duration>((until - from) * part);
+}
+
+bool is_refusal(answer_code code) {
+    return code == answer_code::busy || code == answer_code::lagging ||
+           code == answer_code::read_only || code == answer_code::unknown_prepared ||
+           code == answer_code::wrong_instance || code == answer_code::connection_limit;
+}
+
+std::string retry_text(milliseconds wait) {
+    return "not run, try again in " + std::to_string(wait.count()) + " ms";
+}
+
+}  // namespace
+
+std::optional<statement_answer> caller_session::prepare_operation(operation& op) {
+    const bool in_transaction = transaction_ && transaction_->route != nullptr;
+    op.configuration =
+        in_transaction ? transaction_->configuration : environment_.control.configuration();
+    const auto found = op.configuration->routes.find(database_);
+    if (found == op.configuration->routes.end()) {
+        op.reason = "no_database";
+        return refuse(answer_code::no_database, database_);
+    }
+    op.route = &found->second;
+    if (transaction_ && transaction_->route == nullptr) {
+        transaction_->configuration = op.configuration;
+        transaction_->route = op.route;
+    }
+    op.group = environment_.find_group(op.route->group);
+    const auto timeout = op.route->statement_timeout.count() > 0 ? op.route->statement_timeout
+                                                                 : default_statement_timeout;
+    op.deadline = op.started + timeout;
+    op.give_up = part_of(op.started, op.deadline, waiting_part);
+    if (const auto* action = std::get_if<plain_statement>(&op.statement.action)) {
+        op.access = action->access;
+    } else if (const auto* execution = std::get_if<execute_prepared>(&op.statement.action)) {
+        const auto known = context_.prepared.find(execution->name);
+        if (known == context_.prepared.end()) {
+            op.reason = "unknown_prepared";
+            return refuse(answer_code::unknown_prepared, execution->name);
+        }
+        op.shape = known->second;
+        op.access = known->second.access;
+        op.arguments = execution->arguments;
+    }
+    return check_caller(*op.route, op.reason);
+}
+
+std::optional<statement_answer> caller_session::admit(operation& op) {
+    if (transaction_) {
+        if (transaction_->admitted) {
+            return std::nullopt;
+        }
+        transaction_->admitted = true;
+    }
+    const auto now = boot_clock::now();
+    if (op.route->open || environment_.limiter.admit(customer_, now)) {
+        return std::nullopt;
+    }
+    op.reason = "above_rate";
+    return refuse(answer_code::busy,
+                  retry_text(environment_.limiter.retry_after(customer_, now)));
+}
+
+asio::awaitable<statement_answer> caller_session::serve(const caller_statement& statement) {
+    operation op{statement};
+    auto refusal = prepare_operation(op);
+    if (!refusal) {
+        refusal = admit(op);
+    }
+    statement_answer answer;
+    if (refusal) {
+        answer = std::move(*refusal);
+        if (std::holds_alternative<commit_transaction>(statement.action)) {
+            transaction_.reset();
+        } else if (transaction_) {
+            transaction_->failed = true;
+            transaction_->lease.reset();
+        }
+    } else if (!transaction_) {
+        answer = co_await serve_single(op);
+    } else if (std::holds_alternative<commit_transaction>(statement.action)) {
+        answer = co_await serve_commit(op);
+    } else {
+        answer = co_await serve_in_transaction(op);
+    }
+    answer.phase = phase();
+    if (op.reason == "configuration_too_old") {
+        // Another host can serve the caller; a new connection reaches it.
+        closing_ = true;
+    }
+    record(op, answer);
+    co_return answer;
+}
+
+asio::awaitable<statement_answer> caller_session::serve_single(operation& op) {
+    if (std::holds_alternative<commit_transaction>(op.statement.action)) {
+        op.reason = "no_transaction";
+        co_return refuse(answer_code::malformed, "no transaction is open");
+    }
+    if (op.access == access_kind::write) {
+        co_return co_await single_write(op);
+    }
+    co_return co_await single_read(op);
+}
+
+asio::awaitable<std::variant<connection_lease, statement_answer>> caller_session::acquire(
+    operation& op, bool needs_primary, const std::set<instance_id>& avoid) {
+    acquire_request request;
+    request.order.customer = customer_;
+    request.order.needs_primary = needs_primary;
+    request.order.give_up = op.give_up;
+    request.order.start_by = op.started + op.route->latency_objective;
+    request.order.priority = op.route->priority;
+    request.avoid = avoid;
+    if (!needs_primary) {
+        request.at_least = log_index{};
+    }
+    auto result = co_await op.group->acquire(std::move(request));
+    if (auto* lease = std::get_if<connection_lease>(&result)) {
+        op.instance = lease->instance();
+        // Time passed in the queue; the key may have been withdrawn meanwhile.
+        if (auto refusal = check_caller(*op.route, op.reason)) {
+            co_return std::move(*refusal);
+        }
+        co_return std::move(*lease);
+    }
+    const bool overloaded = std::get<acquire_failure>(result) == acquire_failure::overloaded;
+    op.reason = overloaded ? "overloaded" : "no_connection_in_time";
+    constexpr milliseconds retry_hint{200};
+    co_return refuse(answer_code::busy, retry_text(retry_hint));
+}
+
+asio::awaitable<std::optional<log_index>> caller_session::needed_position(operation& op) {
+    const auto moment = boot_clock::now() - op.route->max_staleness + staleness_margin;
+    const auto proven = co_await op.group->position_at(moment, customer_, op.give_up);
+    if (!proven) {
+        co_return std::nullopt;
+    }
+    if (op.route->consistency == read_consistency::session && last_commit_) {
+        co_return std::max(*proven, *last_commit_);
+    }
+    co_return proven;
+}
+
+asio::awaitable<statement_answer> caller_session::run_on(connection_lease& lease, operation& op,
+                                                         std::optional<log_index> at_least,
+                                                         bool proves_position) {
+    const auto* needed = op.shape ? &*op.shape : nullptr;
+    auto refused = co_await lease.align(context_, needed, op.deadline);
+    if (refused) {
+        co_return std::move(*refused);
+    }
+    for (unsigned tries = 1;; ++tries) {
+        backend_request request;
+        if (op.shape) {
+            request = backend_execute{op.statement.id, backend_context::name_of(*op.shape),
+                                      op.arguments, at_least};
+        } else {
+            request = backend_statement{op.statement.id, op.statement.text, at_least};
+        }
+        const bool is_commit = std::holds_alternative<commit_transaction>(op.statement.action);
+        const bool may_commit = is_commit || (!transaction_ && op.access == access_kind::write);
+        auto deadline = op.deadline;
+        if (!may_commit && !transaction_) {
+            deadline = part_of(steady_clock::now(), op.deadline, first_try_part);
+        }
+        auto answer =
+            co_await lease.execute(std::move(request), may_commit, proves_position, deadline);
+        const bool still_open = !transaction_ || answer.phase == transaction_phase::open;
+        if (answer.code != answer_code::busy || tries == most_busy_tries || !still_open ||
+            steady_clock::now() + busy_pause >= op.deadline) {
+            co_return answer;
+        }
+        asio::steady_timer pause{environment_.executor, busy_pause};
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<statement_answer> caller_session::single_read(operation& op) {
+    std::set<instance_id> avoid;
+    bool on_primary = op.route->consistency == read_consistency::current;
+    statement_answer last = refuse(answer_code::busy, retry_text(busy_pause));
+    while (op.tries < most_tries && steady_clock::now() < op.give_up) {
+        ++op.tries;
+        if (!on_primary && !co_await needed_position(op)) {
+            op.reason = "no_position_proof";
+            co_return refuse(answer_code::busy, "the primary's position is unknown");
+        }
+        auto acquired =
+            co_await acquire(op, on_primary, on_primary ? std::set<instance_id>{} : avoid);
+        if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
+            co_return std::move(*refusal);
+        }
+        auto& lease = std::get<connection_lease>(acquired);
+        try {
+            std::optional<log_index> at_least;
+            if (on_primary) {
+                auto begun = co_await lease.begin(false, std::nullopt, op.deadline);
+                if (begun.code != answer_code::done) {
+                    op.reason = "begin_refused";
+                    last = std::move(begun);
+                    continue;
+                }
+            } else {
+                // The wait may have outlived the proof that was found before it.
+                at_least = co_await needed_position(op);
+                if (!at_least) {
+                    continue;
+                }
+            }
+            auto answer = co_await run_on(lease, op, at_least, on_primary);
+            if (answer.code == answer_code::done) {
+                op.reason = "none";
+                if (on_primary && answer.position && last_commit_ &&
+                    answer.position->term > last_commit_->term) {
+                    // The session's own commits are in this log; the new term's position replaces
+                    // one that the promotion may have rolled back.
+                    last_commit_ = answer.position;
+                }
+                co_return answer;
+            }
+            op.reason = "instance_refused";
+            if (answer.code == answer_code::lagging) {
+                op.group->on_lagging(lease.instance(), *at_least);
+                on_primary = true;
+            }
+            avoid.insert(lease.instance());
+            last = std::move(answer);
+        } catch (const link_error& failure) {
+            op.reason = "connection_lost";
+            avoid.insert(lease.instance());
+            last = refuse(answer_code::timeout, failure.reason());
+        }
+    }
+    co_return last;
+}
+
+asio::awaitable<statement_answer> caller_session::single_write(operation& op) {
+    statement_answer last = refuse(answer_code::busy, retry_text(busy_pause));
+    while (op.tries < most_tries && steady_clock::now() < op.give_up) {
+        ++op.tries;
+        auto acquired = co_await acquire(op, true, {});
+        if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
+            co_return std::move(*refusal);
+        }
+        auto& lease = std::get<connection_lease>(acquired);
+        bool sent = false;
+        try {
+            auto refused = co_await lease.align(context_, op.shape ? &*op.shape : nullptr,
+                                                op.deadline);
+            if (refused) {
+                last = std::move(*refused);
+                continue;
+            }
+            sent = true;
+            auto answer = co_await run_on(lease, op, std::nullopt, true);
+            if (answer.code == answer_code::done) {
+                op.reason = "none";
+                if (answer.position) {
+                    op.group->on_acknowledged(*answer.position);
+                    last_commit_ = answer.position;
+                }
+                co_return answer;
+            }
+            op.reason = "instance_refused";
+            if (!is_refusal(answer.code)) {
+                co_return answer;
+            }
+            last = std::move(answer);
+        } catch (const link_error& failure) {
+            op.reason = "connection_lost";
+            if (sent && failure.may_have_run()) {
+                co_return refuse(answer_code::in_doubt, "no answer from the instance");
+            }
+            last = refuse(answer_code::busy, retry_text(busy_pause));
+        }
+    }
+    co_return last;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/wait_queue.cpp
@@ -0,0 +1,66 @@
+#include "masticgrade/gateway/wait_queue.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace masticgrade {
+
+waiter_number wait_queue::add(waiter item) {
+    const waiter_number number{++last_number_};
+    items_.emplace(number, std::move(item));
+    return number;
+}
+
+void wait_queue::remove(waiter_number number) { items_.erase(number); }
+
+bool wait_queue::expects_turn(const waiter& item, time_point now,
+                              double releases_per_second) const {
+    const auto ahead = std::count_if(items_.begin(), items_.end(), [&](const auto& entry) {
+        const auto& other = entry.second;
+        return other.needs_primary == item.needs_primary &&
+               std::tie(other.priority, other.give_up) <= std::tie(item.priority, item.give_up);
+    });
+    if (ahead == 0) {
+        return true;
+    }
+    const double available = std::chrono::duration<double>(item.give_up - now).count();
+    return static_cast<double>(ahead) < releases_per_second * available;
+}
+
+std::vector<waiter_number> wait_queue::order(
+    time_point now, const std::map<customer_id, unsigned>& under_way) const {
+    struct rank {
+        bool late;
+        unsigned customer_load;
+        unsigned priority;
+        time_point give_up;
+        waiter_number number;
+        auto operator<=>(const rank&) const = default;
+    };
+    std::vector<rank> ranks;
+    ranks.reserve(items_.size());
+    for (const auto& [number, item] : items_) {
+        const auto load = under_way.find(item.customer);
+        ranks.push_back({item.start_by < now, load == under_way.end() ? 0 : load->second,
+                         item.priority, item.give_up, number});
+    }
+    std::sort(ranks.begin(), ranks.end());
+    std::vector<waiter_number> result;
+    result.reserve(ranks.size());
+    for (const auto& item : ranks) {
+        result.push_back(item.number);
+    }
+    return result;
+}
+
+std::vector<waiter_number> wait_queue::expired(time_point now) const {
+    std::vector<waiter_number> result;
+    for (const auto& [number, item] : items_) {
+        if (item.give_up <= now) {
+            result.push_back(number);
+        }
+    }
+    return result;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/limits/src/usage_limiter.cpp
@@ -0,0 +1,212 @@
+#include "masticgrade/limits/usage_limiter.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace masticgrade {
+
+namespace {
+
+/// Added to each host's rate where parts are computed, so that an idle host has a part too;
+/// operations per second.
+constexpr double idle_rate = 0.2;
+/// Time constant of the own rate.
+constexpr double rate_time_constant_s = 1.0;
+/// A pause above this (a suspended host) adds no more tokens than this long would.
+constexpr double longest_refill_s = 1.0;
+/// A report's totals shrink the bucket at most this far below zero, in seconds of the rate, so that
+/// one overrun cannot lock a customer out for long.
+constexpr double deepest_debt_s = 2.0;
+constexpr milliseconds longest_retry_after{2000};
+
+double in_seconds(boot_clock::duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+}  // namespace
+
+bool usage_limiter::is_silent(const peer& other, boot_time now) {
+    return now - other.heard > silence_limit;
+}
+
+void usage_limiter::configure(const std::map<customer_id, rate_limit>& limits, boot_time now) {
+    std::erase_if(buckets_, [&](const auto& entry) { return !limits.contains(entry.first); });
+    for (const auto& [customer, limit] : limits) {
+        auto [found, added] = buckets_.try_emplace(customer);
+        auto& tokens = found->second;
+        if (added) {
+            tokens.updated = now;
+            tokens.rate_updated = now;
+        } else {
+            refill(customer, tokens, now);
+        }
+        tokens.limit = limit;
+        tokens.level = std::min(tokens.level, limit.burst);
+    }
+}
+
+bool usage_limiter::admit(const customer_id& customer, boot_time now) {
+    const auto found = buckets_.find(customer);
+    if (found == buckets_.end()) {
+        return false;
+    }
+    auto& tokens = found->second;
+    refill(customer, tokens, now);
+    if (tokens.level < 1) {
+        return false;
+    }
+    tokens.level -= 1;
+    ++tokens.admitted;
+    return true;
+}
+
+milliseconds usage_limiter::retry_after(const customer_id& customer, boot_time now) {
+    const auto found = buckets_.find(customer);
+    if (found == buckets_.end() || found->second.limit.rate <= 0) {
+        return longest_retry_after;
+    }
+    refill(customer, found->second, now);
+    const auto missing = std::max(0.0, 1 - found->second.level);
+    const milliseconds wait{
+        static_cast<milliseconds::rep>(std::ceil(1000 * missing / found->second.limit.rate))};
+    return std::min(wait, longest_retry_after);
+}
+
+void usage_limiter::on_report(const host_id& sender, incarnation_number incarnation,
+                              const usage_report& report, boot_time now) {
+    drop_dead_peers(now);
+    auto [found, added] = peers_.try_emplace(sender);
+    auto& other = found->second;
+    const bool is_new = added || other.incarnation != incarnation;
+    // Before the totals of an older process can have been seen, only a process that is younger than
+    // this one is known to have admitted everything within this one's life.
+    const bool counts_from_zero = is_new && report.uptime < now - started_;
+    for (const auto& item : report.usage) {
+        const auto bucket_found = buckets_.find(item.customer);
+        if (bucket_found == buckets_.end()) {
+            continue;
+        }
+        auto& tokens = bucket_found->second;
+        refill(item.customer, tokens, now);
+        if (is_new) {
+            other.usage[item.customer] = {};
+        }
+        auto& known = other.usage[item.customer];
+        const bool has_baseline = !is_new || counts_from_zero;
+        const double used =
+            has_baseline && item.admitted >= known.admitted
+                ? static_cast<double>(item.admitted - known.admitted) - known.assumed
+                : 0;
+        tokens.level = std::clamp(tokens.level - used, -deepest_debt_s * tokens.limit.rate,
+                                  tokens.limit.burst);
+        known = {item.admitted, item.rate, 0};
+    }
+    other.incarnation = incarnation;
+    other.heard = now;
+    other.leaving = report.leaving;
+    if (report.leaving) {
+        peers_.erase(found);
+    }
+}
+
+usage_report usage_limiter::report(boot_time now, bool leaving) {
+    usage_report result;
+    result.uptime = std::chrono::duration_cast<milliseconds>(now - started_);
+    result.leaving = leaving;
+    for (auto& [customer, tokens] : buckets_) {
+        update_own_rate(tokens, now);
+        result.usage.push_back({customer, tokens.admitted, tokens.own_rate});
+    }
+    return result;
+}
+
+std::size_t usage_limiter::live_peers(boot_time now) const {
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](auto& entry) {
+        return !is_silent(entry.second, now);
+    }));
+}
+
+bool usage_limiter::is_live(const host_id& host, boot_time now) const {
+    const auto found = peers_.find(host);
+    return found != peers_.end() && !is_silent(found->second, now);
+}
+
+double usage_limiter::own_part(boot_time now) const {
+    double own = idle_rate;
+    for (const auto& [customer, tokens] : buckets_) {
+        own += tokens.own_rate;
+    }
+    double all = own;
+    for (const auto& [host, other] : peers_) {
+        if (is_silent(other, now)) {
+            continue;
+        }
+        all += idle_rate;
+        for (const auto& [customer, usage] : other.usage) {
+            all += usage.rate;
+        }
+    }
+    return own / all;
+}
+
+void usage_limiter::refill(const customer_id& customer, bucket& tokens, boot_time now) {
+    const double elapsed = std::min(in_seconds(now - tokens.updated), longest_refill_s);
+    if (elapsed <= 0) {
+        return;
+    }
+    tokens.updated = now;
+    update_own_rate(tokens, now);
+    const double set_aside = silent_part(customer, tokens, now);
+    tokens.level += tokens.limit.rate * (1 - set_aside) * elapsed;
+    for (auto& [host, other] : peers_) {
+        if (is_silent(other, now)) {
+            continue;
+        }
+        const auto usage = other.usage.find(customer);
+        if (usage != other.usage.end()) {
+            const double assumed = usage->second.rate * elapsed;
+            usage->second.assumed += assumed;
+            tokens.level -= assumed;
+        }
+    }
+    tokens.level = std::clamp(tokens.level, -deepest_debt_s * tokens.limit.rate,
+                              tokens.limit.burst * (1 - set_aside));
+}
+
+void usage_limiter::update_own_rate(bucket& tokens, boot_time now) const {
+    const double elapsed = in_seconds(now - tokens.rate_updated);
+    constexpr double shortest_sample_s = 0.1;
+    if (elapsed < shortest_sample_s) {
+        return;
+    }
+    const double sample = static_cast<double>(tokens.admitted - tokens.counted) / elapsed;
+    const double weight = 1 - std::exp(-elapsed / rate_time_constant_s);
+    tokens.own_rate += weight * (sample - tokens.own_rate);
+    tokens.counted = tokens.admitted;
+    tokens.rate_updated = now;
+}
+
+double usage_limiter::silent_part(const customer_id& customer, const bucket& tokens,
+                                  boot_time now) const {
+    double all = tokens.own_rate + idle_rate;
+    double silent = 0;
+    for (const auto& [host, other] : peers_) {
+        if (now - other.heard > peer_lifetime) {
+            continue;
+        }
+        const auto usage = other.usage.find(customer);
+        const double rate = idle_rate + (usage == other.usage.end() ? 0 : usage->second.rate);
+        all += rate;
+        if (is_silent(other, now)) {
+            silent += rate;
+        }
+    }
+    return silent / all;
+}
+
+void usage_limiter::drop_dead_peers(boot_time now) {
+    std::erase_if(peers_,
+                  [&](const auto& entry) { return now - entry.second.heard > peer_lifetime; });
+}
+
+}  // namespace masticgrade
--- a/libs/net/src/endpoint.cpp
+++ b/libs/net/src/endpoint.cpp
@@ -1,4 +1,4 @@
-#include "endpoint.hpp"
+#include "masticgrade/net/endpoint.hpp"
 
 #include <charconv>
 #include <string_view>
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -14,7 +14,7 @@
 #include <cerrno>
 #include <utility>
 
-#include "endpoint.hpp"
+#include "masticgrade/net/endpoint.hpp"
 #include "masticgrade/base/invariant.hpp"
 
 namespace masticgrade {
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -14,7 +14,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "endpoint.hpp"
+#include "masticgrade/net/endpoint.hpp"
 #include "masticgrade/base/error.hpp"
 #include "masticgrade/base/log.hpp"
 
--- a/libs/peer/include/masticgrade/peer/messages.hpp
+++ b/libs/peer/include/masticgrade/peer/messages.hpp
@@ -9,6 +9,7 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
 #include "masticgrade/limits/share_messages.hpp"
+#include "masticgrade/limits/usage_limiter.hpp"
 #include "masticgrade/version/table_row.hpp"
 
 namespace masticgrade::peer {
@@ -80,7 +81,7 @@
 using message_body =
     std::variant<exchange_request, exchange_reply, rows_request, rows_reply, suspect_report,
                  share_query, share_report, share_assignment, share_ack, share_handover,
-                 token_request, token_grant, token_receipt>;
+                 token_request, token_grant, token_receipt, usage_report>;
 
 struct envelope {
     /// Names the request that a reply belongs to; zero for a one-way message.
--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -86,6 +86,17 @@
             wire::CreateSuspectReport(out, group, body.term.value(), body.suspected)};
 }
 
+written_body<wire::UsageReport> write_body(FlatBufferBuilder& out, const usage_report& body) {
+    const auto usage =
+        write_list<wire::CustomerUsage>(out, body.usage, [&](const customer_usage& item) {
+            const auto customer = out.CreateString(item.customer.str());
+            return wire::CreateCustomerUsage(out, customer, item.admitted, item.rate);
+        });
+    const auto uptime = static_cast<std::uint64_t>(body.uptime.count());
+    return {wire::Body::UsageReport,
+            wire::CreateUsageReport(out, uptime, body.leaving, usage)};
+}
+
 written_body<wire::ShareQuery> write_body(FlatBufferBuilder& out, const share_query& body) {
     std::vector<Offset<flatbuffers::String>> names;
     for (const auto& customer : body.customers) {
@@ -294,6 +305,18 @@
                              request_number{body.number()}};
     }
 
+    message_body read(const wire::UsageReport& body) {
+        constexpr std::uint64_t longest_uptime_ms = std::uint64_t{1} << 52U;
+        usage_report report;
+        report.uptime = milliseconds{std::min(body.uptime_ms(), longest_uptime_ms)};
+        report.leaving = body.leaving();
+        report.usage = list<customer_usage>(body.usage(), [&](const wire::CustomerUsage& item) {
+            return customer_usage{customer_id{text(item.customer())}, item.admitted(),
+                                  amount(item.rate())};
+        });
+        return report;
+    }
+
     message_body read_body(const wire::Envelope& message) {
         switch (message.body_type()) {
             case wire::Body::ExchangeRequest:
@@ -322,6 +345,8 @@
                 return read(*message.body_as_TokenGrant());
             case wire::Body::TokenReceipt:
                 return read(*message.body_as_TokenReceipt());
+            case wire::Body::UsageReport:
+                return read(*message.body_as_UsageReport());
             case wire::Body::NONE:
                 break;
         }
--- a/libs/peer/test/codec_test.cpp
+++ b/libs/peer/test/codec_test.cpp
@@ -42,6 +42,9 @@
         token_request{customer, request_number{number}, amount},
         token_grant{customer, version, request_number{number}, amount},
         token_receipt{customer, version, request_number{number}},
+        usage_report{milliseconds{static_cast<milliseconds::rep>(number % 1000000)},
+                     true,
+                     {{customer, number, amount}, {}}},
     };
 }
 
