Name every argument of awaited calls that was a temporary

Cause: g++ 12 copies temporaries of a conditional expression inside co_await byte by byte; a copied std::set was freed twice as soon as a read avoided an instance. Ruled out: the store client (the same timeouts under AddressSanitizer are clean).

--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -85,6 +85,7 @@
     boost::asio::awaitable<statement_answer> single_write(operation& op);
     /// Starts the transaction on an instance; an answer is the refusal.
     boost::asio::awaitable<std::optional<statement_answer>> begin_on_instance(operation& op);
+    /// Waits for a connection. `avoid` counts where several instances can serve the statement.
     boost::asio::awaitable<std::variant<connection_lease, statement_answer>> acquire(
         operation& op, bool needs_primary, const std::set<instance_id>& avoid);
     boost::asio::awaitable<std::optional<log_index>> needed_position(operation& op);
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -140,11 +140,11 @@
     }
 }
 
-asio::awaitable<std::optional<instance_status>> group_failover::ask(instance_id instance,
-                                                                    backend_request request) {
+asio::awaitable<std::optional<instance_status>> group_failover::ask(
+    const instance_id& instance, const backend_request& request) {
     try {
         const auto deadline = steady_clock::now() + order_timeout;
-        const auto answer = co_await group_->order(instance, std::move(request), deadline);
+        const auto answer = co_await group_->order(instance, request, deadline);
         auto status = environment_.connector.read_status(answer);
         if (!status) {
             event_line{"order_refused"}
@@ -166,9 +166,10 @@
 
 asio::awaitable<bool> group_failover::find_primary() {
     bool found = false;
+    const backend_request question = backend_status{};
     const auto entries = group_->entries();
     for (const auto& entry : entries) {
-        const auto status = co_await ask(entry.id, backend_status{});
+        const auto status = co_await ask(entry.id, question);
         if (status) {
             group_->note_status(entry.id, *status);
             found = found || (status->is_primary && group_->primary() == entry.id);
@@ -180,7 +181,8 @@
 
 asio::awaitable<group_failover::duty> group_failover::read_duty() {
     const auto deadline = steady_clock::now() + store_timeout;
-    const auto rows = co_await environment_.store.scan(duty_key(), {}, deadline);
+    auto key = duty_key();
+    const auto rows = co_await environment_.store.scan(std::move(key), {}, deadline);
     duty result;
     for (const auto& row : rows.rows) {
         if (row.key != duty_key()) {
@@ -260,6 +262,7 @@
 asio::awaitable<std::optional<promotion_choice>> group_failover::hold_replicas(need why) {
     holding_.clear();
     hold_term_ = group_->newest_term().next();
+    const backend_request order = backend_hold{hold_term_};
     const auto give_up = steady_clock::now() + hold_limit;
     while (steady_clock::now() < give_up) {
         std::vector<replica_view> replicas;
@@ -270,7 +273,7 @@
             }
             replica_view view;
             view.id = entry.id;
-            view.held = co_await ask(entry.id, backend_hold{hold_term_});
+            view.held = co_await ask(entry.id, order);
             view.unwanted = group_->is_unwanted(entry.id);
             if (view.held) {
                 holding_.push_back(entry.id);
@@ -312,8 +315,9 @@
     if (row.fence != held_.fence || row.holder != environment_.self) {
         co_return;
     }
+    const backend_request order = backend_resume{};
     for (const auto& instance : holding_) {
-        co_await ask(instance, backend_resume{});
+        co_await ask(instance, order);
     }
     holding_.clear();
 }
@@ -349,9 +353,10 @@
 
 asio::awaitable<bool> group_failover::wait_until_leading(instance_id target) {
     const auto give_up = steady_clock::now() + lead_limit;
+    const backend_request question = backend_status{};
     while (steady_clock::now() < give_up) {
         co_await sleep(check_interval);
-        const auto status = co_await ask(target, backend_status{});
+        const auto status = co_await ask(target, question);
         if (status && status->is_primary) {
             group_->note_status(target, *status);
             group_->set_primary(target, status->term, "promotion");
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -66,8 +66,8 @@
     /// Whether the target leads now.
     boost::asio::awaitable<bool> promote(promotion_choice choice);
     boost::asio::awaitable<bool> wait_until_leading(instance_id target);
-    boost::asio::awaitable<std::optional<instance_status>> ask(instance_id instance,
-                                                               backend_request request);
+    boost::asio::awaitable<std::optional<instance_status>> ask(const instance_id& instance,
+                                                               const backend_request& request);
     boost::asio::awaitable<void> sleep(duration length);
     [[nodiscard]] std::string duty_key() const;
     [[nodiscard]] std::string encode(std::uint64_t fence, bool open) const;
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -139,8 +139,8 @@
     request.order.give_up = op.give_up;
     request.order.start_by = op.started + op.route->latency_objective;
     request.order.priority = op.route->priority;
-    request.avoid = avoid;
     if (!needs_primary) {
+        request.avoid = avoid;
         request.at_least = log_index{};
     }
     auto result = co_await op.group->acquire(std::move(request));
@@ -214,8 +214,7 @@
             op.reason = "no_position_proof";
             co_return refuse(answer_code::busy, "the primary's position is unknown");
         }
-        auto acquired =
-            co_await acquire(op, on_primary, on_primary ? std::set<instance_id>{} : avoid);
+        auto acquired = co_await acquire(op, on_primary, avoid);
         if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
             co_return std::move(*refusal);
         }
@@ -264,18 +263,19 @@
 }
 
 asio::awaitable<statement_answer> caller_session::single_write(operation& op) {
+    const std::set<instance_id> nothing_avoided;
     statement_answer last = refuse(answer_code::busy, retry_text(busy_pause));
     while (op.tries < most_tries && steady_clock::now() < op.give_up) {
         ++op.tries;
-        auto acquired = co_await acquire(op, true, {});
+        auto acquired = co_await acquire(op, true, nothing_avoided);
         if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
             co_return std::move(*refusal);
         }
         auto& lease = std::get<connection_lease>(acquired);
         bool sent = false;
         try {
-            auto refused = co_await lease.align(context_, op.shape ? &*op.shape : nullptr,
-                                                op.deadline);
+            const auto* needed = op.shape ? &*op.shape : nullptr;
+            auto refused = co_await lease.align(context_, needed, op.deadline);
             if (refused) {
                 last = std::move(*refused);
                 continue;
--- a/libs/gateway/src/session_transactions.cpp
+++ b/libs/gateway/src/session_transactions.cpp
@@ -25,14 +25,14 @@
             op.reason = "no_position_proof";
             co_return refuse(answer_code::busy, "the primary's position is unknown");
         }
-        auto acquired = co_await acquire(op, plain, plain ? std::set<instance_id>{} : avoid);
+        auto acquired = co_await acquire(op, plain, avoid);
         if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
             co_return std::move(*refusal);
         }
         auto& lease = std::get<connection_lease>(acquired);
         try {
-            auto refused = co_await lease.align(context_, op.shape ? &*op.shape : nullptr,
-                                                op.deadline);
+            const auto* needed = op.shape ? &*op.shape : nullptr;
+            auto refused = co_await lease.align(context_, needed, op.deadline);
             if (refused) {
                 last = std::move(*refused);
                 continue;
