Make the old primary step down before a promotion, and adopt finished ones

The holder now reads whether another host has promoted, steps a reachable primary down, reads the entries again and holds whatever is listed then. Orders use pooled connections, since full instances refuse new ones.

--- a/libs/gateway/include/masticgrade/gateway/statement.hpp
+++ b/libs/gateway/include/masticgrade/gateway/statement.hpp
@@ -146,10 +146,15 @@
     term_number term;
 };
 struct backend_resume {};
+/// Makes a primary of a lower term a replica, so that it acknowledges nothing more.
+struct backend_step_down {
+    term_number term;
+};
 
 using backend_request =
     std::variant<backend_begin, backend_rollback, backend_statement, backend_execute, backend_set,
-                 backend_prepare, backend_reset, backend_status, backend_hold, backend_resume>;
+                 backend_prepare, backend_reset, backend_status, backend_hold, backend_resume,
+                 backend_step_down>;
 
 /// What an instance says about itself.
 struct instance_status {
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -197,6 +197,11 @@
     return found == instances_.end() || found->second.entry.leaving || found->second.evacuated;
 }
 
+bool backend_group::claims_primary(const instance_id& instance) const {
+    const auto found = instances_.find(instance);
+    return found != instances_.end() && found->second.entry.claims_primary;
+}
+
 bool backend_group::has_lost_instance(time_point now) const {
     return std::any_of(lost_instances_.begin(), lost_instances_.end(), [&](const auto& entry) {
         return now - entry.second <= lost_instance_lifetime;
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -64,6 +64,9 @@
     /// answered it with success.
     boost::asio::awaitable<statement_answer> execute(backend_request request, bool is_commit,
                                                      bool proves_position, time_point deadline);
+    /// Runs one order to the instance.
+    boost::asio::awaitable<statement_answer> execute_order(std::vector<backend_request> request,
+                                                           time_point deadline);
     /// Closes the connection instead of giving it back.
     void discard();
 
@@ -133,12 +136,15 @@
     [[nodiscard]] const std::optional<log_index>& acknowledged() const { return acknowledged_; }
     [[nodiscard]] std::vector<instance_entry> entries() const;
     [[nodiscard]] bool is_unwanted(const instance_id& instance) const;
+    /// Whether the instance's own entry says that it is the primary.
+    [[nodiscard]] bool claims_primary(const instance_id& instance) const;
     /// Whether an instance of this group was listed in the last 20 s and is not any more.
     [[nodiscard]] bool has_lost_instance(time_point now) const;
     [[nodiscard]] bool primary_is_dead(time_point now) const;
     void set_primary(const instance_id& instance, term_number term, std::string_view reason);
     void note_status(const instance_id& instance, const instance_status& status);
-    /// Runs one order on a connection of its own. Throws link_error or refusal_error.
+    /// Runs one order on a free connection, or on one of its own. Throws link_error or
+    /// refusal_error.
     boost::asio::awaitable<statement_answer> order(instance_id instance, backend_request request,
                                                    time_point deadline);
 
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -115,4 +115,10 @@
     co_return answer;
 }
 
+asio::awaitable<statement_answer> connection_lease::execute_order(
+    std::vector<backend_request> request, time_point deadline) {
+    auto answers = co_await run(std::move(request), deadline);
+    co_return std::move(answers.front());
+}
+
 }  // namespace masticgrade
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -184,7 +184,7 @@
                                           services_.connector,
                                           metrics_,
                                           [this] { return live_host_ids(); },
-                                          [this] { refresh_directory(); }};
+                                          [this] { return read_directory(); }};
             failovers_[name] = std::make_shared<group_failover>(group, std::move(failover));
             spawn(failovers_[name]->run());
         }
@@ -251,15 +251,19 @@
             .write();
     }
 
+    asio::awaitable<void> read_directory() {
+        const auto deadline = steady_clock::now() + read_timeout;
+        const auto entries = co_await services_.control.read_instances(deadline);
+        directory_.apply(entries, boot_clock::now());
+        update_groups();
+    }
+
     asio::awaitable<void> directory_loop() {
         for (;;) {
             const auto started = steady_clock::now();
             directory_wanted_ = false;
             try {
-                const auto deadline = started + read_timeout;
-                const auto entries = co_await services_.control.read_instances(deadline);
-                directory_.apply(entries, boot_clock::now());
-                update_groups();
+                co_await read_directory();
             } catch (const error& failure) {
                 directory_.on_store_lost();
                 metrics_.count("masticgrade_store_failures_total",
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -250,11 +250,21 @@
     if (found == instances_.end()) {
         throw link_error("order", instance.str(), "the instance is not listed any more", false);
     }
-    const auto entry = found->second.entry;
-    const auto customer = last_customer_.empty() ? customer_id{"-"} : last_customer_;
-    auto link = co_await environment_.connector.connect(entry, customer, deadline);
+    auto& state = found->second;
     std::vector<backend_request> requests;
     requests.push_back(std::move(request));
+    if (!state.idle.empty()) {
+        // An instance with all its connections in use refuses new ones, also for orders.
+        auto connection = std::move(state.idle.back());
+        state.idle.pop_back();
+        ++state.outstanding;
+        ++under_way_[connection->customer];
+        connection_lease lease{self, std::move(connection)};
+        co_return co_await lease.execute_order(std::move(requests), deadline);
+    }
+    const auto entry = state.entry;
+    const auto customer = last_customer_.empty() ? customer_id{"-"} : last_customer_;
+    auto link = co_await environment_.connector.connect(entry, customer, deadline);
     auto answers = co_await link->run(std::move(requests), deadline);
     link->close();
     co_return answers.front();
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -18,6 +18,8 @@
 
 constexpr milliseconds check_interval{100};
 constexpr milliseconds order_timeout{500};
+/// For a primary that has not answered for longer than this already.
+constexpr milliseconds dead_primary_order_timeout{150};
 constexpr milliseconds store_timeout{800};
 constexpr milliseconds promote_call_timeout{1500};
 /// A holder whose row has not changed for this long is taken to be dead; above the time of a whole
@@ -47,9 +49,11 @@
 
 std::string group_failover::duty_key() const { return "failover/" + group_->name().str(); }
 
-std::string group_failover::encode(std::uint64_t fence, bool open) const {
+std::string group_failover::encode(std::uint64_t fence, const instance_id& target,
+                                   bool open) const {
     return json::serialize(json::object{{"fence", fence},
                                         {"holder", environment_.self.str()},
+                                        {"target", target.str()},
                                         {"open", open},
                                         {"mark", random_mark()}});
 }
@@ -104,6 +108,7 @@
 
 asio::awaitable<void> group_failover::attempt(need why) {
     pause_until_ = steady_clock::now() + pause_after_failure;
+    const auto replaced = group_->primary();
     const bool has_primary = co_await find_primary();
     if (has_primary && why == need::unplanned) {
         co_return;
@@ -111,6 +116,11 @@
     if (!co_await take_duty()) {
         co_return;
     }
+    // Another host's promotion may have ended meanwhile.
+    if (group_->primary() != replaced || current_need(steady_clock::now()) == need::none) {
+        co_await close_duty({});
+        co_return;
+    }
     event_line{"failover_started"}
         .field("group", group_->name())
         .field("planned", why == need::planned)
@@ -118,10 +128,10 @@
         .field("term", group_->newest_term())
         .field("fence", held_.fence)
         .write();
-    const auto choice = co_await hold_replicas(why);
+    const auto choice = co_await prepare_target(why);
     if (!choice) {
         co_await release_replicas();
-        co_await close_duty();
+        co_await close_duty({});
         co_return;
     }
     const bool leads = co_await promote(*choice);
@@ -136,14 +146,43 @@
                                leads ? "done" : "failed");
     if (leads) {
         pause_until_ = steady_clock::now() + pause_after_promotion;
-        co_await close_duty();
+        co_await close_duty(choice->target);
     }
 }
 
+asio::awaitable<std::optional<promotion_choice>> group_failover::prepare_target(need why) {
+    auto choice = co_await hold_replicas(why);
+    if (!choice) {
+        co_return std::nullopt;
+    }
+    // A replica that started after the hold could still acknowledge for a primary that lives. Once
+    // the primary has stepped down, the replicas that are listed then have all there is.
+    co_await step_primary_down();
+    co_await environment_.read_directory();
+    co_return co_await hold_replicas(why);
+}
+
+asio::awaitable<void> group_failover::step_primary_down() {
+    const auto primary = group_->primary();
+    if (!primary) {
+        co_return;
+    }
+    const backend_request order = backend_step_down{hold_term_};
+    const auto status = co_await ask(*primary, order);
+    event_line{"step_down"}
+        .field("group", group_->name())
+        .field("instance", *primary)
+        .field("term", hold_term_)
+        .field("answered", status.has_value())
+        .write();
+}
+
 asio::awaitable<std::optional<instance_status>> group_failover::ask(
     const instance_id& instance, const backend_request& request) {
     try {
-        const auto deadline = steady_clock::now() + order_timeout;
+        const auto now = steady_clock::now();
+        const bool is_dead = group_->primary() == instance && group_->primary_is_dead(now);
+        const auto deadline = now + (is_dead ? dead_primary_order_timeout : order_timeout);
         const auto answer = co_await group_->order(instance, request, deadline);
         auto status = environment_.connector.read_status(answer);
         if (!status) {
@@ -201,6 +240,9 @@
         if (const auto* holder = object.if_contains("holder"); holder && holder->is_string()) {
             result.holder = host_id{std::string{holder->as_string()}};
         }
+        if (const auto* target = object.if_contains("target"); target && target->is_string()) {
+            result.target = instance_id{std::string{target->as_string()}};
+        }
         const auto* open = object.if_contains("open");
         result.open = open != nullptr && open->is_bool() && open->as_bool();
     }
@@ -210,6 +252,9 @@
 asio::awaitable<bool> group_failover::take_duty() {
     const auto now = steady_clock::now();
     const auto seen = co_await read_duty();
+    if (adopt(seen)) {
+        co_return false;
+    }
     const bool foreign = seen.open && seen.holder != environment_.self;
     if (foreign) {
         if (foreign_version_ != seen.version) {
@@ -222,7 +267,7 @@
     }
     table_commit change;
     change.conditions.push_back({duty_key(), seen.version});
-    const auto value = encode(seen.fence + 1, true);
+    const auto value = encode(seen.fence + 1, {}, true);
     change.puts.push_back({duty_key(), value});
     std::optional<commit_result> result;
     try {
@@ -235,7 +280,7 @@
             .write();
     }
     if (result) {
-        held_ = {seen.fence + 1, environment_.self, true, result->version};
+        held_ = {seen.fence + 1, environment_.self, true, {}, result->version};
         co_return result->committed;
     }
     // The change may have taken effect, or may do so later; the row decides.
@@ -247,10 +292,23 @@
     co_return true;
 }
 
-asio::awaitable<void> group_failover::close_duty() {
+bool group_failover::adopt(const duty& seen) {
+    if (seen.open || seen.fence <= known_fence_) {
+        return false;
+    }
+    known_fence_ = seen.fence;
+    if (seen.target.empty() || group_->primary() == seen.target) {
+        return false;
+    }
+    group_->set_primary(seen.target, group_->newest_term(), "failover_row");
+    return true;
+}
+
+asio::awaitable<void> group_failover::close_duty(instance_id target) {
+    known_fence_ = held_.fence;
     table_commit change;
     change.conditions.push_back({duty_key(), held_.version});
-    change.puts.push_back({duty_key(), encode(held_.fence, false)});
+    change.puts.push_back({duty_key(), encode(held_.fence, target, false)});
     try {
         co_await environment_.store.commit(std::move(change), steady_clock::now() + store_timeout);
     } catch (const error& failure) {
@@ -277,7 +335,7 @@
             view.unwanted = group_->is_unwanted(entry.id);
             if (view.held) {
                 holding_.push_back(entry.id);
-                if (view.held->term >= hold_term_) {
+                if (view.held->is_primary || view.held->term >= hold_term_) {
                     // Another promotion has ended; its primary will be found.
                     co_return std::nullopt;
                 }
@@ -337,7 +395,7 @@
             .write();
         if (outcome == promotion_outcome::refused) {
             co_await release_replicas();
-            co_await close_duty();
+            co_await close_duty({});
             co_return false;
         }
         if (co_await wait_until_leading(choice.target)) {
@@ -362,6 +420,13 @@
             group_->set_primary(target, status->term, "promotion");
             co_return true;
         }
+        if (!status) {
+            co_await environment_.read_directory();
+        }
+        if (group_->claims_primary(target)) {
+            group_->set_primary(target, hold_term_, "promotion");
+            co_return true;
+        }
     }
     co_return false;
 }
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -23,7 +23,8 @@
     gateway_metrics& metrics;
     /// The hosts that are alive, this one counted.
     std::function<std::vector<host_id>()> live_hosts;
-    std::function<void()> refresh_directory;
+    /// Reads the instances' entries now. Throws masticgrade::error.
+    std::function<boost::asio::awaitable<void>()> read_directory;
 };
 
 /// Replaces a group's primary when it is dead, leaving or in an evacuated failure domain.
@@ -51,6 +52,8 @@
         std::uint64_t fence = 0;
         host_id holder;
         bool open = false;
+        /// The instance that the holder promoted; empty when it promoted none.
+        instance_id target;
         fleet_version version;
     };
 
@@ -58,7 +61,12 @@
     boost::asio::awaitable<void> attempt(need why);
     boost::asio::awaitable<duty> read_duty();
     boost::asio::awaitable<bool> take_duty();
-    boost::asio::awaitable<void> close_duty();
+    /// Takes the outcome of another holder's promotion over. Returns whether there was one.
+    bool adopt(const duty& seen);
+    boost::asio::awaitable<void> close_duty(instance_id target);
+    /// Chooses the target such that the present primary can acknowledge nothing more.
+    boost::asio::awaitable<std::optional<promotion_choice>> prepare_target(need why);
+    boost::asio::awaitable<void> step_primary_down();
     /// Whether a live primary was found, so that nothing has to be done.
     boost::asio::awaitable<bool> find_primary();
     boost::asio::awaitable<std::optional<promotion_choice>> hold_replicas(need why);
@@ -70,7 +78,8 @@
                                                                const backend_request& request);
     boost::asio::awaitable<void> sleep(duration length);
     [[nodiscard]] std::string duty_key() const;
-    [[nodiscard]] std::string encode(std::uint64_t fence, bool open) const;
+    [[nodiscard]] std::string encode(std::uint64_t fence, const instance_id& target,
+                                     bool open) const;
 
     std::shared_ptr<backend_group> group_;
     failover_environment environment_;
@@ -79,6 +88,8 @@
     std::optional<time_point> needed_since_;
     time_point pause_until_{};
     duty held_;
+    /// The highest fence whose outcome this host knows.
+    std::uint64_t known_fence_ = 0;
     /// Another holder's row, and since when it has been seen unchanged.
     std::optional<fleet_version> foreign_version_;
     time_point foreign_since_{};
