Skip replicas that are known to lag, and let statements without a new connection go first

Cause: with both replicas of a group behind, each read first tried a lagging replica, and waiting customers replaced each other's connections at the primary, each for 27 ms of a slot. The primary stays short of slots.

--- a/libs/gateway/include/masticgrade/gateway/wait_queue.hpp
+++ b/libs/gateway/include/masticgrade/gateway/wait_queue.hpp
@@ -23,6 +23,7 @@
     time_point start_by;
     /// 0 is the highest.
     unsigned priority = 0;
+    time_point arrived{};
 };
 
 /// The operations of one database group that wait on one host, in the order to serve them.
@@ -49,7 +50,8 @@
     [[nodiscard]] std::vector<waiter_number> order(
         time_point now, const std::map<customer_id, unsigned>& under_way) const;
 
-    [[nodiscard]] std::vector<waiter_number> expired(time_point now) const;
+    /// Whether an operation has been waiting since `moment` or longer.
+    [[nodiscard]] bool has_waited_since(time_point moment) const;
     [[nodiscard]] std::size_t size() const noexcept { return items_.size(); }
 
 private:
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -16,8 +16,8 @@
 
 /// How long a denial of being the primary outweighs the instance's own entry, which lags.
 constexpr milliseconds denial_lifetime{1500};
-/// How long a replica that refused a position is skipped for positions like it.
-constexpr milliseconds lagging_pause{150};
+/// What an instance said of its position counts for this long; then one read finds it out again.
+constexpr milliseconds position_lifetime{150};
 /// The primary's position is asked for again when the last proof is this old and reads need it.
 constexpr milliseconds proof_refresh_age{350};
 constexpr seconds position_use_lifetime{3};
@@ -224,12 +224,17 @@
     if (is_primary && watch_.is_dead(now)) {
         return false;
     }
-    if (!is_primary && request.at_least && instance.lagging_until > now) {
+    if (!is_primary && request.at_least && lags_behind(instance, *request.at_least, now)) {
         return false;
     }
     return instance.failures < 2 || now >= instance.connect_after;
 }
 
+bool backend_group::lags_behind(const instance_state& instance, log_index needed, time_point now) {
+    return instance.position && *instance.position < needed &&
+           now - instance.position_at < position_lifetime;
+}
+
 connection_share backend_group::share() const {
     return divide_connections(settings_.max_connections, environment_.hosts(),
                               environment_.own_part());
@@ -256,11 +261,16 @@
 }
 
 std::optional<backend_group::assignment> backend_group::assign(const acquire_request& request,
+                                                               bool only_free_connections,
                                                                time_point now) {
     std::vector<placement_candidate> candidates;
     for (const auto& [id, instance] : instances_) {
-        if (may_serve(instance, request, now)) {
-            candidates.push_back(describe(instance, request.order.customer, now));
+        if (!may_serve(instance, request, now)) {
+            continue;
+        }
+        const auto item = describe(instance, request.order.customer, now);
+        if (item.has_free_connection || !only_free_connections) {
+            candidates.push_back(item);
         }
     }
     const auto chosen = choose_instance(candidates, setup_time_);
@@ -269,6 +279,10 @@
     }
     auto& instance = instances_.at(*chosen);
     assignment result{*chosen, instance.epoch, nullptr};
+    if (request.at_least && instance.position && *instance.position < *request.at_least) {
+        // Until this read is answered, others need not find out the same.
+        instance.position_at = now;
+    }
     // The connection used last is the most likely to be still open and to fit the session.
     const auto free = std::find_if(instance.idle.rbegin(), instance.idle.rend(),
                                    [&](const auto& connection) {
@@ -319,6 +333,10 @@
         return;
     }
     found->second.failures = 0;
+    if (answer.position) {
+        found->second.position = answer.position;
+        found->second.position_at = now;
+    }
     // Answers that no slot worked for are no measure of the instance's speed.
     if (answer.code == answer_code::done && answer.text != "-") {
         found->second.service_time = smooth(found->second.service_time, elapsed);
@@ -368,19 +386,6 @@
     }
 }
 
-void backend_group::on_lagging(const instance_id& instance, log_index needed) {
-    const auto found = instances_.find(instance);
-    if (found == instances_.end()) {
-        return;
-    }
-    found->second.lagging_until = steady_clock::now() + lagging_pause;
-    event_line{"replica_lagging"}
-        .field("group", name_)
-        .field("instance", instance)
-        .field("needed", needed)
-        .write();
-}
-
 void backend_group::tick(time_point now) {
     watch_.tick(now);
     constexpr seconds rate_period{1};
@@ -439,7 +444,7 @@
     constexpr milliseconds refresh_timeout{300};
     const auto deadline = steady_clock::now() + refresh_timeout;
     acquire_request request;
-    request.order = {customer, true, deadline, deadline, 0};
+    request.order = {customer, true, deadline, deadline, 0, {}};
     try {
         auto result = co_await acquire(std::move(request));
         if (auto* lease = std::get_if<connection_lease>(&result)) {
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -82,7 +82,8 @@
     waiter order;
     /// Instances that have already failed this operation.
     std::set<instance_id> avoid = {};
-    /// The position that the instance's log must reach; used to skip replicas that lag.
+    /// The position that the instance's log must reach; replicas known to lag behind it are
+    /// skipped.
     std::optional<log_index> at_least = {};
 };
 
@@ -157,7 +158,6 @@
     void add_proof(const instance_id& instance, boot_time sent_at, log_index position);
     void on_acknowledged(log_index position);
     void on_denied(const instance_id& instance);
-    void on_lagging(const instance_id& instance, log_index needed);
 
 private:
     struct instance_state {
@@ -173,8 +173,9 @@
         unsigned outstanding = 0;
         microseconds service_time{0};
         time_point connect_after{};
-        /// Refused with `lagging` at this position; skipped until then.
-        time_point lagging_until{};
+        /// The end of its log when it last answered.
+        std::optional<log_index> position;
+        time_point position_at{};
         /// It said that it is not the primary.
         time_point denied_until{};
         /// No new connection above the kept ones until then, since the instance has too many.
@@ -189,12 +190,16 @@
         std::unique_ptr<pooled_connection> connection;
     };
 
-    std::optional<assignment> assign(const acquire_request& request, time_point now);
+    std::optional<assignment> assign(const acquire_request& request, bool only_free_connections,
+                                     time_point now);
     [[nodiscard]] placement_candidate describe(const instance_state& instance,
                                                const customer_id& customer, time_point now) const;
     [[nodiscard]] bool may_serve(const instance_state& instance, const acquire_request& request,
                                  time_point now) const;
+    [[nodiscard]] static bool lags_behind(const instance_state& instance, log_index needed,
+                                          time_point now);
     [[nodiscard]] connection_share share() const;
+    void try_waiting(bool only_free_connections, time_point now);
     void pump();
     boost::asio::awaitable<std::unique_ptr<pooled_connection>> open(instance_id instance,
                                                                     std::uint64_t epoch,
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -79,9 +79,6 @@
     if (answer.code == answer_code::read_only) {
         group_->on_denied(connection_->instance);
     }
-    if (answer.code == answer_code::lagging && at_least) {
-        group_->on_lagging(connection_->instance, *at_least);
-    }
     co_return answer;
 }
 
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -24,6 +24,8 @@
 /// Idle connections above the kept ones close after this time.
 constexpr milliseconds extra_idle_lifetime{400};
 constexpr seconds rollback_timeout{2};
+/// How long an operation may be overtaken by others that need no new connection; a few statements.
+constexpr milliseconds longest_overtaking{80};
 
 }  // namespace
 
@@ -36,6 +38,7 @@
 asio::awaitable<acquire_result> backend_group::acquire(acquire_request request) {
     const auto self = shared_from_this();
     const auto started = steady_clock::now();
+    request.order.arrived = started;
     for (;;) {
         const auto now = steady_clock::now();
         if (now >= request.order.give_up) {
@@ -82,13 +85,22 @@
         return;
     }
     const auto now = steady_clock::now();
+    // A new connection takes a slot for as long as a statement does. While many wait, those whose
+    // customer has a free connection go first, until one of the others has waited too long.
+    if (!queue_.has_waited_since(now - longest_overtaking)) {
+        try_waiting(true, now);
+    }
+    try_waiting(false, now);
+}
+
+void backend_group::try_waiting(bool only_free_connections, time_point now) {
     for (const auto number : queue_.order(now, under_way_)) {
         const auto found = waiting_.find(number);
         if (found == waiting_.end() || found->second->result) {
             continue;
         }
         auto& entry = *found->second;
-        entry.result = assign(entry.request, now);
+        entry.result = assign(entry.request, only_free_connections, now);
         if (entry.result) {
             queue_.remove(number);
             entry.timer.cancel();
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -16,6 +16,8 @@
 /// The first try of a read may use this part of the time left; the rest is for another instance.
 constexpr double first_try_part = 0.5;
 constexpr unsigned most_tries = 4;
+/// After these a read goes to the primary, which has every commit.
+constexpr std::size_t most_replica_tries = 2;
 /// Taken off a route's staleness for the way to the instance and its queue.
 constexpr milliseconds staleness_margin{250};
 /// Pause before a statement is offered again to an instance that was too busy to start it.
@@ -132,16 +134,16 @@
 }
 
 asio::awaitable<std::variant<connection_lease, statement_answer>> caller_session::acquire(
-    operation& op, bool needs_primary, const std::set<instance_id>& avoid) {
+    operation& op, std::optional<log_index> at_least, const std::set<instance_id>& avoid) {
     acquire_request request;
     request.order.customer = customer_;
-    request.order.needs_primary = needs_primary;
+    request.order.needs_primary = !at_least;
     request.order.give_up = op.give_up;
     request.order.start_by = op.started + op.route->latency_objective;
     request.order.priority = op.route->priority;
-    if (!needs_primary) {
+    if (at_least) {
         request.avoid = avoid;
-        request.at_least = log_index{};
+        request.at_least = at_least;
     }
     auto result = co_await op.group->acquire(std::move(request));
     if (auto* lease = std::get_if<connection_lease>(&result)) {
@@ -210,17 +212,20 @@
     statement_answer last = refuse(answer_code::busy, retry_text(busy_pause));
     while (op.tries < most_tries && steady_clock::now() < op.give_up) {
         ++op.tries;
-        if (!on_primary && !co_await needed_position(op)) {
-            op.reason = "no_position_proof";
-            co_return refuse(answer_code::busy, "the primary's position is unknown");
+        std::optional<log_index> at_least;
+        if (!on_primary) {
+            at_least = co_await needed_position(op);
+            if (!at_least) {
+                op.reason = "no_position_proof";
+                co_return refuse(answer_code::busy, "the primary's position is unknown");
+            }
         }
-        auto acquired = co_await acquire(op, on_primary, avoid);
+        auto acquired = co_await acquire(op, at_least, avoid);
         if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
             co_return std::move(*refusal);
         }
         auto& lease = std::get<connection_lease>(acquired);
         try {
-            std::optional<log_index> at_least;
             if (on_primary) {
                 auto begun = co_await lease.begin(false, std::nullopt, op.deadline);
                 if (begun.code != answer_code::done) {
@@ -247,11 +252,8 @@
                 co_return answer;
             }
             op.reason = "instance_refused";
-            if (answer.code == answer_code::lagging) {
-                op.group->on_lagging(lease.instance(), *at_least);
-                on_primary = true;
-            }
             avoid.insert(lease.instance());
+            on_primary = on_primary || avoid.size() >= most_replica_tries;
             last = std::move(answer);
         } catch (const link_error& failure) {
             op.reason = "connection_lost";
@@ -267,7 +269,7 @@
     statement_answer last = refuse(answer_code::busy, retry_text(busy_pause));
     while (op.tries < most_tries && steady_clock::now() < op.give_up) {
         ++op.tries;
-        auto acquired = co_await acquire(op, true, nothing_avoided);
+        auto acquired = co_await acquire(op, std::nullopt, nothing_avoided);
         if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
             co_return std::move(*refusal);
         }
--- a/libs/gateway/src/session_transactions.cpp
+++ b/libs/gateway/src/session_transactions.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr unsigned most_begin_tries = 4;
+/// After these a read-only transaction goes to the primary, which has every commit.
+constexpr std::size_t most_replica_tries = 2;
 
 }  // namespace
 
@@ -21,11 +23,14 @@
     while (op.tries < most_begin_tries && steady_clock::now() < op.give_up) {
         ++op.tries;
         std::optional<log_index> at_least;
-        if (!plain && !co_await needed_position(op)) {
-            op.reason = "no_position_proof";
-            co_return refuse(answer_code::busy, "the primary's position is unknown");
+        if (!plain) {
+            at_least = co_await needed_position(op);
+            if (!at_least) {
+                op.reason = "no_position_proof";
+                co_return refuse(answer_code::busy, "the primary's position is unknown");
+            }
         }
-        auto acquired = co_await acquire(op, plain, avoid);
+        auto acquired = co_await acquire(op, at_least, avoid);
         if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
             co_return std::move(*refusal);
         }
@@ -52,7 +57,7 @@
             }
             op.reason = "begin_refused";
             avoid.insert(lease.instance());
-            plain = plain || begun.code == answer_code::lagging;
+            plain = plain || avoid.size() >= most_replica_tries;
             last = std::move(begun);
         } catch (const link_error& failure) {
             op.reason = "connection_lost";
--- a/libs/gateway/src/wait_queue.cpp
+++ b/libs/gateway/src/wait_queue.cpp
@@ -53,14 +53,9 @@
     return result;
 }
 
-std::vector<waiter_number> wait_queue::expired(time_point now) const {
-    std::vector<waiter_number> result;
-    for (const auto& [number, item] : items_) {
-        if (item.give_up <= now) {
-            result.push_back(number);
-        }
-    }
-    return result;
+bool wait_queue::has_waited_since(time_point moment) const {
+    return std::any_of(items_.begin(), items_.end(),
+                       [&](const auto& entry) { return entry.second.arrived <= moment; });
 }
 
 }  // namespace masticgrade
