Lend connections between hosts: one home host uses those of an instance for all

Cause: a connection belongs to one customer, and a host's part of 21 or 33 connections is less than one for each customer, so that half of all operations opened one, which takes a slot for as long as a statement does. An operation now reaches an instance through its home, a host of the instance's failure domain, where all operations for the instance wait in one queue.

--- a/libs/gateway/include/masticgrade/gateway/placement.hpp
+++ b/libs/gateway/include/masticgrade/gateway/placement.hpp
@@ -19,6 +19,8 @@
     unsigned slots = 1;
     /// Smoothed time of recent statements there.
     microseconds service_time{0};
+    /// Smoothed time that recent operations waited at the host that lends its connections.
+    microseconds queue_time{0};
     /// A connection that is free and opened for the customer.
     bool has_free_connection = false;
     /// A connection can be opened without closing another.
@@ -39,6 +41,18 @@
 std::optional<instance_id> choose_instance(const std::vector<placement_candidate>& candidates,
                                            microseconds connection_setup);
 
+struct home_candidate {
+    host_id host;
+    failure_domain_id failure_domain;
+};
+
+/// Chooses the host that uses an instance's connections for all by rendezvous hashing, so that
+/// every host chooses alike and the loss of one moves only what it had. Hosts of the instance's own
+/// failure domain go first. Thread safety: reentrant.
+std::optional<host_id> choose_home_host(const instance_id& instance,
+                                        const failure_domain_id& failure_domain,
+                                        const std::vector<home_candidate>& candidates);
+
 /// A host's part of an instance's connections.
 struct connection_share {
     /// Connections that are kept open when idle.
@@ -47,6 +61,10 @@
     unsigned most = 1;
 };
 
+/// The connections of the host that uses an instance's connections for all: the others keep a few
+/// for the time in which they cannot reach it, and orders need some. Thread safety: reentrant.
+connection_share home_connections(unsigned max_connections);
+
 /// Divides `max_connections` by demand: half evenly over `hosts`, half by `own_part`, the part of the
 /// operations that this host serves. One in ten is left free for hosts that join and for orders.
 ///
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -29,6 +29,8 @@
 /// The same for an evacuated failure domain, whose bound is 5 s.
 constexpr milliseconds evacuated_primary_limit{2800};
 constexpr double smoothing = 0.15;
+/// Statements at an instance beyond its slots, so that a slot does not wait for the next one's way.
+constexpr unsigned statements_in_transit = 2;
 
 microseconds smooth(microseconds old_value, duration sample) {
     const auto value = std::chrono::duration_cast<microseconds>(sample);
@@ -109,7 +111,7 @@
         auto idle = std::move(item->second.idle);
         item = instances_.erase(item);
         for (auto& connection : idle) {
-            connection->link->close();
+            connection->close();
         }
     }
     std::erase_if(lost_instances_,
@@ -212,7 +214,8 @@
                               time_point now) const {
     const auto& id = instance.entry.id;
     const bool is_primary = primary_ == id;
-    if (request.avoid.contains(id) || (request.order.needs_primary && !is_primary)) {
+    if (request.avoid.contains(id) || (request.order.needs_primary && !is_primary) ||
+        (request.lent && *request.lent != id)) {
         return false;
     }
     if (instance.unwanted_since) {
@@ -235,12 +238,16 @@
            now - instance.position_at < position_lifetime;
 }
 
-connection_share backend_group::share() const {
+connection_share backend_group::share(const instance_home& home) const {
+    if (home.is_self) {
+        return home_connections(settings_.max_connections);
+    }
     return divide_connections(settings_.max_connections, environment_.hosts(),
                               environment_.own_part());
 }
 
 placement_candidate backend_group::describe(const instance_state& instance,
+                                            const instance_home& home,
                                             const customer_id& customer, time_point now) const {
     placement_candidate item;
     item.instance = instance.entry.id;
@@ -249,10 +256,18 @@
     item.outstanding = instance.outstanding;
     item.slots = instance.entry.slots;
     item.service_time = instance.service_time;
+    if (!home.host.empty()) {
+        item.queue_time = instance.queue_time;
+        item.has_free_connection = true;
+        return item;
+    }
+    if (instance.outstanding - instance.paused >= instance.entry.slots + statements_in_transit) {
+        return item;
+    }
     item.has_free_connection =
         std::any_of(instance.idle.begin(), instance.idle.end(),
                     [&](const auto& connection) { return connection->customer == customer; });
-    const auto part = share();
+    const auto part = share(home);
     const unsigned most = now < instance.full_until ? part.kept : part.most;
     const bool may_connect = now >= instance.connect_after;
     item.can_open = may_connect && instance.open < most;
@@ -264,13 +279,16 @@
                                                                bool only_free_connections,
                                                                time_point now) {
     std::vector<placement_candidate> candidates;
+    std::map<instance_id, instance_home> homes;
     for (const auto& [id, instance] : instances_) {
         if (!may_serve(instance, request, now)) {
             continue;
         }
-        const auto item = describe(instance, request.order.customer, now);
+        const auto home = request.lent ? instance_home{true, {}} : environment_.home_of(instance.entry);
+        const auto item = describe(instance, home, request.order.customer, now);
         if (item.has_free_connection || !only_free_connections) {
             candidates.push_back(item);
+            homes.emplace(id, home);
         }
     }
     const auto chosen = choose_instance(candidates, setup_time_);
@@ -278,11 +296,16 @@
         return std::nullopt;
     }
     auto& instance = instances_.at(*chosen);
-    assignment result{*chosen, instance.epoch, nullptr};
+    assignment result{*chosen, instance.epoch, homes.at(*chosen).host, nullptr};
     if (request.at_least && instance.position && *instance.position < *request.at_least) {
         // Until this read is answered, others need not find out the same.
         instance.position_at = now;
     }
+    ++instance.outstanding;
+    ++under_way_[request.order.customer];
+    if (!result.home.empty()) {
+        return result;
+    }
     // The connection used last is the most likely to be still open and to fit the session.
     const auto free = std::find_if(instance.idle.rbegin(), instance.idle.rend(),
                                    [&](const auto& connection) {
@@ -302,11 +325,28 @@
         }
         ++instance.open;
     }
-    ++instance.outstanding;
-    ++under_way_[request.order.customer];
     return result;
 }
 
+void backend_group::on_run_started(pooled_connection& connection) {
+    if (connection.paused) {
+        connection.paused = false;
+        if (auto* state = find_state(connection.instance, connection.epoch)) {
+            --state->paused;
+        }
+    }
+}
+
+void backend_group::on_run_ended(pooled_connection& connection) {
+    if (connection.in_transaction && !connection.remote && connection.is_open()) {
+        connection.paused = true;
+        if (auto* state = find_state(connection.instance, connection.epoch)) {
+            ++state->paused;
+        }
+        pump();
+    }
+}
+
 void backend_group::on_sent(const instance_id& instance, bool is_commit) {
     if (primary_ == instance) {
         watch_.on_statement_sent(steady_clock::now());
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -25,9 +25,29 @@
 
 class backend_group;
 
-/// One connection of the pool.
+/// A connection that another host lends to this one. Thread safety: none; one executor.
+class remote_connection {
+public:
+    remote_connection() = default;
+    remote_connection(const remote_connection&) = delete;
+    remote_connection& operator=(const remote_connection&) = delete;
+    virtual ~remote_connection() = default;
+
+    /// The session context that the connection must have from the next run on.
+    virtual void set_context(const session_context& session, const prepared_shape* needed) = 0;
+    /// As instance_link::run.
+    virtual boost::asio::awaitable<std::vector<statement_answer>> run(
+        std::vector<backend_request> requests, time_point deadline) = 0;
+    [[nodiscard]] virtual bool is_open() const = 0;
+    /// Gives the connection back to its host.
+    virtual void close() = 0;
+};
+
+/// One connection of the pool, or one that another host lends.
 struct pooled_connection {
     instance_link_ptr link;
+    /// Set instead of `link` when another host lends the connection.
+    std::shared_ptr<remote_connection> remote;
     backend_context context;
     instance_id instance;
     customer_id customer;
@@ -36,6 +56,17 @@
     time_point last_used;
     /// Whether a transaction is open on it.
     bool in_transaction = false;
+    /// In a transaction, with no statement under way.
+    bool paused = false;
+
+    [[nodiscard]] bool is_open() const { return remote ? remote->is_open() : link->is_open(); }
+    void close() {
+        if (remote) {
+            remote->close();
+        } else {
+            link->close();
+        }
+    }
 };
 
 /// The use of one backend connection by one operation. Gives the connection back at the end of its
@@ -49,7 +80,7 @@
     ~connection_lease();
 
     [[nodiscard]] const instance_id& instance() const { return connection_->instance; }
-    [[nodiscard]] bool is_open() const { return connection_->link->is_open(); }
+    [[nodiscard]] bool is_open() const { return connection_->is_open(); }
 
     /// Gives the connection the session's values and the prepared statement, if any.
     /// Throws link_error. Returns the first answer that is not a success, if any.
@@ -64,9 +95,10 @@
     /// answered it with success.
     boost::asio::awaitable<statement_answer> execute(backend_request request, bool is_commit,
                                                      bool proves_position, time_point deadline);
-    /// Runs one order to the instance.
-    boost::asio::awaitable<statement_answer> execute_order(std::vector<backend_request> request,
-                                                           time_point deadline);
+    /// Runs requests as they are: orders to the instance, or those of another host's session.
+    /// Throws link_error.
+    boost::asio::awaitable<std::vector<statement_answer>> execute_all(
+        std::vector<backend_request> requests, time_point deadline);
     /// Closes the connection instead of giving it back.
     void discard();
 
@@ -85,9 +117,23 @@
     /// The position that the instance's log must reach; replicas known to lag behind it are
     /// skipped.
     std::optional<log_index> at_least = {};
+    /// Set for another host, to which this one lends a connection to this instance.
+    std::optional<instance_id> lent = {};
 };
 
-enum class acquire_failure { overloaded, timed_out, no_instance };
+enum class acquire_failure { overloaded, timed_out, not_lent };
+
+/// Which host uses the connections to an instance for all.
+struct instance_home {
+    bool is_self = false;
+    /// Empty when it is this host, or when no host is known that does.
+    host_id host;
+};
+
+struct remote_acquire_result {
+    std::shared_ptr<remote_connection> connection;
+    acquire_failure failure = acquire_failure::not_lent;
+};
 
 using acquire_result = std::variant<connection_lease, acquire_failure>;
 
@@ -103,6 +149,11 @@
     std::function<double()> own_part;
     /// Asks for an early reading of the instances' entries.
     std::function<void()> refresh_directory;
+    std::function<instance_home(const instance_entry&)> home_of;
+    /// Asks the home for a connection.
+    std::function<boost::asio::awaitable<remote_acquire_result>(host_id home, instance_id instance,
+                                                                acquire_request request)>
+        acquire_remote;
 };
 
 /// The instances of one database group as one host sees them: their connections, the operations
@@ -137,6 +188,9 @@
     [[nodiscard]] const std::optional<log_index>& acknowledged() const { return acknowledged_; }
     [[nodiscard]] std::vector<instance_entry> entries() const;
     [[nodiscard]] bool is_unwanted(const instance_id& instance) const;
+    [[nodiscard]] bool is_listed(const instance_id& instance) const {
+        return instances_.contains(instance);
+    }
     /// Whether the instance's own entry says that it is the primary.
     [[nodiscard]] bool claims_primary(const instance_id& instance) const;
     /// Whether an instance of this group was listed in the last 20 s and is not any more.
@@ -150,6 +204,8 @@
                                                    time_point deadline);
 
     // ---- what leases need ----
+    void on_run_started(pooled_connection& connection);
+    void on_run_ended(pooled_connection& connection);
     void give_back(std::unique_ptr<pooled_connection> connection);
     void on_sent(const instance_id& instance, bool is_commit);
     void on_answer(const instance_id& instance, bool is_commit, duration elapsed,
@@ -171,7 +227,10 @@
         /// All connections: idle, in use and being opened.
         unsigned open = 0;
         unsigned outstanding = 0;
+        /// Connections of this host in use whose transaction pauses.
+        unsigned paused = 0;
         microseconds service_time{0};
+        microseconds queue_time{0};
         time_point connect_after{};
         /// The end of its log when it last answered.
         std::optional<log_index> position;
@@ -186,6 +245,8 @@
     struct assignment {
         instance_id instance;
         std::uint64_t epoch = 0;
+        /// The host that lends the connection; empty for a connection of this host.
+        host_id home;
         /// Null when a connection has to be opened.
         std::unique_ptr<pooled_connection> connection;
     };
@@ -193,12 +254,17 @@
     std::optional<assignment> assign(const acquire_request& request, bool only_free_connections,
                                      time_point now);
     [[nodiscard]] placement_candidate describe(const instance_state& instance,
+                                               const instance_home& home,
                                                const customer_id& customer, time_point now) const;
     [[nodiscard]] bool may_serve(const instance_state& instance, const acquire_request& request,
                                  time_point now) const;
     [[nodiscard]] static bool lags_behind(const instance_state& instance, log_index needed,
                                           time_point now);
-    [[nodiscard]] connection_share share() const;
+    [[nodiscard]] connection_share share(const instance_home& home) const;
+    /// Asks the home for the assigned connection. A result without a connection and without a
+    /// failure means that the operation should look for another one.
+    boost::asio::awaitable<std::unique_ptr<pooled_connection>> borrow(
+        const assignment& given, const acquire_request& request, acquire_failure& failure);
     void try_waiting(bool only_free_connections, time_point now);
     void pump();
     boost::asio::awaitable<std::unique_ptr<pooled_connection>> open(instance_id instance,
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -19,11 +19,18 @@
     }
 }
 
-void connection_lease::discard() { connection_->link->close(); }
+void connection_lease::discard() { connection_->close(); }
 
 asio::awaitable<std::vector<statement_answer>> connection_lease::run(
     std::vector<backend_request> requests, time_point deadline) {
-    auto answers = co_await connection_->link->run(std::move(requests), deadline);
+    group_->on_run_started(*connection_);
+    const scope_guard ended{[this] { group_->on_run_ended(*connection_); }};
+    std::vector<statement_answer> answers;
+    if (connection_->remote) {
+        answers = co_await connection_->remote->run(std::move(requests), deadline);
+    } else {
+        answers = co_await connection_->link->run(std::move(requests), deadline);
+    }
     connection_->last_used = steady_clock::now();
     connection_->in_transaction = answers.back().phase != transaction_phase::none;
     co_return answers;
@@ -31,6 +38,10 @@
 
 asio::awaitable<std::optional<statement_answer>> connection_lease::align(
     const session_context& session, const prepared_shape* needed, time_point deadline) {
+    if (connection_->remote) {
+        connection_->remote->set_context(session, needed);
+        co_return std::nullopt;
+    }
     auto requests = connection_->context.align(session, needed);
     if (requests.empty()) {
         co_return std::nullopt;
@@ -112,10 +123,19 @@
     co_return answer;
 }
 
-asio::awaitable<statement_answer> connection_lease::execute_order(
-    std::vector<backend_request> request, time_point deadline) {
-    auto answers = co_await run(std::move(request), deadline);
-    co_return std::move(answers.front());
+asio::awaitable<std::vector<statement_answer>> connection_lease::execute_all(
+    std::vector<backend_request> requests, time_point deadline) {
+    const auto sent_at = steady_clock::now();
+    group_->on_sent(connection_->instance, false);
+    std::vector<statement_answer> answers;
+    try {
+        answers = co_await run(std::move(requests), deadline);
+    } catch (const link_error&) {
+        group_->on_silence(connection_->instance, false);
+        throw;
+    }
+    group_->on_answer(connection_->instance, false, steady_clock::now() - sent_at, answers.back());
+    co_return answers;
 }
 
 }  // namespace masticgrade
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -18,6 +18,7 @@
 #include "group_failover.hpp"
 #include "host_registry.hpp"
 #include "instance_directory.hpp"
+#include "lease_service.hpp"
 #include "masticgrade/base/event_log.hpp"
 #include "masticgrade/base/scope_guard.hpp"
 #include "masticgrade/limits/usage_limiter.hpp"
@@ -40,6 +41,12 @@
 constexpr milliseconds report_interval{250};
 constexpr milliseconds report_lifetime{400};
 constexpr seconds host_list_interval{4};
+/// Calls of one other host that wait for a connection or run at once.
+constexpr std::size_t most_peer_calls = 2048;
+/// A host that has been silent for longer is not asked for connections.
+constexpr milliseconds home_silence_limit{650};
+/// How long the choice of an instance's home is kept.
+constexpr milliseconds home_lifetime{100};
 /// The balancer takes a host out after two misses, one second apart.
 constexpr milliseconds balancer_delay{2200};
 
@@ -53,18 +60,29 @@
           settings_(std::move(settings)),
           services_(services),
           incarnation_(std::random_device{}()),
-          limiter_(boot_clock::now()),
-          hosts_(services.store, settings_.host, settings_.peer_address),
+          started_(boot_clock::now()),
+          limiter_(started_),
+          hosts_(services.store, settings_.host,
+                 listed_peer{settings_.peer_address, settings_.failure_domain}),
           sessions_environment_{executor_, control_, limiter_, metrics_,
                                 [this](const group_id& name) { return find_group(name); }} {
         peer::network_options options;
         options.listen = settings_.peer_address;
         options.sender = settings_.host;
         options.seed = incarnation_.value();
+        options.handlers_per_connection = most_peer_calls;
+        options.queue_limit = most_peer_calls;
         peers_ = std::make_unique<peer::peer_network>(
             executor_, std::move(options),
             [this](peer::envelope message) { return on_peer_message(std::move(message)); });
         peers_->set_identity(incarnation_, {});
+        lease_environment leases{executor_,
+                                 *peers_,
+                                 [this](const group_id& name) { return find_group(name); },
+                                 [this](const host_id& host) { return address_of(host); },
+                                 [this] { return is_ready(); },
+                                 [this] { return uptime(); }};
+        leases_ = std::make_shared<lease_service>(std::move(leases));
     }
 
     void start() {
@@ -103,7 +121,7 @@
             const auto now = steady_clock::now();
             if (now >= close_from) {
                 end_sessions(now >= transactions_end);
-                if (sessions_.empty() && !is_promoting()) {
+                if (sessions_.empty() && !is_promoting() && leases_->lent() == 0) {
                     break;
                 }
             }
@@ -175,7 +193,16 @@
                                           settings_.failure_domain,
                                           [this] { return live_hosts(); },
                                           [this] { return limiter_.own_part(boot_clock::now()); },
-                                          [this] { refresh_directory(); }};
+                                          [this] { refresh_directory(); },
+                                          [this](const instance_entry& entry) {
+                                              return home_of(entry);
+                                          },
+                                          [this, name](host_id home, instance_id instance,
+                                                       acquire_request request) {
+                                              return leases_->borrow(
+                                                  std::move(home), std::move(instance), name,
+                                                  std::move(request));
+                                          }};
             group = std::make_shared<backend_group>(name, std::move(environment));
             failover_environment failover{executor_,
                                           settings_.host,
@@ -193,7 +220,7 @@
 
     std::vector<host_id> live_host_ids() const {
         std::vector<host_id> result{settings_.host};
-        for (const auto& [id, address] : hosts_.others()) {
+        for (const auto& [id, host] : hosts_.others()) {
             if (limiter_.is_live(id, boot_clock::now())) {
                 result.push_back(id);
             }
@@ -203,6 +230,49 @@
 
     void refresh_directory() { directory_wanted_ = true; }
 
+    milliseconds uptime() const {
+        return std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_);
+    }
+
+    std::optional<endpoint_address> address_of(const host_id& host) const {
+        const auto found = hosts_.others().find(host);
+        if (found == hosts_.others().end()) {
+            return std::nullopt;
+        }
+        return found->second.address;
+    }
+
+    instance_home home_of(const instance_entry& entry) {
+        const auto now = steady_clock::now();
+        auto& known = homes_[entry.id];
+        if (now - known.chosen_at < home_lifetime && !leases_->is_unusable(known.home.host)) {
+            return known.home;
+        }
+        known = {now, choose_home(entry)};
+        return known.home;
+    }
+
+    /// Chooses among the hosts that lend connections, those of the instance's own failure domain
+    /// first, so that an operation crosses between domains no more often than without a home.
+    instance_home choose_home(const instance_entry& entry) const {
+        const auto since = boot_clock::now() - home_silence_limit;
+        std::vector<home_candidate> candidates;
+        if (is_ready()) {
+            candidates.push_back({settings_.host, settings_.failure_domain});
+        }
+        for (const auto& [id, host] : hosts_.others()) {
+            if (limiter_.accepts_leases(id, since) && !leases_->is_unusable(id)) {
+                candidates.push_back({id, host.failure_domain});
+            }
+        }
+        const auto chosen = choose_home_host(entry.id, entry.failure_domain, candidates);
+        if (!chosen) {
+            return {};
+        }
+        const bool is_self = *chosen == settings_.host;
+        return {is_self, is_self ? host_id{} : *chosen};
+    }
+
     void update_groups() {
         const auto& configuration = control_.configuration();
         if (!configuration || !directory_.is_known()) {
@@ -298,9 +368,9 @@
     }
 
     void send_report(bool leaving) {
-        const auto report = limiter_.report(boot_clock::now(), leaving);
-        for (const auto& [id, address] : hosts_.others()) {
-            peers_->send(address, report, steady_clock::now() + report_lifetime);
+        const auto report = limiter_.report(boot_clock::now(), leaving, is_ready());
+        for (const auto& [id, host] : hosts_.others()) {
+            peers_->send(host.address, report, steady_clock::now() + report_lifetime);
         }
     }
 
@@ -308,6 +378,11 @@
         if (const auto* report = std::get_if<usage_report>(&message.body)) {
             limiter_.on_report(message.sender, message.incarnation, *report, boot_clock::now());
             hosts_.on_heard(message.sender);
+            leases_->on_report(message.sender, message.incarnation, report->uptime);
+            co_return std::nullopt;
+        }
+        if (std::holds_alternative<peer::service_message>(message.body)) {
+            co_return co_await leases_->on_message(std::move(message));
         }
         co_return std::nullopt;
     }
@@ -318,6 +393,7 @@
             for (auto& [name, group] : groups_) {
                 group->tick(now);
             }
+            leases_->tick(now);
             const auto sessions = sessions_;
             for (const auto& session : sessions) {
                 session->tick(now);
@@ -330,6 +406,7 @@
     gateway_settings settings_;
     gateway_services services_;
     incarnation_number incarnation_;
+    boot_time started_;
     control_state control_;
     usage_limiter limiter_;
     gateway_metrics metrics_;
@@ -337,6 +414,12 @@
     host_registry hosts_;
     session_environment sessions_environment_;
     std::unique_ptr<peer::peer_network> peers_;
+    std::shared_ptr<lease_service> leases_;
+    struct known_home {
+        time_point chosen_at{};
+        instance_home home;
+    };
+    std::map<instance_id, known_home> homes_;
     std::map<group_id, std::shared_ptr<backend_group>> groups_;
     std::map<group_id, std::shared_ptr<group_failover>> failovers_;
     std::set<std::shared_ptr<caller_session>> sessions_;
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -69,7 +69,13 @@
             co_return acquire_failure::timed_out;
         }
         auto connection = std::move(given->connection);
-        if (!connection) {
+        if (!given->home.empty()) {
+            auto failure = acquire_failure::not_lent;
+            connection = co_await borrow(*given, request, failure);
+            if (!connection && failure != acquire_failure::not_lent) {
+                co_return failure;
+            }
+        } else if (!connection) {
             connection = co_await open(given->instance, given->epoch, request.order.customer,
                                        request.order.give_up);
         }
@@ -152,6 +158,33 @@
     co_return nullptr;
 }
 
+asio::awaitable<std::unique_ptr<pooled_connection>> backend_group::borrow(
+    const assignment& given, const acquire_request& request, acquire_failure& failure) {
+    const auto started = steady_clock::now();
+    auto result = co_await environment_.acquire_remote(given.home, given.instance, request);
+    const auto waited =
+        std::chrono::duration_cast<microseconds>(steady_clock::now() - started);
+    auto* state = find_state(given.instance, given.epoch);
+    if (state != nullptr) {
+        constexpr int weight = 6;
+        state->queue_time += (waited - state->queue_time) / weight;
+    }
+    if (result.connection) {
+        auto connection = std::make_unique<pooled_connection>();
+        connection->remote = std::move(result.connection);
+        connection->instance = given.instance;
+        connection->epoch = given.epoch;
+        connection->customer = request.order.customer;
+        co_return connection;
+    }
+    if (state != nullptr) {
+        --state->outstanding;
+    }
+    end_use(request.order.customer);
+    failure = result.failure;
+    co_return nullptr;
+}
+
 backend_group::instance_state* backend_group::find_state(const instance_id& instance,
                                                          std::uint64_t epoch) {
     const auto found = instances_.find(instance);
@@ -194,6 +227,16 @@
 }
 
 void backend_group::give_back(std::unique_ptr<pooled_connection> connection) {
+    on_run_started(*connection);
+    if (connection->remote) {
+        connection->remote->close();
+        if (auto* state = find_state(connection->instance, connection->epoch)) {
+            --state->outstanding;
+        }
+        end_use(connection->customer);
+        pump();
+        return;
+    }
     if (connection->in_transaction && connection->link->is_open()) {
         asio::co_spawn(environment_.executor, roll_back(std::move(connection)), asio::detached);
         return;
@@ -244,7 +287,7 @@
 }
 
 void backend_group::trim_idle(instance_state& instance, time_point now) {
-    const auto kept = share().kept;
+    const auto kept = share(environment_.home_of(instance.entry)).kept;
     while (!instance.idle.empty() &&
            (!instance.idle.front()->link->is_open() || instance.unwanted_since ||
             (instance.open > kept && now - instance.idle.front()->last_used > extra_idle_lifetime))) {
@@ -272,7 +315,8 @@
         ++state.outstanding;
         ++under_way_[connection->customer];
         connection_lease lease{self, std::move(connection)};
-        co_return co_await lease.execute_order(std::move(requests), deadline);
+        const auto answers = co_await lease.execute_all(std::move(requests), deadline);
+        co_return answers.front();
     }
     const auto entry = state.entry;
     const auto customer = last_customer_.empty() ? customer_id{"-"} : last_customer_;
--- a/libs/gateway/src/host_registry.cpp
+++ b/libs/gateway/src/host_registry.cpp
@@ -15,29 +15,44 @@
 /// itself and is then heard of again.
 constexpr seconds silent_host_lifetime{30};
 
+/// A row holds the address and the failure domain, separated by a blank.
+std::string encode(const listed_peer& host) {
+    return host.address.str() + " " + host.failure_domain.str();
+}
+
+listed_peer decode(const std::string& value) {
+    const auto blank = value.find(' ');
+    listed_peer host;
+    host.address = endpoint_address{value.substr(0, blank)};
+    if (blank != std::string::npos) {
+        host.failure_domain = failure_domain_id{value.substr(blank + 1)};
+    }
+    return host;
+}
+
 }  // namespace
 
-host_registry::host_registry(table_service& store, host_id self, endpoint_address address)
-    : store_(store), self_(std::move(self)), address_(std::move(address)) {}
+host_registry::host_registry(table_service& store, host_id self, listed_peer own)
+    : store_(store), self_(std::move(self)), own_(std::move(own)) {}
 
 void host_registry::on_heard(const host_id& host) { heard_[host] = steady_clock::now(); }
 
 asio::awaitable<void> host_registry::refresh(time_point deadline) {
     const auto now = steady_clock::now();
     const auto rows = co_await store_.scan(host_rows, {}, deadline);
-    std::map<host_id, endpoint_address> others;
+    std::map<host_id, listed_peer> others;
     fleet_version own_version;
     bool listed = false;
     for (const auto& row : rows.rows) {
         const host_id host{row.key.substr(host_rows.size())};
         if (host == self_) {
             own_version = row.version;
-            listed = row.value == address_.str();
+            listed = row.value == encode(own_);
             continue;
         }
         const auto heard = heard_.try_emplace(host, now).first;
         if (now - heard->second < silent_host_lifetime) {
-            others.emplace(host, endpoint_address{row.value});
+            others.emplace(host, decode(row.value));
         }
     }
     if (others != others_) {
@@ -47,7 +62,7 @@
     if (!listed) {
         table_commit change;
         change.conditions.push_back({host_rows + self_.str(), own_version});
-        change.puts.push_back({host_rows + self_.str(), address_.str()});
+        change.puts.push_back({host_rows + self_.str(), encode(own_)});
         const auto result = co_await store_.commit(std::move(change), deadline);
         listed = result.committed;
     }
--- a/libs/gateway/src/host_registry.hpp
+++ b/libs/gateway/src/host_registry.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <map>
+#include <optional>
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
@@ -9,11 +10,18 @@
 
 namespace masticgrade {
 
+struct listed_peer {
+    endpoint_address address;
+    failure_domain_id failure_domain;
+
+    friend bool operator==(const listed_peer&, const listed_peer&) = default;
+};
+
 /// The hosts of the fleet and their addresses, which each host writes to a row of its own.
 /// Lives as long as the process. Thread safety: none; one executor.
 class host_registry {
 public:
-    host_registry(table_service& store, host_id self, endpoint_address address);
+    host_registry(table_service& store, host_id self, listed_peer own);
 
     /// Reads the rows and writes the own one where it is missing or names another address.
     /// Throws masticgrade::error.
@@ -21,15 +29,15 @@
     void on_heard(const host_id& host);
 
     [[nodiscard]] bool is_registered() const { return registered_; }
-    [[nodiscard]] const std::map<host_id, endpoint_address>& others() const { return others_; }
+    [[nodiscard]] const std::map<host_id, listed_peer>& others() const { return others_; }
 
 private:
 
     table_service& store_;
     host_id self_;
-    endpoint_address address_;
+    listed_peer own_;
     bool registered_ = false;
-    std::map<host_id, endpoint_address> others_;
+    std::map<host_id, listed_peer> others_;
     std::map<host_id, time_point> heard_;
 };
 
--- /dev/null
+++ b/libs/gateway/src/lease_messages.cpp
@@ -0,0 +1,352 @@
+#include "lease_messages.hpp"
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <algorithm>
+
+#include "generated/lease_generated.h"
+#include "masticgrade/base/error.hpp"
+
+namespace masticgrade {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+namespace wire = lease_wire;
+
+/// The kinds of a step on the wire, in the order of `backend_request`.
+constexpr auto step_kinds = std::variant_size_v<backend_request>;
+/// Above every time that a caller may wait.
+constexpr std::uint32_t longest_time_ms = 3'600'000;
+
+std::uint32_t time_field(milliseconds value) {
+    return static_cast<std::uint32_t>(
+        std::clamp<milliseconds::rep>(value.count(), 0, longest_time_ms));
+}
+
+std::optional<wire::Position> position_field(const std::optional<log_index>& index) {
+    if (!index) {
+        return std::nullopt;
+    }
+    return wire::Position{index->term.value(), index->number.value()};
+}
+
+const wire::Position* pointer_to(const std::optional<wire::Position>& position) {
+    return position ? &*position : nullptr;
+}
+
+// ---- encoding ----
+
+struct step_fields {
+    std::string id;
+    std::string text;
+    std::string name;
+    std::string value;
+    bool write = false;
+    bool read_only = false;
+    std::optional<log_index> at_least;
+};
+
+struct step_reader {
+    step_fields operator()(const backend_begin& step) const {
+        step_fields fields;
+        fields.read_only = step.read_only;
+        fields.at_least = step.at_least;
+        return fields;
+    }
+    step_fields operator()(const backend_statement& step) const {
+        step_fields fields;
+        fields.id = step.id.str();
+        fields.text = step.text;
+        fields.at_least = step.at_least;
+        return fields;
+    }
+    step_fields operator()(const backend_execute& step) const {
+        step_fields fields;
+        fields.id = step.id.str();
+        fields.name = step.name;
+        fields.value = step.arguments;
+        fields.at_least = step.at_least;
+        return fields;
+    }
+    step_fields operator()(const backend_set& step) const {
+        step_fields fields;
+        fields.name = step.name;
+        fields.value = step.value;
+        return fields;
+    }
+    step_fields operator()(const backend_prepare& step) const {
+        step_fields fields;
+        fields.name = step.name;
+        fields.value = step.shape;
+        fields.write = step.access == access_kind::write;
+        return fields;
+    }
+    step_fields operator()(const backend_hold& step) const {
+        step_fields fields;
+        fields.at_least = log_index{step.term, {}};
+        return fields;
+    }
+    step_fields operator()(const backend_step_down& step) const {
+        step_fields fields;
+        fields.at_least = log_index{step.term, {}};
+        return fields;
+    }
+    template <class Step>
+    step_fields operator()(const Step&) const {
+        return {};
+    }
+};
+
+Offset<wire::Step> write_step(FlatBufferBuilder& out, const backend_request& request) {
+    const auto fields = std::visit(step_reader{}, request);
+    const auto position = position_field(fields.at_least);
+    const auto id = out.CreateString(fields.id);
+    const auto text = out.CreateString(fields.text);
+    const auto name = out.CreateString(fields.name);
+    const auto value = out.CreateString(fields.value);
+    return wire::CreateStep(out, static_cast<std::uint8_t>(request.index()), id, text, name, value,
+                            fields.write, fields.read_only, pointer_to(position));
+}
+
+Offset<wire::Answer> write_answer(FlatBufferBuilder& out, const statement_answer& answer) {
+    const auto position = position_field(answer.position);
+    const auto text = out.CreateString(answer.text);
+    const auto rows = out.CreateVectorOfStrings(answer.rows);
+    return wire::CreateAnswer(out, static_cast<std::uint8_t>(answer.code), text, rows,
+                              static_cast<std::uint8_t>(answer.phase), pointer_to(position));
+}
+
+struct call_writer {
+    FlatBufferBuilder& out;
+
+    std::pair<wire::Call, Offset<void>> operator()(const open_lease& call) const {
+        const auto position = position_field(call.at_least);
+        const auto group = out.CreateString(call.group.str());
+        const auto instance = out.CreateString(call.instance.str());
+        const auto customer = out.CreateString(call.customer.str());
+        return {wire::Call::OpenLease,
+                wire::CreateOpenLease(out, group, instance, customer, call.needs_primary,
+                                      pointer_to(position), time_field(call.give_up),
+                                      time_field(call.start_by), call.priority)
+                    .Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const lease_opened& call) const {
+        return {wire::Call::LeaseOpened,
+                wire::CreateLeaseOpened(out, call.lease.value(),
+                                        static_cast<std::uint8_t>(call.failure))
+                    .Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const run_steps& call) const {
+        std::vector<Offset<wire::NamedValue>> values;
+        if (call.values) {
+            for (const auto& [name, value] : *call.values) {
+                const auto name_text = out.CreateString(name);
+                const auto value_text = out.CreateString(value);
+                values.push_back(wire::CreateNamedValue(out, name_text, value_text));
+            }
+        }
+        std::vector<Offset<wire::Step>> steps;
+        for (const auto& step : call.steps) {
+            steps.push_back(write_step(out, step));
+        }
+        const auto value_list = out.CreateVector(values);
+        const auto shape = out.CreateString(call.shape ? call.shape->shape : std::string{});
+        const auto step_list = out.CreateVector(steps);
+        return {wire::Call::RunSteps,
+                wire::CreateRunSteps(out, call.lease.value(), time_field(call.remaining),
+                                     call.values.has_value(), value_list, call.shape.has_value(),
+                                     shape,
+                                     call.shape && call.shape->access == access_kind::write,
+                                     step_list)
+                    .Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const steps_run& call) const {
+        std::vector<Offset<wire::Answer>> answers;
+        for (const auto& answer : call.answers) {
+            answers.push_back(write_answer(out, answer));
+        }
+        const auto reason = out.CreateString(call.reason);
+        const auto list = out.CreateVector(answers);
+        return {wire::Call::StepsRun,
+                wire::CreateStepsRun(out, static_cast<std::uint8_t>(call.failure), reason, list)
+                    .Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const close_lease& call) const {
+        return {wire::Call::CloseLease, wire::CreateCloseLease(out, call.lease.value()).Union()};
+    }
+};
+
+// ---- decoding ----
+
+[[noreturn]] void reject(const std::string& reason) {
+    throw error("decode lease message", "", reason);
+}
+
+std::string text_of(const flatbuffers::String* text) {
+    return text == nullptr ? std::string{} : text->str();
+}
+
+std::optional<log_index> index_of(const wire::Position* position) {
+    if (position == nullptr) {
+        return std::nullopt;
+    }
+    return log_index{term_number{position->term()}, log_position{position->number()}};
+}
+
+template <class Enum>
+Enum enum_of(std::uint8_t value, Enum last) {
+    if (value > static_cast<std::uint8_t>(last)) {
+        reject("unknown value");
+    }
+    return static_cast<Enum>(value);
+}
+
+milliseconds time_of(std::uint32_t value) {
+    return milliseconds{std::min(value, longest_time_ms)};
+}
+
+access_kind access_of(bool write) { return write ? access_kind::write : access_kind::read; }
+
+backend_request read_step(const wire::Step& step) {
+    const auto index = index_of(step.at_least());
+    const auto term = index ? index->term : term_number{};
+    const statement_id id{text_of(step.id())};
+    static_assert(step_kinds == 11, "a kind of step has been added");
+    switch (step.kind()) {
+        case 0:
+            return backend_begin{step.read_only(), index};
+        case 1:
+            return backend_rollback{};
+        case 2:
+            return backend_statement{id, text_of(step.text()), index};
+        case 3:
+            return backend_execute{id, text_of(step.name()), text_of(step.value()), index};
+        case 4:
+            return backend_set{text_of(step.name()), text_of(step.value())};
+        case 5:
+            return backend_prepare{text_of(step.name()), access_of(step.write()),
+                                   text_of(step.value())};
+        case 6:
+            return backend_reset{};
+        case 7:
+            return backend_status{};
+        case 8:
+            return backend_hold{term};
+        case 9:
+            return backend_resume{};
+        case 10:
+            return backend_step_down{term};
+        default:
+            reject("unknown step");
+    }
+}
+
+statement_answer read_answer(const wire::Answer& item) {
+    statement_answer answer;
+    answer.code = enum_of(item.code(), answer_code::in_doubt);
+    answer.text = text_of(item.text());
+    answer.phase = enum_of(item.phase(), transaction_phase::failed);
+    answer.position = index_of(item.position());
+    if (item.rows() != nullptr) {
+        for (const auto* row : *item.rows()) {
+            answer.rows.push_back(text_of(row));
+        }
+    }
+    return answer;
+}
+
+lease_call read(const wire::OpenLease& call) {
+    open_lease result;
+    result.group = group_id{text_of(call.group())};
+    result.instance = instance_id{text_of(call.instance())};
+    result.customer = customer_id{text_of(call.customer())};
+    result.needs_primary = call.needs_primary();
+    result.at_least = index_of(call.at_least());
+    result.give_up = time_of(call.give_up_ms());
+    result.start_by = time_of(call.start_by_ms());
+    result.priority = call.priority();
+    return result;
+}
+
+lease_call read(const wire::RunSteps& call) {
+    run_steps result;
+    result.lease = lease_number{call.lease()};
+    result.remaining = time_of(call.remaining_ms());
+    if (call.has_context()) {
+        result.values.emplace();
+        if (call.values() != nullptr) {
+            for (const auto* item : *call.values()) {
+                result.values->emplace(text_of(item->name()), text_of(item->value()));
+            }
+        }
+    }
+    if (call.has_shape()) {
+        result.shape = prepared_shape{access_of(call.shape_writes()), text_of(call.shape())};
+    }
+    if (call.steps() != nullptr) {
+        for (const auto* step : *call.steps()) {
+            result.steps.push_back(read_step(*step));
+        }
+    }
+    return result;
+}
+
+lease_call read(const wire::StepsRun& call) {
+    steps_run result;
+    result.failure = enum_of(call.failure(), lease_failure::broken_may_have_run);
+    result.reason = text_of(call.reason());
+    if (call.answers() != nullptr) {
+        for (const auto* item : *call.answers()) {
+            result.answers.push_back(read_answer(*item));
+        }
+    }
+    return result;
+}
+
+}  // namespace
+
+std::vector<std::uint8_t> encode_lease_message(const lease_message& message) {
+    FlatBufferBuilder out;
+    const auto [type, call] = std::visit(call_writer{out}, message.call);
+    out.Finish(wire::CreateMessage(
+        out, static_cast<std::uint64_t>(message.sender_uptime.count()), type, call));
+    return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
+}
+
+lease_message decode_lease_message(std::span<const std::uint8_t> bytes) {
+    flatbuffers::Verifier verifier{bytes.data(), bytes.size()};
+    if (!wire::VerifyMessageBuffer(verifier)) {
+        reject("the bytes are not a message");
+    }
+    const auto& message = *wire::GetMessage(bytes.data());
+    constexpr std::uint64_t longest_uptime_ms = std::uint64_t{1} << 52U;
+    lease_message result;
+    result.sender_uptime = milliseconds{std::min(message.sender_uptime_ms(), longest_uptime_ms)};
+    switch (message.call_type()) {
+        case wire::Call::OpenLease:
+            result.call = read(*message.call_as_OpenLease());
+            break;
+        case wire::Call::LeaseOpened: {
+            const auto& call = *message.call_as_LeaseOpened();
+            result.call = lease_opened{lease_number{call.lease()},
+                                       enum_of(call.failure(), lease_failure::broken_may_have_run)};
+            break;
+        }
+        case wire::Call::RunSteps:
+            result.call = read(*message.call_as_RunSteps());
+            break;
+        case wire::Call::StepsRun:
+            result.call = read(*message.call_as_StepsRun());
+            break;
+        case wire::Call::CloseLease:
+            result.call = close_lease{lease_number{message.call_as_CloseLease()->lease()}};
+            break;
+        case wire::Call::NONE:
+            reject("the message has no call");
+    }
+    return result;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/lease_messages.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "masticgrade/base/time.hpp"
+#include "masticgrade/gateway/session_state.hpp"
+#include "masticgrade/gateway/statement.hpp"
+
+namespace masticgrade {
+
+/// Names the use of a connection that one host has lent to another.
+using lease_number = strong_number<struct lease_tag>;
+
+enum class lease_failure : std::uint8_t {
+    none,
+    /// Its turn would come too late, or did not come in time.
+    overloaded,
+    timed_out,
+    /// The host lends no connections, or does not know the instance or the lease.
+    not_served,
+    /// The message was under way for too long.
+    late,
+    /// The connection to the instance broke before the steps can have run.
+    broken,
+    /// The connection broke, and the steps may have run.
+    broken_may_have_run,
+};
+
+/// Asks for the use of a connection to an instance.
+struct open_lease {
+    group_id group;
+    instance_id instance;
+    customer_id customer;
+    bool needs_primary = false;
+    std::optional<log_index> at_least;
+    /// Times left when the message was sent.
+    milliseconds give_up{0};
+    milliseconds start_by{0};
+    unsigned priority = 0;
+
+    friend bool operator==(const open_lease&, const open_lease&) = default;
+};
+
+struct lease_opened {
+    lease_number lease;
+    lease_failure failure = lease_failure::none;
+
+    friend bool operator==(const lease_opened&, const lease_opened&) = default;
+};
+
+/// Runs requests on a leased connection, after it was given the session's context where there is
+/// one.
+struct run_steps {
+    lease_number lease;
+    /// Time left when the message was sent.
+    milliseconds remaining{0};
+    std::optional<std::map<std::string, std::string>> values;
+    std::optional<prepared_shape> shape;
+    std::vector<backend_request> steps;
+};
+
+struct steps_run {
+    lease_failure failure = lease_failure::none;
+    std::string reason;
+    std::vector<statement_answer> answers;
+};
+
+/// Ends a lease; what is open on the connection is rolled back.
+struct close_lease {
+    lease_number lease;
+
+    friend bool operator==(const close_lease&, const close_lease&) = default;
+};
+
+using lease_call = std::variant<open_lease, lease_opened, run_steps, steps_run, close_lease>;
+
+struct lease_message {
+    /// The age of the sending process when it sent the message.
+    milliseconds sender_uptime{0};
+    lease_call call;
+};
+
+/// Thread safety: reentrant.
+std::vector<std::uint8_t> encode_lease_message(const lease_message& message);
+/// Throws masticgrade::error when the bytes are no valid message. Thread safety: reentrant.
+lease_message decode_lease_message(std::span<const std::uint8_t> bytes);
+
+}  // namespace masticgrade
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -1,7 +1,10 @@
 #include "masticgrade/gateway/placement.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace masticgrade {
 
@@ -19,7 +22,8 @@
     const double waiting = static_cast<double>(item.outstanding) /
                                static_cast<double>(std::max(1U, item.slots)) +
                            (item.is_primary ? primary_reserve : 0);
-    double cost = static_cast<double>(service.count()) * (1 + waiting);
+    double cost = static_cast<double>(service.count()) * (1 + waiting) +
+                  static_cast<double>(item.queue_time.count());
     if (!item.has_free_connection) {
         cost += static_cast<double>(connection_setup.count()) * (item.can_open ? 1 : 2);
     }
@@ -51,6 +55,32 @@
     return best->instance;
 }
 
+std::optional<host_id> choose_home_host(const instance_id& instance,
+                                        const failure_domain_id& failure_domain,
+                                        const std::vector<home_candidate>& candidates) {
+    std::optional<host_id> best;
+    std::pair<bool, std::uint64_t> best_rank;
+    for (const auto& item : candidates) {
+        const auto text = instance.str() + '\n' + item.host.str();
+        const std::pair rank{item.failure_domain == failure_domain,
+                             std::uint64_t{XXH3_64bits(text.data(), text.size())}};
+        if (!best || rank > best_rank) {
+            best = item.host;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+connection_share home_connections(unsigned max_connections) {
+    constexpr double kept_part = 0.6;
+    constexpr double most_part = 0.8;
+    const auto part = [&](double value) {
+        return std::max(1U, static_cast<unsigned>(value * max_connections));
+    };
+    return {part(kept_part), part(most_part)};
+}
+
 connection_share divide_connections(unsigned max_connections, std::size_t hosts, double own_part) {
     constexpr double usable = 0.9;
     constexpr double even_part = 0.5;
--- a/libs/limits/include/masticgrade/limits/usage_limiter.hpp
+++ b/libs/limits/include/masticgrade/limits/usage_limiter.hpp
@@ -37,6 +37,8 @@
     milliseconds uptime{0};
     /// The process is stopping and admits nothing after this report.
     bool leaving = false;
+    /// The process uses its connections to instances for other hosts too.
+    bool accepts_leases = false;
     std::vector<customer_usage> usage;
 
     friend bool operator==(const usage_report&, const usage_report&) = default;
@@ -75,12 +77,14 @@
     void on_report(const host_id& sender, incarnation_number incarnation,
                    const usage_report& report, boot_time now);
 
-    [[nodiscard]] usage_report report(boot_time now, bool leaving);
+    [[nodiscard]] usage_report report(boot_time now, bool leaving, bool accepts_leases = false);
 
     /// Processes heard of within `silence_limit`, this one not counted.
     [[nodiscard]] std::size_t live_peers(boot_time now) const;
     /// Whether the host has been heard of within `silence_limit`.
     [[nodiscard]] bool is_live(const host_id& host, boot_time now) const;
+    /// Whether the host was heard of at or after `since` and uses its connections for others too.
+    [[nodiscard]] bool accepts_leases(const host_id& host, boot_time since) const;
     /// The part of the fleet's operations that this host admitted of late, between 0 and 1.
     [[nodiscard]] double own_part(boot_time now) const;
 
@@ -95,7 +99,7 @@
     struct peer {
         incarnation_number incarnation;
         boot_time heard;
-        bool leaving = false;
+        bool accepts_leases = false;
         std::unordered_map<customer_id, peer_usage> usage;
     };
     struct bucket {
--- a/libs/limits/src/usage_limiter.cpp
+++ b/libs/limits/src/usage_limiter.cpp
@@ -103,16 +103,17 @@
     }
     other.incarnation = incarnation;
     other.heard = now;
-    other.leaving = report.leaving;
+    other.accepts_leases = report.accepts_leases;
     if (report.leaving) {
         peers_.erase(found);
     }
 }
 
-usage_report usage_limiter::report(boot_time now, bool leaving) {
+usage_report usage_limiter::report(boot_time now, bool leaving, bool accepts_leases) {
     usage_report result;
     result.uptime = std::chrono::duration_cast<milliseconds>(now - started_);
     result.leaving = leaving;
+    result.accepts_leases = accepts_leases;
     for (auto& [customer, tokens] : buckets_) {
         update_own_rate(tokens, now);
         result.usage.push_back({customer, tokens.admitted, tokens.own_rate});
@@ -131,6 +132,11 @@
     return found != peers_.end() && !is_silent(found->second, now);
 }
 
+bool usage_limiter::accepts_leases(const host_id& host, boot_time since) const {
+    const auto found = peers_.find(host);
+    return found != peers_.end() && found->second.heard >= since && found->second.accepts_leases;
+}
+
 double usage_limiter::own_part(boot_time now) const {
     double own = idle_rate;
     for (const auto& [customer, tokens] : buckets_) {
--- a/libs/peer/include/masticgrade/peer/messages.hpp
+++ b/libs/peer/include/masticgrade/peer/messages.hpp
@@ -78,10 +78,18 @@
     friend bool operator==(const suspect_report&, const suspect_report&) = default;
 };
 
+/// A message of another library, which encodes it itself.
+struct service_message {
+    std::vector<std::uint8_t> payload;
+
+    friend bool operator==(const service_message&, const service_message&) = default;
+};
+
 using message_body =
     std::variant<exchange_request, exchange_reply, rows_request, rows_reply, suspect_report,
                  share_query, share_report, share_assignment, share_ack, share_handover,
-                 token_request, token_grant, token_receipt, usage_report>;
+                 token_request, token_grant, token_receipt, usage_report,
+                 service_message>;
 
 struct envelope {
     /// Names the request that a reply belongs to; zero for a one-way message.
--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -94,7 +94,12 @@
         });
     const auto uptime = static_cast<std::uint64_t>(body.uptime.count());
     return {wire::Body::UsageReport,
-            wire::CreateUsageReport(out, uptime, body.leaving, usage)};
+            wire::CreateUsageReport(out, uptime, body.leaving, usage, body.accepts_leases)};
+}
+
+written_body<wire::ServiceMessage> write_body(FlatBufferBuilder& out, const service_message& body) {
+    const auto payload = write_bytes(out, body.payload);
+    return {wire::Body::ServiceMessage, wire::CreateServiceMessage(out, payload)};
 }
 
 written_body<wire::ShareQuery> write_body(FlatBufferBuilder& out, const share_query& body) {
@@ -310,6 +315,7 @@
         usage_report report;
         report.uptime = milliseconds{std::min(body.uptime_ms(), longest_uptime_ms)};
         report.leaving = body.leaving();
+        report.accepts_leases = body.accepts_leases();
         report.usage = list<customer_usage>(body.usage(), [&](const wire::CustomerUsage& item) {
             return customer_usage{customer_id{text(item.customer())}, item.admitted(),
                                   amount(item.rate())};
@@ -317,6 +323,14 @@
         return report;
     }
 
+    message_body read(const wire::ServiceMessage& body) {
+        service_message message;
+        if (body.payload() != nullptr) {
+            message.payload.assign(body.payload()->begin(), body.payload()->end());
+        }
+        return message;
+    }
+
     message_body read_body(const wire::Envelope& message) {
         switch (message.body_type()) {
             case wire::Body::ExchangeRequest:
@@ -347,6 +361,8 @@
                 return read(*message.body_as_TokenReceipt());
             case wire::Body::UsageReport:
                 return read(*message.body_as_UsageReport());
+            case wire::Body::ServiceMessage:
+                return read(*message.body_as_ServiceMessage());
             case wire::Body::NONE:
                 break;
         }
--- a/libs/peer/test/codec_test.cpp
+++ b/libs/peer/test/codec_test.cpp
@@ -44,7 +44,9 @@
         token_receipt{customer, version, request_number{number}},
         usage_report{milliseconds{static_cast<milliseconds::rep>(number % 1000000)},
                      true,
+                     number % 2 == 0,
                      {{customer, number, amount}, {}}},
+        service_message{opaque},
     };
 }
 
