--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -267,6 +267,8 @@
         const assignment& given, const acquire_request& request, acquire_failure& failure);
     void try_waiting(bool only_free_connections, time_point now);
     void pump();
+    /// Connections that can be expected to become free in a second.
+    [[nodiscard]] double expected_releases() const;
     boost::asio::awaitable<std::unique_ptr<pooled_connection>> open(instance_id instance,
                                                                     std::uint64_t epoch,
                                                                     customer_id customer,
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -111,6 +111,8 @@
         stopping_ = true;
         const auto started = steady_clock::now();
         event_line{"stopping"}.field("sessions", sessions_.size()).write();
+        // The others look for another home before their next operation.
+        send_report(false);
         for (auto& [name, failover] : failovers_) {
             failover->stop();
         }
@@ -349,7 +351,11 @@
     asio::awaitable<void> host_list_loop() {
         for (;;) {
             try {
+                const auto known = hosts_.others().size();
                 co_await hosts_.refresh(steady_clock::now() + read_timeout);
+                if (hosts_.others().size() > known) {
+                    send_report(false);
+                }
             } catch (const error& failure) {
                 metrics_.count("masticgrade_store_failures_total",
                                "Readings of the store that failed.", "hosts");
@@ -378,7 +384,7 @@
         if (const auto* report = std::get_if<usage_report>(&message.body)) {
             limiter_.on_report(message.sender, message.incarnation, *report, boot_clock::now());
             hosts_.on_heard(message.sender);
-            leases_->on_report(message.sender, message.incarnation, report->uptime);
+            leases_->on_report(message.sender, message.incarnation);
             co_return std::nullopt;
         }
         if (std::holds_alternative<peer::service_message>(message.body)) {
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -24,6 +24,8 @@
 /// Idle connections above the kept ones close after this time.
 constexpr milliseconds extra_idle_lifetime{400};
 constexpr seconds rollback_timeout{2};
+/// Used until an instance has answered something; a typical statement.
+constexpr milliseconds least_service_time{10};
 /// How long an operation may be overtaken by others that need no new connection; a few statements.
 constexpr milliseconds longest_overtaking{80};
 
@@ -44,7 +46,7 @@
         if (now >= request.order.give_up) {
             co_return acquire_failure::timed_out;
         }
-        if (primary_ && !queue_.expects_turn(request.order, now, releases_per_second_)) {
+        if (primary_ && !queue_.expects_turn(request.order, now, expected_releases())) {
             co_return acquire_failure::overloaded;
         }
         std::optional<assignment> given;
@@ -86,6 +88,17 @@
     }
 }
 
+double backend_group::expected_releases() const {
+    // What was released of late says nothing where there was nothing to release.
+    constexpr double assumed_use = 0.5;
+    double possible = 0;
+    for (const auto& [id, instance] : instances_) {
+        const auto service = std::max<microseconds>(instance.service_time, least_service_time);
+        possible += assumed_use * instance.entry.slots / std::chrono::duration<double>(service).count();
+    }
+    return std::max(releases_per_second_, possible);
+}
+
 void backend_group::pump() {
     if (waiting_.empty()) {
         return;
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -176,6 +176,12 @@
     std::pair<wire::Call, Offset<void>> operator()(const close_lease& call) const {
         return {wire::Call::CloseLease, wire::CreateCloseLease(out, call.lease.value()).Union()};
     }
+    std::pair<wire::Call, Offset<void>> operator()(const ping&) const {
+        return {wire::Call::Ping, wire::CreatePing(out).Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const pong&) const {
+        return {wire::Call::Pong, wire::CreatePong(out).Union()};
+    }
 };
 
 // ---- decoding ----
@@ -343,6 +349,12 @@
         case wire::Call::CloseLease:
             result.call = close_lease{lease_number{message.call_as_CloseLease()->lease()}};
             break;
+        case wire::Call::Ping:
+            result.call = ping{};
+            break;
+        case wire::Call::Pong:
+            result.call = pong{};
+            break;
         case wire::Call::NONE:
             reject("the message has no call");
     }
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -78,7 +78,12 @@
     friend bool operator==(const close_lease&, const close_lease&) = default;
 };
 
-using lease_call = std::variant<open_lease, lease_opened, run_steps, steps_run, close_lease>;
+/// Asks for an answer at once, whose way there and back bounds the delay of both messages.
+struct ping {};
+struct pong {};
+
+using lease_call =
+    std::variant<open_lease, lease_opened, run_steps, steps_run, close_lease, ping, pong>;
 
 struct lease_message {
     /// The age of the sending process when it sent the message.
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -1,8 +1,11 @@
 #include "lease_service.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "masticgrade/base/event_log.hpp"
+#include "masticgrade/base/scope_guard.hpp"
 
 namespace masticgrade {
 
@@ -190,9 +193,33 @@
     }
 }
 
-void lease_service::on_report(const host_id& sender, incarnation_number incarnation,
-                              milliseconds uptime) {
-    delays_.note(sender, incarnation, uptime, boot_clock::now());
+asio::awaitable<void> lease_service::learn_delay(host_id sender, incarnation_number incarnation) {
+    const auto self = shared_from_this();
+    const scope_guard ended{[&] { learning_.erase(sender); }};
+    const auto address = environment_.address_of(sender);
+    if (!address) {
+        co_return;
+    }
+    const auto asked_at = boot_clock::now();
+    peer::message_body question = pack(ping{});
+    try {
+        const auto reply = co_await environment_.peers.request(
+            *address, std::move(question),
+            steady_clock::now() + message_delays::longest_round_trip);
+        const auto* payload = std::get_if<peer::service_message>(&reply.body);
+        if (payload != nullptr && reply.incarnation == incarnation) {
+            const auto message = decode_lease_message(payload->payload);
+            delays_.learn(sender, incarnation, message.sender_uptime, asked_at, boot_clock::now());
+        }
+    } catch (const error& failure) {
+        event_line{"ping_failed"}.field("peer", sender).field("reason", failure.what()).write();
+    }
+}
+
+void lease_service::on_report(const host_id& sender, incarnation_number incarnation) {
+    if (!delays_.is_known(sender, incarnation) && learning_.emplace(sender, incarnation).second) {
+        asio::co_spawn(environment_.executor, learn_delay(sender, incarnation), asio::detached);
+    }
     std::erase_if(leases_, [&](const auto& entry) {
         const auto& lent = entry.second;
         return lent.borrower == sender && lent.incarnation != incarnation && !lent.busy;
@@ -204,6 +231,9 @@
     const auto self = shared_from_this();
     const auto& payload = std::get<peer::service_message>(message.body);
     auto request = decode_lease_message(payload.payload);
+    if (std::holds_alternative<ping>(request.call)) {
+        co_return peer::message_body{pack(pong{})};
+    }
     if (const auto* closing = std::get_if<close_lease>(&request.call)) {
         const auto found = leases_.find(closing->lease);
         if (found != leases_.end() && !found->second.busy) {
--- a/libs/gateway/src/lease_service.hpp
+++ b/libs/gateway/src/lease_service.hpp
@@ -44,7 +44,7 @@
     /// Whether the host failed to answer of late.
     [[nodiscard]] bool is_unusable(const host_id& home) const;
 
-    void on_report(const host_id& sender, incarnation_number incarnation, milliseconds uptime);
+    void on_report(const host_id& sender, incarnation_number incarnation);
     boost::asio::awaitable<std::optional<peer::message_body>> on_message(peer::envelope message);
     /// Ends leases whose borrower is gone. Call about once a second or more often.
     void tick(time_point now);
@@ -67,6 +67,8 @@
 
     boost::asio::awaitable<lease_opened> lend(const peer::envelope& message, open_lease call);
     boost::asio::awaitable<steps_run> run_lent(run_steps call);
+    /// Learns the difference between the clocks of two hosts.
+    boost::asio::awaitable<void> learn_delay(host_id sender, incarnation_number incarnation);
     boost::asio::awaitable<lease_call> call(const host_id& home, lease_call request,
                                             time_point deadline);
     [[nodiscard]] peer::service_message pack(lease_call call) const;
@@ -76,6 +78,7 @@
     std::map<lease_number, lent_connection> leases_;
     std::uint64_t last_lease_ = 0;
     std::map<host_id, time_point> unusable_until_;
+    std::map<host_id, incarnation_number> learning_;
 };
 
 }  // namespace masticgrade
--- a/libs/gateway/src/message_delays.cpp
+++ b/libs/gateway/src/message_delays.cpp
@@ -4,26 +4,26 @@
 
 namespace masticgrade {
 
-void message_delays::note(const host_id& sender, incarnation_number incarnation,
-                          milliseconds sender_uptime, boot_time now) {
-    const auto difference = now.time_since_epoch() - sender_uptime;
-    auto [found, added] = senders_.try_emplace(sender);
-    auto& state = found->second;
-    if (added || state.incarnation != incarnation) {
-        state = {incarnation, now, difference};
-    } else {
-        state.least = std::min(state.least, difference);
+bool message_delays::is_known(const host_id& sender, incarnation_number incarnation) const {
+    const auto found = senders_.find(sender);
+    return found != senders_.end() && found->second.incarnation == incarnation;
+}
+
+void message_delays::learn(const host_id& sender, incarnation_number incarnation,
+                           milliseconds sender_uptime, boot_time asked_at, boot_time now) {
+    if (now - asked_at > longest_round_trip) {
+        return;
     }
+    senders_[sender] = {incarnation, now.time_since_epoch() - sender_uptime};
 }
 
 bool message_delays::is_late(const host_id& sender, incarnation_number incarnation,
                              milliseconds sender_uptime, boot_time now) const {
-    const auto found = senders_.find(sender);
-    if (found == senders_.end() || found->second.incarnation != incarnation ||
-        now - found->second.known_since < learning_time) {
+    if (!is_known(sender, incarnation)) {
         return true;
     }
-    return now.time_since_epoch() - sender_uptime - found->second.least > late_limit;
+    const auto& known = senders_.at(sender);
+    return now.time_since_epoch() - sender_uptime - known.least > late_limit;
 }
 
 }  // namespace masticgrade
