--- a/libs/gateway/include/masticgrade/gateway/placement.hpp
+++ b/libs/gateway/include/masticgrade/gateway/placement.hpp
@@ -61,9 +61,10 @@
     unsigned most = 1;
 };
 
-/// The connections of the host that uses an instance's connections for all. Half stay free: the
-/// connections of a host that lost its power are dropped only seconds later, and its successor as
-/// home needs as many meanwhile. Thread safety: reentrant.
+/// The connections of the host that uses an instance's connections for all. Few are kept while they
+/// are idle: those of a host that lost its power are dropped only seconds later, and its successor
+/// as home needs as many meanwhile. Many are used under load, since paused transactions hold them.
+/// Thread safety: reentrant.
 connection_share home_connections(unsigned max_connections);
 
 /// Divides `max_connections` by demand: half evenly over `hosts`, half by `own_part`, the part of the
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -74,7 +74,7 @@
 
 connection_share home_connections(unsigned max_connections) {
     constexpr double kept_part = 0.35;
-    constexpr double most_part = 0.5;
+    constexpr double most_part = 0.8;
     const auto part = [&](double value) {
         return std::max(1U, static_cast<unsigned>(value * max_connections));
     };
