--- a/libs/gateway/include/masticgrade/gateway/wait_queue.hpp
+++ b/libs/gateway/include/masticgrade/gateway/wait_queue.hpp
@@ -17,6 +17,8 @@
     customer_id customer;
     /// It must run on the primary.
     bool needs_primary = false;
+    /// It must run on this instance; empty when any will do.
+    instance_id instance;
     /// It holds no time for a caller who is gone: it is turned away at this time.
     time_point give_up;
     /// Its caller's objective is met only if it starts before this time.
@@ -52,6 +54,8 @@
 
     /// Whether an operation has been waiting since `moment` or longer.
     [[nodiscard]] bool has_waited_since(time_point moment) const;
+    /// Whether an operation waits for the instance.
+    [[nodiscard]] bool has_waiter_for(const instance_id& instance, bool is_primary) const;
     [[nodiscard]] std::size_t size() const noexcept { return items_.size(); }
 
 private:
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -428,15 +428,9 @@
 
 void backend_group::tick(time_point now) {
     watch_.tick(now);
-    constexpr seconds rate_period{1};
-    if (now - releases_counted_ >= rate_period) {
-        constexpr double weight = 0.5;
-        releases_per_second_ += weight * (releases_ - releases_per_second_);
-        releases_ = 0;
-        releases_counted_ = now;
-    }
     for (auto& [id, instance] : instances_) {
         trim_idle(instance, now);
+        measure_releases(instance, now);
     }
     if (primary_ && !probing_ && watch_.wants_probe(now)) {
         const auto found = instances_.find(*primary_);
@@ -484,7 +478,10 @@
     constexpr milliseconds refresh_timeout{300};
     const auto deadline = steady_clock::now() + refresh_timeout;
     acquire_request request;
-    request.order = {customer, true, deadline, deadline, 0, {}};
+    request.order.customer = customer;
+    request.order.needs_primary = true;
+    request.order.give_up = deadline;
+    request.order.start_by = deadline;
     try {
         auto result = co_await acquire(std::move(request));
         if (auto* lease = std::get_if<connection_lease>(&result)) {
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -240,6 +240,12 @@
         /// No new connection above the kept ones until then, since the instance has too many.
         time_point full_until{};
         unsigned failures = 0;
+        /// Connections given back since `releases_counted`.
+        unsigned releases = 0;
+        time_point releases_counted{};
+        /// Measured while operations waited all the time; 0 when they did not.
+        double releases_per_second = 0;
+        bool always_waited = false;
     };
     struct pending;
     struct assignment {
@@ -267,8 +273,9 @@
         const assignment& given, const acquire_request& request, acquire_failure& failure);
     void try_waiting(bool only_free_connections, time_point now);
     void pump();
-    /// Connections that can be expected to become free in a second.
-    [[nodiscard]] double expected_releases() const;
+    /// Statements that the instances can be expected to end in a second.
+    [[nodiscard]] double expected_releases(const waiter& order) const;
+    void measure_releases(instance_state& instance, time_point now);
     boost::asio::awaitable<std::unique_ptr<pooled_connection>> open(instance_id instance,
                                                                     std::uint64_t epoch,
                                                                     customer_id customer,
@@ -306,9 +313,6 @@
     wait_queue queue_;
     std::map<waiter_number, pending*> waiting_;
     std::map<customer_id, unsigned> under_way_;
-    double releases_per_second_ = 0;
-    unsigned releases_ = 0;
-    time_point releases_counted_{};
 };
 
 }  // namespace masticgrade
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -26,6 +26,7 @@
 constexpr seconds rollback_timeout{2};
 /// Used until an instance has answered something; a typical statement.
 constexpr milliseconds least_service_time{10};
+constexpr milliseconds release_period{250};
 /// How long an operation may be overtaken by others that need no new connection; a few statements.
 constexpr milliseconds longest_overtaking{80};
 
@@ -46,7 +47,7 @@
         if (now >= request.order.give_up) {
             co_return acquire_failure::timed_out;
         }
-        if (primary_ && !queue_.expects_turn(request.order, now, expected_releases())) {
+        if (primary_ && !queue_.expects_turn(request.order, now, expected_releases(request.order))) {
             co_return acquire_failure::overloaded;
         }
         std::optional<assignment> given;
@@ -88,15 +89,45 @@
     }
 }
 
-double backend_group::expected_releases() const {
-    // What was released of late says nothing where there was nothing to release.
-    constexpr double assumed_use = 0.5;
-    double possible = 0;
+double backend_group::expected_releases(const waiter& order) const {
+    // What was given back says something only where there was always something to do.
+    constexpr double assumed_use = 0.7;
+    double result = 0;
     for (const auto& [id, instance] : instances_) {
+        const bool fits = order.instance.empty() ? !order.needs_primary || primary_ == id
+                                                 : order.instance == id;
+        if (!fits) {
+            continue;
+        }
         const auto service = std::max<microseconds>(instance.service_time, least_service_time);
-        possible += assumed_use * instance.entry.slots / std::chrono::duration<double>(service).count();
+        const double possible =
+            assumed_use * instance.entry.slots / std::chrono::duration<double>(service).count();
+        result += instance.releases_per_second > 0 ? instance.releases_per_second : possible;
+    }
+    return result;
+}
+
+void backend_group::measure_releases(instance_state& instance, time_point now) {
+    const bool waits =
+        queue_.has_waiter_for(instance.entry.id, primary_ == instance.entry.id);
+    instance.always_waited = instance.always_waited && waits;
+    const auto elapsed = now - instance.releases_counted;
+    if (elapsed < release_period) {
+        return;
+    }
+    if (instance.always_waited) {
+        constexpr double weight = 0.5;
+        const double rate = instance.releases / std::chrono::duration<double>(elapsed).count();
+        instance.releases_per_second =
+            instance.releases_per_second > 0
+                ? instance.releases_per_second + weight * (rate - instance.releases_per_second)
+                : rate;
+    } else if (!waits) {
+        instance.releases_per_second = 0;
     }
-    return std::max(releases_per_second_, possible);
+    instance.releases = 0;
+    instance.releases_counted = now;
+    instance.always_waited = waits;
 }
 
 void backend_group::pump() {
@@ -255,13 +286,13 @@
         return;
     }
     end_use(connection->customer);
-    ++releases_;
     auto* state = find_state(connection->instance, connection->epoch);
     if (state == nullptr) {
         connection->link->close();
         return;
     }
     --state->outstanding;
+    ++state->releases;
     if (connection->link->is_open() && !state->unwanted_since) {
         connection->last_used = steady_clock::now();
         state->idle.push_back(std::move(connection));
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -274,6 +274,7 @@
     request.order.start_by = now + call.start_by;
     request.order.priority = call.priority;
     request.at_least = call.at_least;
+    request.order.instance = call.instance;
     request.lent = call.instance;
     const auto group = environment_.find_group(call.group);
     if (!group->is_listed(call.instance)) {
--- a/libs/gateway/src/wait_queue.cpp
+++ b/libs/gateway/src/wait_queue.cpp
@@ -17,7 +17,7 @@
                               double releases_per_second) const {
     const auto ahead = std::count_if(items_.begin(), items_.end(), [&](const auto& entry) {
         const auto& other = entry.second;
-        return other.needs_primary == item.needs_primary &&
+        return other.needs_primary == item.needs_primary && other.instance == item.instance &&
                std::tie(other.priority, other.give_up) <= std::tie(item.priority, item.give_up);
     });
     if (ahead == 0) {
@@ -53,6 +53,14 @@
     return result;
 }
 
+bool wait_queue::has_waiter_for(const instance_id& instance, bool is_primary) const {
+    return std::any_of(items_.begin(), items_.end(), [&](const auto& entry) {
+        const auto& item = entry.second;
+        return item.instance.empty() ? !item.needs_primary || is_primary
+                                     : item.instance == instance;
+    });
+}
+
 bool wait_queue::has_waited_since(time_point moment) const {
     return std::any_of(items_.begin(), items_.end(),
                        [&](const auto& entry) { return entry.second.arrived <= moment; });
