--- /dev/null
+++ b/libs/gateway/test/knowledge_test.cpp
@@ -0,0 +1,76 @@
+#include <doctest/doctest.h>
+
+#include "control_state.hpp"
+#include "instance_directory.hpp"
+
+using namespace masticgrade;
+
+namespace {
+
+constexpr boot_time start = boot_time{} + seconds(100);
+
+control_reading reading(std::uint64_t version) {
+    auto configuration = std::make_shared<gateway_configuration>();
+    configuration->version = version;
+    return {std::move(configuration), {}};
+}
+
+instance_entry entry(const char* name) {
+    instance_entry item;
+    item.id = instance_id{name};
+    item.group = group_id{"ledger"};
+    return item;
+}
+
+}  // namespace
+
+// Guards against a configuration that goes back within a process.
+TEST_CASE("an older configuration is ignored and proves nothing") {
+    control_state control;
+    CHECK_FALSE(control.proof_age(start));
+    CHECK(control.apply(reading(7), start));
+    CHECK_FALSE(control.apply(reading(6), start + seconds{3}));
+    CHECK(control.configuration()->version == 7);
+    CHECK(control.proof_age(start + seconds{3}) == seconds{3});
+    CHECK_FALSE(control.apply(reading(7), start + seconds{4}));
+    CHECK(control.proof_age(start + seconds{4}) == seconds{0});
+}
+
+// Guards against work for a withdrawn key on a host that no longer reaches the store.
+TEST_CASE("a proof ends after its lifetime") {
+    control_state control;
+    control.apply(reading(1), start);
+    CHECK(control.is_current(start + milliseconds{4400}, control_state::proof_lifetime));
+    CHECK_FALSE(control.is_current(start + control_state::proof_lifetime,
+                                   control_state::proof_lifetime));
+    // The users' bound is 5 s.
+    CHECK(control_state::proof_lifetime + milliseconds{300} <= milliseconds{5000});
+}
+
+TEST_CASE("an evacuated failure domain is a change of its own") {
+    control_state control;
+    control.apply(reading(1), start);
+    auto evacuated = reading(1);
+    evacuated.evacuated.insert(failure_domain_id{"north"});
+    CHECK(control.apply(evacuated, start + seconds{1}));
+    CHECK(control.evacuated().size() == 1);
+    CHECK(control.apply(reading(1), start + seconds{2}));
+    CHECK(control.evacuated().empty());
+}
+
+// Guards against instances that are given up because their entries lapsed while the store was away.
+TEST_CASE("a missing entry counts as gone only after it was missing for long enough") {
+    instance_directory directory;
+    CHECK_FALSE(directory.is_known());
+    directory.apply({entry("a"), entry("b")}, start);
+    directory.apply({entry("a")}, start + seconds{1});
+    CHECK(directory.entries_of(group_id{"ledger"}).size() == 2);
+    directory.on_store_lost();
+    directory.apply({entry("a")}, start + seconds{9});
+    directory.apply({entry("a")}, start + seconds{11});
+    CHECK(directory.entries_of(group_id{"ledger"}).size() == 2);
+    directory.apply({entry("a")}, start + seconds{12});
+    CHECK(directory.entries_of(group_id{"ledger"}).size() == 1);
+    directory.apply({entry("a"), entry("b")}, start + seconds{13});
+    CHECK(directory.entries_of(group_id{"ledger"}).size() == 2);
+}
--- /dev/null
+++ b/libs/gateway/test/lease_messages_test.cpp
@@ -0,0 +1,123 @@
+#include "lease_messages.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "masticgrade/base/error.hpp"
+#include "message_delays.hpp"
+
+using namespace masticgrade;
+
+namespace {
+
+constexpr boot_time start = boot_time{} + seconds(100);
+const host_id sender{"host-1"};
+constexpr incarnation_number incarnation{3};
+
+log_index index_of(std::uint64_t number) { return {term_number{number}, log_position{number + 1}}; }
+
+lease_call transmit(const lease_call& call) {
+    return decode_lease_message(encode_lease_message({milliseconds{5}, call})).call;
+}
+
+}  // namespace
+
+// Guards against fields that are lost or swapped on the wire.
+TEST_CASE("calls for a lease survive encoding and decoding") {
+    CHECK(rc::check([](const std::string& text, std::uint64_t number, bool flag) {
+        open_lease opening{group_id{text}, instance_id{text + "i"}, customer_id{text + "c"}, flag,
+                           std::nullopt,   milliseconds{7},         milliseconds{8},         3};
+        if (flag) {
+            opening.at_least = index_of(number % 1000);
+        }
+        RC_ASSERT(std::get<open_lease>(transmit(opening)) == opening);
+        const lease_opened opened{lease_number{number}, lease_failure::late};
+        RC_ASSERT(std::get<lease_opened>(transmit(opened)) == opened);
+        const close_lease closing{lease_number{number}};
+        RC_ASSERT(std::get<close_lease>(transmit(closing)) == closing);
+        RC_ASSERT(std::holds_alternative<ping>(transmit(ping{})));
+        RC_ASSERT(std::holds_alternative<pong>(transmit(pong{})));
+    }));
+}
+
+TEST_CASE("steps and answers survive encoding and decoding") {
+    const auto index = index_of(9);
+    run_steps call;
+    call.lease = lease_number{4};
+    call.remaining = milliseconds{350};
+    call.values = {{"zone", "north"}, {"empty", ""}};
+    call.shape = prepared_shape{access_kind::write, "q1"};
+    call.steps = {backend_begin{true, index},
+                  backend_rollback{},
+                  backend_statement{statement_id{"a1"}, "READ x", index},
+                  backend_execute{statement_id{"a2"}, "w_q1", "x data", std::nullopt},
+                  backend_set{"n", "v"},
+                  backend_prepare{"w_q1", access_kind::write, "q1"},
+                  backend_reset{},
+                  backend_status{},
+                  backend_hold{term_number{5}},
+                  backend_resume{},
+                  backend_step_down{term_number{6}}};
+    const auto received = std::get<run_steps>(transmit(call));
+    CHECK(received.lease == call.lease);
+    CHECK(received.remaining == call.remaining);
+    CHECK(received.values == call.values);
+    CHECK(received.shape == call.shape);
+    REQUIRE(received.steps.size() == call.steps.size());
+    for (std::size_t i = 0; i < call.steps.size(); ++i) {
+        CHECK(received.steps[i].index() == call.steps[i].index());
+    }
+    CHECK(std::get<backend_begin>(received.steps[0]).at_least == index);
+    CHECK(std::get<backend_begin>(received.steps[0]).read_only);
+    CHECK(std::get<backend_statement>(received.steps[2]).text == "READ x");
+    CHECK(std::get<backend_execute>(received.steps[3]).arguments == "x data");
+    CHECK_FALSE(std::get<backend_execute>(received.steps[3]).at_least);
+    CHECK(std::get<backend_hold>(received.steps[8]).term == term_number{5});
+    CHECK(std::get<backend_step_down>(received.steps[10]).term == term_number{6});
+
+    statement_answer answer;
+    answer.code = answer_code::lagging;
+    answer.text = "3.1";
+    answer.rows = {"row 1", ""};
+    answer.phase = transaction_phase::failed;
+    answer.position = index;
+    const auto result = std::get<steps_run>(
+        transmit(steps_run{lease_failure::broken_may_have_run, "reason", {answer}}));
+    CHECK(result.failure == lease_failure::broken_may_have_run);
+    REQUIRE(result.answers.size() == 1);
+    CHECK(result.answers[0].code == answer.code);
+    CHECK(result.answers[0].rows == answer.rows);
+    CHECK(result.answers[0].phase == answer.phase);
+    CHECK(result.answers[0].position == answer.position);
+}
+
+// Guards against a peer that crashes this process with bytes of its choice.
+TEST_CASE("random bytes are decoded or rejected with an error") {
+    CHECK(rc::check([](const std::vector<std::uint8_t>& bytes) {
+        try {
+            static_cast<void>(decode_lease_message(bytes));
+        } catch (const error&) {
+        }
+    }));
+}
+
+// Guards against a statement that runs after a partition heals, when its key may be withdrawn.
+TEST_CASE("a message that was held up is late") {
+    message_delays delays;
+    const auto uptime = [](boot_time sent) {
+        return std::chrono::duration_cast<milliseconds>(sent - start) + milliseconds{500};
+    };
+    CHECK(delays.is_late(sender, incarnation, uptime(start), start));
+    delays.learn(sender, incarnation, uptime(start), start - milliseconds{4}, start);
+    const auto now = start + seconds{20};
+    CHECK_FALSE(delays.is_late(sender, incarnation, uptime(now - milliseconds{5}), now));
+    CHECK(delays.is_late(sender, incarnation, uptime(now - seconds{3}), now));
+    CHECK(delays.is_late(sender, incarnation_number{4}, uptime(now), now));
+}
+
+TEST_CASE("an answer that took long teaches nothing") {
+    message_delays delays;
+    delays.learn(sender, incarnation, milliseconds{500}, start,
+                 start + message_delays::longest_round_trip + milliseconds{1});
+    CHECK_FALSE(delays.is_known(sender, incarnation));
+}
--- /dev/null
+++ b/libs/gateway/test/wait_queue_test.cpp
@@ -0,0 +1,86 @@
+#include "masticgrade/gateway/wait_queue.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace masticgrade;
+
+namespace {
+
+constexpr time_point start = time_point{} + seconds(100);
+
+waiter make_waiter(const char* customer, milliseconds give_up, unsigned priority = 1) {
+    waiter item;
+    item.customer = customer_id{customer};
+    item.needs_primary = true;
+    item.give_up = start + give_up;
+    item.start_by = start + give_up / 2;
+    item.priority = priority;
+    item.arrived = start;
+    return item;
+}
+
+}  // namespace
+
+// Load pattern: one customer has many operations under way, the others few.
+TEST_CASE("the customer with the fewest operations under way goes first") {
+    wait_queue queue;
+    const auto heavy = queue.add(make_waiter("heavy", milliseconds{100}));
+    const auto small = queue.add(make_waiter("small", milliseconds{400}));
+    const auto order = queue.order(start, {{customer_id{"heavy"}, 9}, {customer_id{"small"}, 1}});
+    CHECK(order == std::vector{small, heavy});
+}
+
+// Load pattern: some operations can no longer meet their objective.
+TEST_CASE("an operation that can meet its objective goes before one that cannot") {
+    wait_queue queue;
+    const auto late = queue.add(make_waiter("a", milliseconds{100}));
+    const auto in_time = queue.add(make_waiter("b", milliseconds{400}));
+    CHECK(queue.order(start + milliseconds{60}, {}) == std::vector{in_time, late});
+    CHECK(queue.order(start, {}) == std::vector{late, in_time});
+}
+
+TEST_CASE("priority, then the time left decide among alike customers") {
+    wait_queue queue;
+    const auto low = queue.add(make_waiter("a", milliseconds{100}, 2));
+    const auto second = queue.add(make_waiter("a", milliseconds{300}, 1));
+    const auto first = queue.add(make_waiter("a", milliseconds{200}, 1));
+    CHECK(queue.order(start, {}) == std::vector{first, second, low});
+    queue.remove(second);
+    CHECK(queue.order(start, {}) == std::vector{first, low});
+}
+
+// Load pattern: more operations than an instance can end before they give up.
+TEST_CASE("an operation that is bound to give up before its turn is told so on arrival") {
+    wait_queue queue;
+    constexpr double releases_per_second = 10;
+    const auto item = make_waiter("a", milliseconds{400});
+    int accepted = 0;
+    while (queue.expects_turn(item, start, releases_per_second) && accepted < 100) {
+        queue.add(item);
+        ++accepted;
+    }
+    CHECK(accepted == 4);
+    CHECK(queue.expects_turn(make_waiter("b", milliseconds{400}, 0), start, releases_per_second));
+}
+
+// Guards against refusals for one instance because another has a long queue.
+TEST_CASE("only operations for the same instance are ahead") {
+    wait_queue queue;
+    auto item = make_waiter("a", milliseconds{100});
+    item.instance = instance_id{"busy"};
+    for (int i = 0; i < 10; ++i) {
+        queue.add(item);
+    }
+    CHECK_FALSE(queue.expects_turn(item, start, 10));
+    item.instance = instance_id{"idle"};
+    CHECK(queue.expects_turn(item, start, 10));
+    CHECK(queue.has_waiter_for(instance_id{"busy"}, false));
+    CHECK_FALSE(queue.has_waiter_for(instance_id{"idle"}, true));
+}
+
+TEST_CASE("a long wait is noticed") {
+    wait_queue queue;
+    queue.add(make_waiter("a", milliseconds{400}));
+    CHECK(queue.has_waited_since(start));
+    CHECK_FALSE(queue.has_waited_since(start - milliseconds{1}));
+}
--- /dev/null
+++ b/libs/limits/test/usage_limiter_test.cpp
@@ -0,0 +1,241 @@
+#include "masticgrade/limits/usage_limiter.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace masticgrade;
+
+namespace {
+
+constexpr boot_time start = boot_time{} + seconds(1000);
+const customer_id customer{"parish"};
+constexpr milliseconds step{10};
+constexpr milliseconds report_interval{250};
+constexpr milliseconds report_delay{20};
+/// The users' bound: over every 5 s, (rate x 5 + burst) x 1.1 + 20.
+constexpr seconds window{5};
+constexpr double overage = 1.1;
+constexpr double slack = 20;
+
+host_id name_of(std::size_t index) { return host_id{"host-" + std::to_string(index)}; }
+
+/// Several hosts that exchange reports with a delay; links can be cut and hosts restarted.
+class fleet {
+public:
+    explicit fleet(std::size_t hosts, rate_limit limit) : limit_(limit) {
+        for (std::size_t i = 0; i < hosts; ++i) {
+            add();
+        }
+    }
+
+    void add() {
+        hosts_.push_back({std::make_unique<usage_limiter>(now_), ++last_incarnation_, false});
+        hosts_.back().limiter->configure({{customer, limit_}}, now_);
+    }
+
+    void restart(std::size_t index) {
+        auto& host = hosts_[index];
+        host = {std::make_unique<usage_limiter>(now_), ++last_incarnation_, false};
+        host.limiter->configure({{customer, limit_}}, now_);
+    }
+
+    void set_cut(std::size_t index, bool cut) { hosts_[index].cut = cut; }
+
+    /// Lets one step pass, in which each host is offered operations at its rate.
+    void advance(const std::vector<double>& offered_per_second) {
+        now_ += step;
+        deliver();
+        if ((now_ - start) % report_interval < step) {
+            send_reports();
+        }
+        for (std::size_t i = 0; i < hosts_.size(); ++i) {
+            std::poisson_distribution<int> arrivals{offered_per_second[i] *
+                                                    std::chrono::duration<double>(step).count()};
+            for (int n = arrivals(random_); n > 0; --n) {
+                ++offered_;
+                if (hosts_[i].limiter->admit(customer, now_)) {
+                    admitted_.push_back(now_);
+                    ++total_admitted_;
+                }
+            }
+        }
+        while (!admitted_.empty() && admitted_.front() <= now_ - window) {
+            admitted_.pop_front();
+        }
+        most_in_window_ = std::max(most_in_window_, admitted_.size());
+    }
+
+    void run(duration length, const std::vector<double>& offered_per_second) {
+        const auto end = now_ + length;
+        while (now_ < end) {
+            advance(offered_per_second);
+        }
+    }
+
+    void forget_counts() { offered_ = total_admitted_ = 0; }
+
+    [[nodiscard]] double allowed() const {
+        return (limit_.rate * std::chrono::duration<double>(window).count() + limit_.burst) *
+                   overage +
+               slack;
+    }
+    [[nodiscard]] std::size_t most_in_window() const { return most_in_window_; }
+    [[nodiscard]] std::size_t refused() const { return offered_ - total_admitted_; }
+    [[nodiscard]] std::size_t offered() const { return offered_; }
+
+private:
+    struct host {
+        std::unique_ptr<usage_limiter> limiter;
+        std::uint64_t incarnation = 0;
+        bool cut = false;
+    };
+    struct message {
+        boot_time arrives;
+        std::size_t sender = 0;
+        std::size_t recipient = 0;
+        std::uint64_t incarnation = 0;
+        usage_report report;
+    };
+
+    void send_reports() {
+        for (std::size_t i = 0; i < hosts_.size(); ++i) {
+            const auto report = hosts_[i].limiter->report(now_, false);
+            for (std::size_t k = 0; k < hosts_.size(); ++k) {
+                if (k != i && !hosts_[i].cut && !hosts_[k].cut) {
+                    messages_.push_back({now_ + report_delay, i, k, hosts_[i].incarnation, report});
+                }
+            }
+        }
+    }
+
+    void deliver() {
+        while (!messages_.empty() && messages_.front().arrives <= now_) {
+            const auto& item = messages_.front();
+            if (!hosts_[item.recipient].cut) {
+                hosts_[item.recipient].limiter->on_report(name_of(item.sender),
+                                                          incarnation_number{item.incarnation},
+                                                          item.report, now_);
+            }
+            messages_.pop_front();
+        }
+    }
+
+    rate_limit limit_;
+    boot_time now_ = start;
+    std::vector<host> hosts_;
+    std::deque<message> messages_;
+    std::deque<boot_time> admitted_;
+    std::mt19937 random_{7};
+    std::uint64_t last_incarnation_ = 0;
+    std::size_t most_in_window_ = 0;
+    std::size_t offered_ = 0;
+    std::size_t total_admitted_ = 0;
+};
+
+}  // namespace
+
+// Guards against wrongful refusals when the hosts' parts of the traffic differ and change.
+TEST_CASE("a customer below its rate is served on whichever hosts its operations arrive") {
+    fleet hosts{6, {100, 100}};
+    hosts.run(seconds{6}, {10, 10, 10, 10, 10, 12});
+    hosts.forget_counts();
+    hosts.run(seconds{5}, {60, 0, 0, 0, 0, 2});
+    hosts.run(seconds{5}, {0, 5, 5, 40, 10, 2});
+    CHECK(hosts.offered() > 500);
+    CHECK(hosts.refused() * 1000 <= hosts.offered());
+}
+
+// Guards against hosts that each admit a customer's whole rate.
+TEST_CASE("a customer at several times its rate stays within rate and burst over all hosts") {
+    fleet hosts{6, {100, 100}};
+    hosts.run(seconds{6}, {10, 10, 10, 10, 10, 12});
+    hosts.run(seconds{8}, {75, 75, 75, 75, 75, 90});
+    CHECK(static_cast<double>(hosts.most_in_window()) <= hosts.allowed());
+}
+
+// Guards against an overload that takes most of the customer's own rate away.
+TEST_CASE("a customer at several times its rate still gets its rate") {
+    fleet hosts{6, {100, 100}};
+    hosts.run(seconds{6}, {10, 10, 10, 10, 10, 12});
+    hosts.run(seconds{4}, {75, 75, 75, 75, 75, 90});
+    hosts.forget_counts();
+    hosts.run(seconds{8}, {75, 75, 75, 75, 75, 90});
+    const auto admitted = hosts.offered() - hosts.refused();
+    CHECK(admitted >= 8 * 100 * 9 / 10);
+}
+
+// Guards against a full burst on every host after all were killed at the same moment.
+TEST_CASE("a restart of all hosts gives no second burst") {
+    fleet hosts{6, {100, 100}};
+    hosts.run(seconds{6}, {10, 10, 10, 10, 10, 12});
+    hosts.run(seconds{3}, {75, 75, 75, 75, 75, 90});
+    for (std::size_t i = 0; i < 6; ++i) {
+        hosts.restart(i);
+    }
+    hosts.run(seconds{6}, {75, 75, 75, 75, 75, 90});
+    CHECK(static_cast<double>(hosts.most_in_window()) <= hosts.allowed());
+}
+
+// Guards against two sides of a partition that both admit the whole rate.
+TEST_CASE("hosts that are cut off and the others share the rate") {
+    fleet hosts{6, {100, 100}};
+    hosts.run(seconds{6}, {10, 10, 10, 10, 10, 12});
+    hosts.set_cut(0, true);
+    hosts.set_cut(1, true);
+    hosts.run(milliseconds{4500}, {75, 75, 75, 75, 75, 90});
+    hosts.set_cut(0, false);
+    hosts.set_cut(1, false);
+    hosts.run(seconds{4}, {75, 75, 75, 75, 75, 90});
+    CHECK(static_cast<double>(hosts.most_in_window()) <= hosts.allowed());
+}
+
+// Guards against refusals of a customer without a limit's worth of history, and of unknown ones.
+TEST_CASE("customers without a limit are refused") {
+    usage_limiter limiter{start};
+    limiter.configure({{customer, {10, 10}}}, start);
+    CHECK_FALSE(limiter.admit(customer_id{"stranger"}, start + seconds{5}));
+    CHECK(limiter.admit(customer, start + seconds{5}));
+}
+
+// Guards against a lower limit that takes effect only when old tokens are used up.
+TEST_CASE("a lower limit drops the tokens above its burst") {
+    usage_limiter limiter{start};
+    limiter.configure({{customer, {100, 100}}}, start);
+    for (int i = 1; i <= 5; ++i) {
+        static_cast<void>(limiter.retry_after(customer, start + seconds{i}));
+    }
+    limiter.configure({{customer, {1, 2}}}, start + seconds{5});
+    int admitted = 0;
+    while (limiter.admit(customer, start + seconds{5})) {
+        ++admitted;
+    }
+    CHECK(admitted == 2);
+    CHECK(limiter.retry_after(customer, start + seconds{5}) > milliseconds{500});
+}
+
+// Guards against bounds that hold only for the patterns above.
+TEST_CASE("rate and burst hold under random overloads and restarts") {
+    CHECK(rc::check([] {
+        const auto rate = static_cast<double>(*rc::gen::inRange(20, 200));
+        const auto hosts_count = *rc::gen::inRange<std::size_t>(2, 8);
+        fleet hosts{hosts_count, {rate, rate}};
+        std::vector<double> calm(hosts_count, 0.6 * rate / static_cast<double>(hosts_count));
+        hosts.run(seconds{4}, calm);
+        for (int phase = 0; phase < 3; ++phase) {
+            auto offered = calm;
+            for (auto& value : offered) {
+                value *= static_cast<double>(*rc::gen::inRange(0, 80)) / 10;
+            }
+            hosts.run(seconds{2}, offered);
+            hosts.restart(*rc::gen::inRange<std::size_t>(0, hosts_count));
+        }
+        RC_ASSERT(static_cast<double>(hosts.most_in_window()) <= hosts.allowed());
+    }));
+}
