Hold a customer's limit through partitions and restarts of all hosts

Cause: each side of a partition could spend the whole burst before it noticed the silence, and took its own rising demand for its part; a new process knew nothing of the others. A host now admits, between two rounds of reports, only its part of what is left; parts are those of the last contact; listed hosts count as silent until heard.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -230,6 +230,14 @@
         return result;
     }
 
+    std::set<host_id> other_hosts() const {
+        std::set<host_id> result;
+        for (const auto& [id, host] : hosts_.others()) {
+            result.insert(id);
+        }
+        return result;
+    }
+
     void refresh_directory() { directory_wanted_ = true; }
 
     milliseconds uptime() const {
@@ -353,6 +361,7 @@
             try {
                 const auto known = hosts_.others().size();
                 co_await hosts_.refresh(steady_clock::now() + read_timeout);
+                limiter_.expect_peers(other_hosts(), boot_clock::now());
                 if (hosts_.others().size() > known) {
                     send_report(false);
                 }
--- a/libs/limits/include/masticgrade/limits/usage_limiter.hpp
+++ b/libs/limits/include/masticgrade/limits/usage_limiter.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "masticgrade/base/time.hpp"
@@ -53,9 +56,12 @@
 /// the others go on as they last did. A customer within its rate is then never refused because of an
 /// uneven split, and an overload is divided in proportion to what the hosts admitted before.
 ///
-/// A peer that has been silent for `silence_limit` may be cut off and still admit. Its last part of
-/// the rate and of the burst is set aside for it; it does the same with this host's part. After
-/// `peer_lifetime` it cannot admit any more, since it has had no proof of a current configuration.
+/// Reports may stop at any moment, and both sides of a partition go on. So a host admits, between
+/// two rounds of reports from all others, no more than its part of the tokens that were left at the
+/// first one and of the rate since; a new process counts every listed host as one that may admit. A
+/// peer that has been silent for `silence_limit` has its part of the rate and of the burst set
+/// aside, as of when it was last heard; it does the same. After `peer_lifetime` it cannot admit any
+/// more, since it has had no proof of a current configuration.
 ///
 /// Thread safety: none. Reads no clock; every `now` must be at or after the one before.
 class usage_limiter {
@@ -74,6 +80,9 @@
     /// The time after which one operation is likely to be admitted; for the hint in a refusal.
     [[nodiscard]] milliseconds retry_after(const customer_id& customer, boot_time now);
 
+    /// The hosts that may be alive. One that is not heard of is taken to be silent.
+    void expect_peers(const std::set<host_id>& hosts, boot_time now);
+
     void on_report(const host_id& sender, incarnation_number incarnation,
                    const usage_report& report, boot_time now);
 
@@ -89,9 +98,13 @@
     [[nodiscard]] double own_part(boot_time now) const;
 
 private:
+    /// Rates of the last seconds, oldest first.
+    using rate_history = std::deque<std::pair<boot_time, double>>;
+
     struct peer_usage {
         std::uint64_t admitted = 0;
         double rate = 0;
+        rate_history rates;
         /// What has been taken from the bucket since the last report on the assumption that the
         /// peer goes on at `rate`.
         double assumed = 0;
@@ -99,6 +112,9 @@
     struct peer {
         incarnation_number incarnation;
         boot_time heard;
+        /// Listed, but not heard of by this process.
+        bool never_heard = false;
+        bool heard_in_round = false;
         bool accepts_leases = false;
         std::unordered_map<customer_id, peer_usage> usage;
     };
@@ -108,6 +124,12 @@
         boot_time updated;
         std::uint64_t admitted = 0;
         double own_rate = 0;
+        rate_history own_rates;
+        /// What this host may admit until all others have reported again.
+        boot_time round_started;
+        double round_level = 0;
+        double round_part = 1;
+        double round_spent = 0;
         std::uint64_t counted = 0;
         boot_time rate_updated;
     };
@@ -118,6 +140,11 @@
     [[nodiscard]] double silent_part(const customer_id& customer, const bucket& tokens,
                                      boot_time now) const;
     void drop_dead_peers(boot_time now);
+    void start_round(boot_time now);
+    [[nodiscard]] double round_allowance(const bucket& tokens, double set_aside,
+                                         boot_time now) const;
+    static void remember(rate_history& history, boot_time now, double rate);
+    [[nodiscard]] static double rate_at(const rate_history& history, boot_time moment);
     [[nodiscard]] static bool is_silent(const peer& other, boot_time now);
 
     boot_time started_;
--- a/libs/limits/src/usage_limiter.cpp
+++ b/libs/limits/src/usage_limiter.cpp
@@ -18,6 +18,14 @@
 /// one overrun cannot lock a customer out for long.
 constexpr double deepest_debt_s = 2.0;
 constexpr milliseconds longest_retry_after{2000};
+/// Operations that a host may admit in a round however small its part is: a burst of 3 on 7 hosts
+/// could serve nobody otherwise. The users' bound leaves 20 operations for all hosts.
+constexpr double least_allowance = 1.5;
+/// The part of a round that is divided evenly, for callers that move to another host.
+constexpr double even_part = 0.5;
+/// A round without live peers ends after this time.
+constexpr milliseconds lonely_round{250};
+constexpr seconds history_length{8};
 
 double in_seconds(boot_clock::duration value) {
     return std::chrono::duration<double>(value).count();
@@ -37,6 +45,8 @@
         if (added) {
             tokens.updated = now;
             tokens.rate_updated = now;
+            tokens.round_started = now;
+            tokens.round_part = 1.0 / static_cast<double>(peers_.size() + 1);
         } else {
             refill(customer, tokens, now);
         }
@@ -52,10 +62,15 @@
     }
     auto& tokens = found->second;
     refill(customer, tokens, now);
-    if (tokens.level < 1) {
+    if (live_peers(now) == 0 && now - tokens.round_started >= lonely_round) {
+        start_round(now);
+    }
+    const double allowance = round_allowance(tokens, silent_part(customer, tokens, now), now);
+    if (tokens.level < 1 || tokens.round_spent + 1 > allowance) {
         return false;
     }
     tokens.level -= 1;
+    tokens.round_spent += 1;
     ++tokens.admitted;
     return true;
 }
@@ -99,14 +114,85 @@
                 : 0;
         tokens.level = std::clamp(tokens.level - used, -deepest_debt_s * tokens.limit.rate,
                                   tokens.limit.burst);
-        known = {item.admitted, item.rate, 0};
+        known.admitted = item.admitted;
+        known.rate = item.rate;
+        known.assumed = 0;
+        remember(known.rates, now, item.rate);
     }
     other.incarnation = incarnation;
     other.heard = now;
+    other.never_heard = false;
+    other.heard_in_round = true;
     other.accepts_leases = report.accepts_leases;
     if (report.leaving) {
         peers_.erase(found);
     }
+    const bool all_heard = std::all_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return entry.second.heard_in_round || is_silent(entry.second, now);
+    });
+    if (all_heard) {
+        start_round(now);
+    }
+}
+
+void usage_limiter::expect_peers(const std::set<host_id>& hosts, boot_time now) {
+    for (const auto& host : hosts) {
+        auto [found, added] = peers_.try_emplace(host);
+        if (added) {
+            found->second.heard = now - silence_limit - milliseconds{1};
+            found->second.never_heard = true;
+        }
+    }
+}
+
+void usage_limiter::start_round(boot_time now) {
+    for (auto& [host, other] : peers_) {
+        other.heard_in_round = false;
+    }
+    for (auto& [customer, tokens] : buckets_) {
+        refill(customer, tokens, now);
+        const double own = tokens.own_rate + idle_rate;
+        double all = own;
+        std::size_t hosts = 1;
+        for (const auto& [host, other] : peers_) {
+            if (!is_silent(other, now)) {
+                ++hosts;
+                const auto usage = other.usage.find(customer);
+                all += idle_rate + (usage == other.usage.end() ? 0 : usage->second.rate);
+            }
+        }
+        tokens.round_started = now;
+        tokens.round_level = std::max(tokens.level, 0.0);
+        tokens.round_part = even_part / static_cast<double>(hosts) + (1 - even_part) * own / all;
+        tokens.round_spent = 0;
+    }
+}
+
+double usage_limiter::round_allowance(const bucket& tokens, double set_aside,
+                                      boot_time now) const {
+    const double elapsed = in_seconds(now - tokens.round_started);
+    const double refilled = tokens.limit.rate * (1 - set_aside) * elapsed;
+    const double available = std::min(tokens.round_level + refilled,
+                                      tokens.limit.burst * (1 - set_aside) + refilled);
+    return std::max(least_allowance, tokens.round_part * available);
+}
+
+void usage_limiter::remember(rate_history& history, boot_time now, double rate) {
+    history.emplace_back(now, rate);
+    while (now - history.front().first > history_length) {
+        history.pop_front();
+    }
+}
+
+double usage_limiter::rate_at(const rate_history& history, boot_time moment) {
+    double rate = history.empty() ? 0 : history.front().second;
+    for (const auto& [time, value] : history) {
+        if (time > moment) {
+            break;
+        }
+        rate = value;
+    }
+    return rate;
 }
 
 usage_report usage_limiter::report(boot_time now, bool leaving, bool accepts_leases) {
@@ -116,6 +202,7 @@
     result.accepts_leases = accepts_leases;
     for (auto& [customer, tokens] : buckets_) {
         update_own_rate(tokens, now);
+        remember(tokens.own_rates, now, tokens.own_rate);
         result.usage.push_back({customer, tokens.admitted, tokens.own_rate});
     }
     return result;
@@ -194,20 +281,41 @@
 
 double usage_limiter::silent_part(const customer_id& customer, const bucket& tokens,
                                   boot_time now) const {
-    double all = tokens.own_rate + idle_rate;
-    double silent = 0;
+    auto last_contact = now;
+    std::size_t counted = 1;
+    std::size_t never_heard = 0;
     for (const auto& [host, other] : peers_) {
         if (now - other.heard > peer_lifetime) {
             continue;
         }
+        ++counted;
+        if (other.never_heard) {
+            ++never_heard;
+        } else if (is_silent(other, now)) {
+            last_contact = std::min(last_contact, other.heard);
+        }
+    }
+    const double unknown = static_cast<double>(never_heard) / static_cast<double>(counted);
+    if (last_contact == now) {
+        return unknown;
+    }
+    // Both sides of a partition divide by what was known to both when it began.
+    double all = rate_at(tokens.own_rates, last_contact) + idle_rate;
+    double silent = 0;
+    for (const auto& [host, other] : peers_) {
+        if (other.never_heard || now - other.heard > peer_lifetime) {
+            continue;
+        }
         const auto usage = other.usage.find(customer);
-        const double rate = idle_rate + (usage == other.usage.end() ? 0 : usage->second.rate);
+        const double rate =
+            idle_rate +
+            (usage == other.usage.end() ? 0 : rate_at(usage->second.rates, last_contact));
         all += rate;
         if (is_silent(other, now)) {
             silent += rate;
         }
     }
-    return silent / all;
+    return unknown + (1 - unknown) * silent / all;
 }
 
 void usage_limiter::drop_dead_peers(boot_time now) {
--- a/libs/limits/test/usage_limiter_test.cpp
+++ b/libs/limits/test/usage_limiter_test.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,13 @@
     void restart(std::size_t index) {
         auto& host = hosts_[index];
         host = {std::make_unique<usage_limiter>(now_), ++last_incarnation_, false};
+        std::set<host_id> others;
+        for (std::size_t i = 0; i < hosts_.size(); ++i) {
+            if (i != index) {
+                others.insert(name_of(i));
+            }
+        }
+        host.limiter->expect_peers(others, now_);
         host.limiter->configure({{customer, limit_}}, now_);
     }
 
