Run the edge process on loopback against stand-ins for the store and for instances

Six runs of the real program: the calm path, current reads through another host, a killed primary with a lost answer of the store, a key withdrawn on an open session, a planned stop, and input that cannot be read.

--- /dev/null
+++ b/tests/edge/edge_run_test.cpp
@@ -0,0 +1,223 @@
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "child_process.hpp"
+#include "line_client.hpp"
+#include "platform_world.hpp"
+
+using namespace masticgrade;
+using namespace masticgrade::edge_test;
+
+namespace {
+
+const std::string key = "key-of-the-parish";
+
+unsigned short free_port() {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor{context,
+                                            {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    return acceptor.local_endpoint().port();
+}
+
+/// Waits for at most 30 s, far longer than anything here takes.
+bool wait_until(const std::function<bool()>& condition) {
+    const auto give_up = steady_clock::now() + seconds{30};
+    while (steady_clock::now() < give_up) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds{50});
+    }
+    return false;
+}
+
+/// The stand-ins and two edge processes.
+class edge_fleet {
+public:
+    explicit edge_fleet(const std::string& scenario)
+        : logs_(std::string{MG_EDGE_LOGS} + "/" + scenario) {
+        std::filesystem::create_directories(logs_);
+        world.configure({key});
+        for (int i = 0; i < 2; ++i) {
+            start();
+        }
+        for (const auto port : ports) {
+            REQUIRE(wait_until([&] { return serves(port); }));
+        }
+    }
+
+    [[nodiscard]] bool serves(unsigned short port) const {
+        try {
+            line_client client{port};
+            return client.start("db-primary", key).rfind("READY", 0) == 0 &&
+                   is_done(client.query("probe", "READ x"));
+        } catch (const boost::system::system_error&) {
+            return false;
+        }
+    }
+
+    platform_world world;
+    std::vector<unsigned short> ports;
+    std::deque<process_test::child_process> processes;
+
+private:
+    void start() {
+        const auto name = "host-" + std::to_string(ports.size());
+        const auto port = free_port();
+        const auto path = logs_ + "/" + name + ".conf";
+        std::ofstream settings{path};
+        settings << "node=" << name << "\nzone=north\nip=127.0.0.1\n"
+                 << "listen-addrs.front=127.0.0.1:" << port << "\n"
+                 << "listen-addrs.readiness=127.0.0.1:" << free_port() << "\n"
+                 << "internal-ports=" << free_port() << ",65535\n"
+                 << "platform.address=" << world.store_address() << "\n"
+                 << "cloud.address=" << world.store_address() << "\n"
+                 << "limits.max-fds=4300\nbounds.grace-s=6\n";
+        settings.close();
+        processes.emplace_back(MG_EDGE, std::vector<std::string>{"--settings", path},
+                               logs_ + "/" + name + ".log");
+        ports.push_back(port);
+    }
+
+    std::string logs_;
+};
+
+}  // namespace
+
+TEST_CASE("calm_path: statements, transactions, values and prepared statements") {
+    edge_fleet fleet{"calm_path"};
+    line_client client{fleet.ports[0]};
+    REQUIRE(client.start("db-read_own", key) == "READY I -");
+    CHECK(is_done(client.query("w1", "WRITE pole-1 reserved")));
+    const auto answer = client.query("r1", "READ pole-1");
+    REQUIRE(answer.size() == 3);
+    CHECK(answer[0] == "DATAROW reserved");
+    CHECK(answer[1] == "COMPLETE signature-r1");
+    CHECK(answer[2] == "READY I -");
+    CHECK(is_done(client.query("s1", "SET zone north")));
+    CHECK(is_done(client.query("p1", "PREPARE s WRITE q2c")));
+    CHECK(is_done(client.query("e1", "EXECUTE s pole-2 free")));
+    CHECK(client.query("b1", "BEGIN").back() == "READY T -");
+    CHECK(is_done(client.query("w2", "WRITE pole-3 reserved")));
+    const auto committed = client.query("c1", "COMMIT");
+    CHECK(is_done(committed));
+    CHECK(committed.back() == "READY I -");
+    for (const auto* id : {"w1", "e1", "w2", "c1"}) {
+        CHECK(fleet.world.runs_of(id) == 1);
+    }
+}
+
+// Guards against a session that misses a write which was made through another host.
+TEST_CASE("write_seen_through_another_host: current data is current on every host") {
+    edge_fleet fleet{"write_seen_through_another_host"};
+    line_client writer{fleet.ports[0]};
+    line_client reader{fleet.ports[1]};
+    REQUIRE(writer.start("db-primary", key) == "READY I -");
+    REQUIRE(reader.start("db-primary", key) == "READY I -");
+    for (int i = 0; i < 20; ++i) {
+        const auto value = std::to_string(i);
+        REQUIRE(is_done(writer.query("w" + value, "WRITE pole " + value)));
+        CHECK(reader.query("r" + value, "READ pole").front() == "DATAROW " + value);
+    }
+}
+
+// Guards against a group that stays without a primary, a lost commit, and a second promotion after
+// a lost answer of the store.
+TEST_CASE("primary_killed: another instance takes over with every acknowledged commit") {
+    edge_fleet fleet{"primary_killed"};
+    line_client client{fleet.ports[0]};
+    REQUIRE(client.start("db-primary", key) == "READY I -");
+    REQUIRE(is_done(client.query("w1", "WRITE pole reserved")));
+    const auto log_before = fleet.world.longest_log();
+    fleet.world.lose_next_commit_answer();
+    fleet.world.kill_instance(fleet.world.primary());
+    int attempt = 0;
+    CHECK(wait_until([&] {
+        line_client retry{fleet.ports[attempt % 2]};
+        const auto id = "again-" + std::to_string(++attempt);
+        return retry.start("db-primary", key) == "READY I -" &&
+               is_done(retry.query(id, "WRITE pole taken"));
+    }));
+    CHECK(fleet.world.promotions() == 1);
+    CHECK(fleet.world.longest_log() > log_before);
+    line_client reader{fleet.ports[1]};
+    REQUIRE(reader.start("db-primary", key) == "READY I -");
+    CHECK(reader.query("r1", "READ pole").front() == "DATAROW taken");
+}
+
+// Guards against a withdrawn key that works on an open connection.
+TEST_CASE("key_revoked: an open session is refused, and so is a new one") {
+    edge_fleet fleet{"key_revoked"};
+    line_client client{fleet.ports[0]};
+    REQUIRE(client.start("db-primary", key) == "READY I -");
+    REQUIRE(is_done(client.query("w0", "WRITE pole 0")));
+    fleet.world.configure({"another-key"});
+    int statements = 0;
+    std::vector<std::string> answer;
+    CHECK(wait_until([&] {
+        answer = client.query("w" + std::to_string(++statements), "WRITE pole again");
+        return !is_done(answer);
+    }));
+    REQUIRE_FALSE(answer.empty());
+    CHECK(answer.front().rfind("ERROR UNAUTH", 0) == 0);
+    CHECK(fleet.world.runs_of("w" + std::to_string(statements)) == 0);
+    line_client late{fleet.ports[0]};
+    CHECK(late.start("db-primary", key).rfind("ERROR UNAUTH", 0) == 0);
+    line_client other{fleet.ports[0]};
+    CHECK(other.start("db-primary", "another-key") == "READY I -");
+}
+
+// Guards against a planned stop that cuts a statement.
+TEST_CASE("planned_stop: no statement is cut, and the process ends by itself") {
+    edge_fleet fleet{"planned_stop"};
+    line_client client{fleet.ports[0]};
+    REQUIRE(client.start("db-primary", key) == "READY I -");
+    REQUIRE(is_done(client.query("b", "BEGIN")));
+    REQUIRE(is_done(client.query("w", "WRITE pole 1")));
+    fleet.processes[0].signal(SIGTERM);
+    REQUIRE(is_done(client.query("c", "COMMIT")));
+    int done = 0;
+    for (;;) {
+        const auto answer = client.query("r" + std::to_string(done), "READ pole");
+        if (answer.empty()) {
+            break;
+        }
+        CHECK(is_done(answer));
+        ++done;
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+    CHECK(done > 0);
+    CHECK(fleet.processes[0].wait() == 0);
+    CHECK(fleet.serves(fleet.ports[1]));
+}
+
+// Guards against input that takes other sessions with it.
+TEST_CASE("unreadable_input: one error, and the others are served") {
+    edge_fleet fleet{"unreadable_input"};
+    line_client other{fleet.ports[0]};
+    REQUIRE(other.start("db-primary", key) == "READY I -");
+    for (const std::string bytes :
+         {"GET / HTTP/1.1\r\n\r\n", "QUERY a READ x\r\n", "START db-primary\r\n", "\r\n",
+          "START db-primary bad\x01key\r\n"}) {
+        CAPTURE(bytes);
+        line_client client{fleet.ports[0]};
+        client.send(bytes);
+        CHECK(client.read_line().rfind("ERROR", 0) == 0);
+        CHECK(client.read_line().empty());
+    }
+    line_client flood{fleet.ports[0]};
+    REQUIRE(flood.start("db-primary", key) == "READY I -");
+    flood.send(std::string((std::size_t{1} << 20U) + 10, 'x'));
+    CHECK(flood.read_line().rfind("ERROR TOOLARGE", 0) == 0);
+    line_client status{fleet.ports[0]};
+    REQUIRE(status.start("db-primary", key) == "READY I -");
+    CHECK(status.query("a", "STEPDOWN 99").front().rfind("ERROR MALFORMED", 0) == 0);
+    CHECK(is_done(other.query("r", "READ x")));
+}
--- /dev/null
+++ b/tests/edge/platform_world.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fakes.hpp"
+#include "masticgrade/net/http_server.hpp"
+
+namespace masticgrade::edge_test {
+
+/// Stand-ins on loopback for what the edge process meets on the platform: the store's rows, the
+/// promotion call, and three instances of one database group that speak the line protocol. They
+/// share one model and one thread. Thread safety: any thread.
+class platform_world {
+public:
+    platform_world();
+    platform_world(const platform_world&) = delete;
+    platform_world& operator=(const platform_world&) = delete;
+    ~platform_world();
+
+    [[nodiscard]] std::string store_address() const;
+
+    /// Writes the operators' configuration with these keys of the customer "parish".
+    void configure(const std::vector<std::string>& keys);
+    /// Ends an instance at once, with its connections and its entry.
+    void kill_instance(const std::string& name);
+    /// The next change of rows takes effect and is not answered.
+    void lose_next_commit_answer();
+
+    [[nodiscard]] std::string primary();
+    [[nodiscard]] std::size_t promotions();
+    [[nodiscard]] std::size_t runs_of(const std::string& statement);
+    /// The longest log of the live instances.
+    [[nodiscard]] std::uint64_t longest_log();
+
+private:
+    struct instance_server;
+
+    void run_in_world(const std::function<void()>& action);
+    boost::asio::awaitable<http_response> answer_http(http_request request);
+    http_response read_rows(const std::string& target);
+    boost::asio::awaitable<http_response> change_rows(const std::string& body);
+    boost::asio::awaitable<http_response> promote(const std::string& body);
+    void put(const std::string& table, const std::string& key, const std::string& value);
+    void publish_entries();
+    boost::asio::awaitable<void> accept(instance_server& server);
+    boost::asio::awaitable<void> serve(instance_server& server,
+                                       std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+    std::string answer_line(instance_server& server, test::fake_link& link,
+                            const statement_answer& answer, const std::string& text);
+    void replicate();
+
+    struct row {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+
+    boost::asio::io_context context_{1};
+    test::fake_connector model_;
+    test::fake_promotions promotions_{model_};
+    std::map<std::string, std::unique_ptr<instance_server>> servers_;
+    std::map<std::string, std::map<std::string, row>> tables_;
+    std::map<std::string, std::string> data_;
+    std::uint64_t version_ = 0;
+    std::uint64_t configuration_version_ = 0;
+    bool lose_answer_ = false;
+    std::unique_ptr<http_server> store_;
+    std::thread thread_;
+};
+
+}  // namespace masticgrade::edge_test
