--- a/libs/control/include/masticgrade/control/commands.hpp
+++ b/libs/control/include/masticgrade/control/commands.hpp
@@ -11,7 +11,7 @@
 
 namespace masticgrade {
 
-/// Exit codes of masticgradectl; docs/operations.md explains them to operators.
+/// Exit codes of masticgradectl; docs/OPERATIONS.md explains them to operators.
 enum class exit_code {
     done = 0,
     failed = 1,
--- a/libs/limits/include/masticgrade/limits/usage_limiter.hpp
+++ b/libs/limits/include/masticgrade/limits/usage_limiter.hpp
@@ -80,6 +80,17 @@
     /// The time after which one operation is likely to be admitted; for the hint in a refusal.
     [[nodiscard]] milliseconds retry_after(const customer_id& customer, boot_time now);
 
+    /// What an admission is decided by.
+    struct state {
+        /// Tokens left by this host's estimate.
+        double tokens = 0;
+        /// Operations that this host may still admit until all others have reported again.
+        double allowance = 0;
+        /// The part of the limit that is set aside for silent hosts.
+        double set_aside = 0;
+    };
+    [[nodiscard]] state describe(const customer_id& customer, boot_time now) const;
+
     /// The hosts that may be alive. One that is not heard of is taken to be silent.
     void expect_peers(const std::set<host_id>& hosts, boot_time now);
 
--- a/libs/limits/src/usage_limiter.cpp
+++ b/libs/limits/src/usage_limiter.cpp
@@ -135,6 +135,16 @@
     }
 }
 
+usage_limiter::state usage_limiter::describe(const customer_id& customer, boot_time now) const {
+    const auto found = buckets_.find(customer);
+    if (found == buckets_.end()) {
+        return {};
+    }
+    const auto& tokens = found->second;
+    const double set_aside = silent_part(customer, tokens, now);
+    return {tokens.level, round_allowance(tokens, set_aside, now) - tokens.round_spent, set_aside};
+}
+
 void usage_limiter::expect_peers(const std::set<host_id>& hosts, boot_time now) {
     for (const auto& host : hosts) {
         auto [found, added] = peers_.try_emplace(host);
