--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -14,14 +14,11 @@
 
 namespace {
 
-/// How long a denial of being the primary outweighs the instance's own entry, which lags.
-constexpr milliseconds denial_lifetime{1500};
 /// What an instance said of its position counts for this long; then one read finds it out again.
 constexpr milliseconds position_lifetime{150};
 /// The primary's position is asked for again when the last proof is this old and reads need it.
 constexpr milliseconds proof_refresh_age{350};
 constexpr seconds position_use_lifetime{3};
-constexpr milliseconds probe_timeout{300};
 constexpr seconds lost_instance_lifetime{20};
 /// A leaving primary gets new work until it is replaced, but not longer than this; the instances'
 /// bound is 7 s after the store took their notice.
@@ -118,75 +115,6 @@
                   [&](const auto& entry) { return now - entry.second > lost_instance_lifetime; });
 }
 
-void backend_group::choose_primary(time_point now) {
-    const auto is_denied = [&](const instance_state& instance) {
-        return instance.denied_until > now;
-    };
-    if (primary_) {
-        const auto found = instances_.find(*primary_);
-        const bool stays =
-            found != instances_.end() && !is_denied(found->second) && !watch_.is_dead(now);
-        if (stays) {
-            const bool claims = found->second.entry.claims_primary;
-            const bool settled = now - primary_since_ > denial_lifetime;
-            const bool another_claims =
-                std::any_of(instances_.begin(), instances_.end(), [&](const auto& entry) {
-                    return entry.first != *primary_ && entry.second.entry.claims_primary &&
-                           !is_denied(entry.second);
-                });
-            if (claims || !settled || !another_claims) {
-                return;
-            }
-        }
-    }
-    for (const auto& [id, instance] : instances_) {
-        if (instance.entry.claims_primary && !is_denied(instance) &&
-            (!primary_ || id != *primary_)) {
-            set_primary(id, newest_term_, "directory");
-            return;
-        }
-    }
-    if (primary_ && !instances_.contains(*primary_)) {
-        event_line{"primary_lost"}.field("group", name_).field("instance", *primary_).write();
-        primary_.reset();
-    }
-}
-
-void backend_group::set_primary(const instance_id& instance, term_number term,
-                                std::string_view reason) {
-    newest_term_ = std::max(newest_term_, term);
-    if (primary_ == instance) {
-        return;
-    }
-    event_line{"primary_changed"}
-        .field("group", name_)
-        .field("from", primary_ ? primary_->str() : std::string{"none"})
-        .field("to", instance)
-        .field("term", newest_term_)
-        .field("source", reason)
-        .write();
-    primary_ = instance;
-    primary_since_ = steady_clock::now();
-    watch_.reset(primary_since_);
-    if (const auto found = instances_.find(instance); found != instances_.end()) {
-        found->second.denied_until = {};
-    }
-    pump();
-}
-
-void backend_group::note_status(const instance_id& instance, const instance_status& status) {
-    if (status.is_primary && status.term >= newest_term_) {
-        set_primary(instance, status.term, "status");
-    }
-    newest_term_ = std::max(newest_term_, status.term);
-}
-
-std::optional<instance_id> backend_group::primary() const { return primary_; }
-
-bool backend_group::primary_is_dead(time_point now) const {
-    return !primary_ || watch_.is_dead(now);
-}
-
 std::vector<instance_entry> backend_group::entries() const {
     std::vector<instance_entry> result;
     for (const auto& [id, instance] : instances_) {
@@ -399,34 +327,12 @@
     }
 }
 
-void backend_group::add_proof(const instance_id& instance, boot_time sent_at, log_index position) {
-    proofs_.add(sent_at, position);
-    newest_term_ = std::max(newest_term_, position.term);
-    if (position.term >= newest_term_) {
-        set_primary(instance, position.term, "answer");
-    }
-}
-
 void backend_group::on_acknowledged(log_index position) {
     if (!acknowledged_ || *acknowledged_ < position) {
         acknowledged_ = position;
     }
 }
 
-void backend_group::on_denied(const instance_id& instance) {
-    const auto now = steady_clock::now();
-    const auto found = instances_.find(instance);
-    if (found != instances_.end()) {
-        found->second.denied_until = now + denial_lifetime;
-    }
-    if (primary_ == instance) {
-        event_line{"primary_denied"}.field("group", name_).field("instance", instance).write();
-        primary_.reset();
-        choose_primary(now);
-        environment_.refresh_directory();
-    }
-}
-
 void backend_group::tick(time_point now) {
     watch_.tick(now);
     for (auto& [id, instance] : instances_) {
@@ -455,25 +361,6 @@
     pump();
 }
 
-asio::awaitable<void> backend_group::probe(endpoint_address address, instance_id instance) {
-    const auto self = shared_from_this();
-    const bool reachable =
-        co_await environment_.connector.is_reachable(address, steady_clock::now() + probe_timeout);
-    probing_ = false;
-    if (primary_ != instance) {
-        co_return;
-    }
-    watch_.on_probe(reachable, steady_clock::now());
-    if (!reachable) {
-        event_line{"primary_unreachable"}
-            .field("group", name_)
-            .field("instance", instance)
-            .field("dead", watch_.is_dead(steady_clock::now()))
-            .write();
-        pump();
-    }
-}
-
 asio::awaitable<void> backend_group::refresh_position(customer_id customer) {
     const auto self = shared_from_this();
     constexpr milliseconds refresh_timeout{300};
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -107,6 +107,10 @@
 private:
     boost::asio::awaitable<std::vector<statement_answer>> run(std::vector<backend_request> requests,
                                                               time_point deadline);
+    /// As `run`, and tells the group what it shows of the instance.
+    boost::asio::awaitable<std::vector<statement_answer>> run_observed(
+        std::vector<backend_request> requests, bool is_commit, time_point deadline);
+    void learn_from(const statement_answer& answer, bool proves_position, boot_time sent_at);
 
     std::shared_ptr<backend_group> group_;
     std::unique_ptr<pooled_connection> connection_;
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -87,9 +87,9 @@
     boost::asio::awaitable<statement_answer> single_write(operation& op);
     /// Starts the transaction on an instance; an answer is the refusal.
     boost::asio::awaitable<std::optional<statement_answer>> begin_on_instance(operation& op);
-    /// Waits for a connection to the primary, or to any instance whose log reaches `at_least`.
+    /// Waits for a connection to the primary, or to any instance that is fresh enough.
     boost::asio::awaitable<std::variant<connection_lease, statement_answer>> acquire(
-        operation& op, std::optional<log_index> at_least, const std::set<instance_id>& avoid);
+        operation& op, bool on_primary, const std::set<instance_id>& avoid);
     boost::asio::awaitable<std::optional<log_index>> needed_position(operation& op);
     /// Gives the connection what the statement needs and runs it, again when the instance was only
     /// too busy to start it. Throws link_error.
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -36,6 +36,22 @@
     co_return answers;
 }
 
+asio::awaitable<std::vector<statement_answer>> connection_lease::run_observed(
+    std::vector<backend_request> requests, bool is_commit, time_point deadline) {
+    const auto sent_at = steady_clock::now();
+    group_->on_sent(connection_->instance, is_commit);
+    std::vector<statement_answer> answers;
+    try {
+        answers = co_await run(std::move(requests), deadline);
+    } catch (const link_error&) {
+        group_->on_silence(connection_->instance, is_commit);
+        throw;
+    }
+    group_->on_answer(connection_->instance, is_commit, steady_clock::now() - sent_at,
+                      answers.back());
+    co_return answers;
+}
+
 asio::awaitable<std::optional<statement_answer>> connection_lease::align(
     const session_context& session, const prepared_shape* needed, time_point deadline) {
     if (connection_->remote) {
@@ -46,15 +62,7 @@
     if (requests.empty()) {
         co_return std::nullopt;
     }
-    const auto sent_at = steady_clock::now();
-    group_->on_sent(connection_->instance, false);
-    std::vector<statement_answer> answers;
-    try {
-        answers = co_await run(std::move(requests), deadline);
-    } catch (const link_error&) {
-        group_->on_silence(connection_->instance, false);
-        throw;
-    }
+    auto answers = co_await run_observed(std::move(requests), false, deadline);
     for (auto& answer : answers) {
         if (answer.code != answer_code::done) {
             // What the connection holds now is unknown.
@@ -62,7 +70,6 @@
             co_return std::move(answer);
         }
     }
-    group_->on_answer(connection_->instance, false, steady_clock::now() - sent_at, answers.back());
     connection_->context.applied(session, needed);
     co_return std::nullopt;
 }
@@ -72,25 +79,10 @@
                                                           time_point deadline) {
     std::vector<backend_request> requests;
     requests.emplace_back(backend_begin{read_only, at_least});
-    const auto boot_sent_at = boot_clock::now();
-    const auto sent_at = steady_clock::now();
-    group_->on_sent(connection_->instance, false);
-    std::vector<statement_answer> answers;
-    try {
-        answers = co_await run(std::move(requests), deadline);
-    } catch (const link_error&) {
-        group_->on_silence(connection_->instance, false);
-        throw;
-    }
-    const auto& answer = answers.front();
-    group_->on_answer(connection_->instance, false, steady_clock::now() - sent_at, answer);
-    if (answer.code == answer_code::done && !read_only && answer.position) {
-        group_->add_proof(connection_->instance, boot_sent_at, *answer.position);
-    }
-    if (answer.code == answer_code::read_only) {
-        group_->on_denied(connection_->instance);
-    }
-    co_return answer;
+    const auto sent_at = boot_clock::now();
+    auto answers = co_await run_observed(std::move(requests), false, deadline);
+    learn_from(answers.front(), !read_only, sent_at);
+    co_return std::move(answers.front());
 }
 
 asio::awaitable<statement_answer> connection_lease::execute(backend_request request, bool is_commit,
@@ -98,24 +90,10 @@
                                                             time_point deadline) {
     std::vector<backend_request> requests;
     requests.push_back(std::move(request));
-    const auto boot_sent_at = boot_clock::now();
-    const auto sent_at = steady_clock::now();
-    group_->on_sent(connection_->instance, is_commit);
-    std::vector<statement_answer> answers;
-    try {
-        answers = co_await run(std::move(requests), deadline);
-    } catch (const link_error&) {
-        group_->on_silence(connection_->instance, is_commit);
-        throw;
-    }
+    const auto sent_at = boot_clock::now();
+    auto answers = co_await run_observed(std::move(requests), is_commit, deadline);
     auto answer = std::move(answers.front());
-    group_->on_answer(connection_->instance, is_commit, steady_clock::now() - sent_at, answer);
-    if (answer.code == answer_code::done && proves_position && answer.position) {
-        group_->add_proof(connection_->instance, boot_sent_at, *answer.position);
-    }
-    if (answer.code == answer_code::read_only) {
-        group_->on_denied(connection_->instance);
-    }
+    learn_from(answer, proves_position, sent_at);
     if (answer.code == answer_code::unknown_prepared) {
         // The connection lost what it was given; it must not be used for another session.
         discard();
@@ -125,17 +103,17 @@
 
 asio::awaitable<std::vector<statement_answer>> connection_lease::execute_all(
     std::vector<backend_request> requests, time_point deadline) {
-    const auto sent_at = steady_clock::now();
-    group_->on_sent(connection_->instance, false);
-    std::vector<statement_answer> answers;
-    try {
-        answers = co_await run(std::move(requests), deadline);
-    } catch (const link_error&) {
-        group_->on_silence(connection_->instance, false);
-        throw;
+    return run_observed(std::move(requests), false, deadline);
+}
+
+void connection_lease::learn_from(const statement_answer& answer, bool proves_position,
+                                  boot_time sent_at) {
+    if (answer.code == answer_code::done && proves_position && answer.position) {
+        group_->add_proof(connection_->instance, sent_at, *answer.position);
+    }
+    if (answer.code == answer_code::read_only) {
+        group_->on_denied(connection_->instance);
     }
-    group_->on_answer(connection_->instance, false, steady_clock::now() - sent_at, answers.back());
-    co_return answers;
 }
 
 }  // namespace masticgrade
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -6,16 +6,12 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
-#include <mutex>
-#include <set>
+#include "masticgrade/base/bounded_labels.hpp"
 
 namespace masticgrade {
 
 namespace {
 
-/// Customers beyond these share one label, so that the memory for metrics is bounded.
-constexpr std::size_t max_customer_labels = 1000;
-
 /// Upper bounds in seconds, from a read on an idle instance to the longest statement limit.
 const prometheus::Histogram::BucketBoundaries latency_buckets{0.005, 0.01, 0.02, 0.05, 0.1, 0.15,
                                                               0.25,  0.5,  0.8,  1.5,  3,   10};
@@ -40,23 +36,11 @@
                      .Help("Time that an operation waited for a backend connection, in seconds.")
                      .Register(registry_)) {}
 
-    std::string label(const customer_id& customer) {
-        const std::scoped_lock lock{mutex_};
-        if (!customers_.contains(customer)) {
-            if (customers_.size() >= max_customer_labels) {
-                return "other";
-            }
-            customers_.insert(customer);
-        }
-        return customer.str();
-    }
-
     prometheus::Registry registry_;
     prometheus::Family<prometheus::Histogram>& latency_;
     prometheus::Family<prometheus::Counter>& operations_;
     prometheus::Family<prometheus::Histogram>& waits_;
-    std::mutex mutex_;
-    std::set<customer_id> customers_;
+    bounded_labels customers_;
 };
 
 gateway_metrics::gateway_metrics() : implementation_(std::make_unique<implementation>()) {}
@@ -65,7 +49,7 @@
 void gateway_metrics::observe_operation(const customer_id& customer, std::string_view consistency,
                                         answer_code code, std::string_view reason,
                                         duration latency) {
-    const auto name = implementation_->label(customer);
+    const auto name = implementation_->customers_.label(customer);
     implementation_->latency_
         .Add({{"customer", name}, {"consistency", std::string{consistency}}}, latency_buckets)
         .Observe(in_seconds(latency));
--- /dev/null
+++ b/libs/gateway/src/group_primary.cpp
@@ -0,0 +1,128 @@
+#include <algorithm>
+
+#include "backend_group.hpp"
+#include "masticgrade/base/event_log.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How long a denial of being the primary outweighs the instance's own entry, which lags.
+constexpr milliseconds denial_lifetime{1500};
+constexpr milliseconds probe_timeout{300};
+
+}  // namespace
+
+void backend_group::choose_primary(time_point now) {
+    const auto is_denied = [&](const instance_state& instance) {
+        return instance.denied_until > now;
+    };
+    if (primary_) {
+        const auto found = instances_.find(*primary_);
+        const bool stays =
+            found != instances_.end() && !is_denied(found->second) && !watch_.is_dead(now);
+        if (stays) {
+            const bool claims = found->second.entry.claims_primary;
+            const bool settled = now - primary_since_ > denial_lifetime;
+            const bool another_claims =
+                std::any_of(instances_.begin(), instances_.end(), [&](const auto& entry) {
+                    return entry.first != *primary_ && entry.second.entry.claims_primary &&
+                           !is_denied(entry.second);
+                });
+            if (claims || !settled || !another_claims) {
+                return;
+            }
+        }
+    }
+    for (const auto& [id, instance] : instances_) {
+        if (instance.entry.claims_primary && !is_denied(instance) &&
+            (!primary_ || id != *primary_)) {
+            set_primary(id, newest_term_, "directory");
+            return;
+        }
+    }
+    if (primary_ && !instances_.contains(*primary_)) {
+        event_line{"primary_lost"}.field("group", name_).field("instance", *primary_).write();
+        primary_.reset();
+    }
+}
+
+void backend_group::set_primary(const instance_id& instance, term_number term,
+                                std::string_view reason) {
+    newest_term_ = std::max(newest_term_, term);
+    if (primary_ == instance) {
+        return;
+    }
+    event_line{"primary_changed"}
+        .field("group", name_)
+        .field("from", primary_ ? primary_->str() : std::string{"none"})
+        .field("to", instance)
+        .field("term", newest_term_)
+        .field("source", reason)
+        .write();
+    primary_ = instance;
+    primary_since_ = steady_clock::now();
+    watch_.reset(primary_since_);
+    if (const auto found = instances_.find(instance); found != instances_.end()) {
+        found->second.denied_until = {};
+    }
+    pump();
+}
+
+void backend_group::note_status(const instance_id& instance, const instance_status& status) {
+    if (status.is_primary && status.term >= newest_term_) {
+        set_primary(instance, status.term, "status");
+    }
+    newest_term_ = std::max(newest_term_, status.term);
+}
+
+std::optional<instance_id> backend_group::primary() const { return primary_; }
+
+bool backend_group::primary_is_dead(time_point now) const {
+    return !primary_ || watch_.is_dead(now);
+}
+
+void backend_group::on_denied(const instance_id& instance) {
+    const auto now = steady_clock::now();
+    const auto found = instances_.find(instance);
+    if (found != instances_.end()) {
+        found->second.denied_until = now + denial_lifetime;
+    }
+    if (primary_ == instance) {
+        event_line{"primary_denied"}.field("group", name_).field("instance", instance).write();
+        primary_.reset();
+        choose_primary(now);
+        environment_.refresh_directory();
+    }
+}
+
+void backend_group::add_proof(const instance_id& instance, boot_time sent_at, log_index position) {
+    proofs_.add(sent_at, position);
+    newest_term_ = std::max(newest_term_, position.term);
+    if (position.term >= newest_term_) {
+        set_primary(instance, position.term, "answer");
+    }
+}
+
+asio::awaitable<void> backend_group::probe(endpoint_address address, instance_id instance) {
+    const auto self = shared_from_this();
+    const bool reachable =
+        co_await environment_.connector.is_reachable(address, steady_clock::now() + probe_timeout);
+    probing_ = false;
+    if (primary_ != instance) {
+        co_return;
+    }
+    watch_.on_probe(reachable, steady_clock::now());
+    if (!reachable) {
+        event_line{"primary_unreachable"}
+            .field("group", name_)
+            .field("instance", instance)
+            .field("dead", watch_.is_dead(steady_clock::now()))
+            .write();
+        pump();
+    }
+}
+
+}  // namespace masticgrade
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -143,17 +143,21 @@
 }
 
 asio::awaitable<std::variant<connection_lease, statement_answer>> caller_session::acquire(
-    operation& op, std::optional<log_index> at_least, const std::set<instance_id>& avoid) {
+    operation& op, bool on_primary, const std::set<instance_id>& avoid) {
     acquire_request request;
+    if (!on_primary) {
+        request.avoid = avoid;
+        request.at_least = co_await needed_position(op);
+        if (!request.at_least) {
+            op.reason = "no_position_proof";
+            co_return refuse(answer_code::busy, "the primary's position is unknown");
+        }
+    }
     request.order.customer = customer_;
-    request.order.needs_primary = !at_least;
+    request.order.needs_primary = on_primary;
     request.order.give_up = op.give_up;
     request.order.start_by = op.started + op.route->latency_objective;
     request.order.priority = op.route->priority;
-    if (at_least) {
-        request.avoid = avoid;
-        request.at_least = at_least;
-    }
     auto result = co_await op.group->acquire(std::move(request));
     if (auto* lease = std::get_if<connection_lease>(&result)) {
         op.instance = lease->instance();
@@ -221,20 +225,13 @@
     statement_answer last = refuse(answer_code::busy, retry_text(busy_pause));
     while (op.tries < most_tries && steady_clock::now() < op.give_up) {
         ++op.tries;
-        std::optional<log_index> at_least;
-        if (!on_primary) {
-            at_least = co_await needed_position(op);
-            if (!at_least) {
-                op.reason = "no_position_proof";
-                co_return refuse(answer_code::busy, "the primary's position is unknown");
-            }
-        }
-        auto acquired = co_await acquire(op, at_least, avoid);
+        auto acquired = co_await acquire(op, on_primary, avoid);
         if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
             co_return std::move(*refusal);
         }
         auto& lease = std::get<connection_lease>(acquired);
         try {
+            std::optional<log_index> at_least;
             if (on_primary) {
                 auto begun = co_await lease.begin(false, std::nullopt, op.deadline);
                 if (begun.code != answer_code::done) {
@@ -278,7 +275,7 @@
     statement_answer last = refuse(answer_code::busy, retry_text(busy_pause));
     while (op.tries < most_tries && steady_clock::now() < op.give_up) {
         ++op.tries;
-        auto acquired = co_await acquire(op, std::nullopt, nothing_avoided);
+        auto acquired = co_await acquire(op, true, nothing_avoided);
         if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
             co_return std::move(*refusal);
         }
--- a/libs/gateway/src/session_transactions.cpp
+++ b/libs/gateway/src/session_transactions.cpp
@@ -21,15 +21,7 @@
     statement_answer last = refuse(answer_code::busy, "not run");
     while (op.tries < most_begin_tries && steady_clock::now() < op.give_up) {
         ++op.tries;
-        std::optional<log_index> at_least;
-        if (!plain) {
-            at_least = co_await needed_position(op);
-            if (!at_least) {
-                op.reason = "no_position_proof";
-                co_return refuse(answer_code::busy, "the primary's position is unknown");
-            }
-        }
-        auto acquired = co_await acquire(op, at_least, avoid);
+        auto acquired = co_await acquire(op, plain, avoid);
         if (auto* refusal = std::get_if<statement_answer>(&acquired)) {
             co_return std::move(*refusal);
         }
@@ -41,7 +33,9 @@
                 last = std::move(*refused);
                 continue;
             }
+            std::optional<log_index> at_least;
             if (!plain) {
+                // The wait may have outlived the proof that was found before it.
                 at_least = co_await needed_position(op);
                 if (!at_least) {
                     continue;
--- /dev/null
+++ b/libs/gateway/test/local_group.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "backend_group.hpp"
+#include "fakes.hpp"
+
+namespace masticgrade::test {
+
+/// What a group needs on the only host of a fleet.
+inline group_environment make_local_environment(const boost::asio::any_io_executor& executor,
+                                                fake_connector& connector,
+                                                gateway_metrics& metrics) {
+    return {executor,
+            connector,
+            metrics,
+            failure_domain_id{"north"},
+            [] { return std::size_t{1}; },
+            [] { return 1.0; },
+            [] {},
+            [](const instance_entry&) {
+                return instance_home{true, {}};
+            },
+            {}};
+}
+
+}  // namespace masticgrade::test
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_session.hpp"
 #include "fakes.hpp"
+#include "local_group.hpp"
 
 using namespace masticgrade;
 using namespace masticgrade::test;
@@ -98,40 +99,34 @@
     void make_group() {
         settings_.name = group_name;
         settings_.max_connections = 20;
-        group_environment environment{context_.get_executor(),
-                                      connector,
-                                      metrics_,
-                                      failure_domain_id{"north"},
-                                      [] { return std::size_t{1}; },
-                                      [] { return 1.0; },
-                                      [] {},
-                                      [](const instance_entry&) {
-                                          return instance_home{true, {}};
-                                      },
-                                      {}};
-        group_ = std::make_shared<backend_group>(group_name, std::move(environment));
+        auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
     }
+    , {}
+};
+group_ = std::make_shared<backend_group>(group_name, std::move(environment));
+}
 
-    static void add_route(gateway_configuration& configuration, const std::string& database,
-                          read_consistency consistency) {
-        database_route route;
-        route.database = database;
-        route.group = group_name;
-        route.consistency = consistency;
-        route.max_staleness = milliseconds{2000};
-        route.statement_timeout = milliseconds{2000};
-        route.latency_objective = milliseconds{500};
-        configuration.routes[database] = route;
-    }
+static void add_route(gateway_configuration& configuration, const std::string& database,
+                      read_consistency consistency) {
+    database_route route;
+    route.database = database;
+    route.group = group_name;
+    route.consistency = consistency;
+    route.max_staleness = milliseconds{2000};
+    route.statement_timeout = milliseconds{2000};
+    route.latency_objective = milliseconds{500};
+    configuration.routes[database] = route;
+}
 
-    boost::asio::io_context context_{1};
-    control_state control_;
-    usage_limiter limiter_;
-    gateway_metrics metrics_;
-    group_settings settings_;
-    std::shared_ptr<backend_group> group_;
-    session_environment environment_;
-};
+boost::asio::io_context context_{1};
+control_state control_;
+usage_limiter limiter_;
+gateway_metrics metrics_;
+group_settings settings_;
+std::shared_ptr<backend_group> group_;
+session_environment environment_;
+}
+;
 
 }  // namespace
 
--- a/libs/proxy/src/request_metrics.cpp
+++ b/libs/proxy/src/request_metrics.cpp
@@ -6,16 +6,12 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
-#include <mutex>
-#include <set>
+#include "masticgrade/base/bounded_labels.hpp"
 
 namespace masticgrade {
 
 namespace {
 
-constexpr std::size_t max_customer_labels = 1000;
-const std::string other_customers = "other";
-
 /// Upper bounds in seconds, from a fast read on loopback to the longest deadline.
 const prometheus::Histogram::BucketBoundaries latency_buckets{
     0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 60};
@@ -64,24 +60,11 @@
                      .Help("Reads that were done, by the role of the instance.")
                      .Register(registry_)) {}
 
-    std::string label(const customer_id& customer) {
-        const std::scoped_lock lock{mutex_};
-        if (customers_.contains(customer)) {
-            return customer.str();
-        }
-        if (customers_.size() >= max_customer_labels) {
-            return other_customers;
-        }
-        customers_.insert(customer);
-        return customer.str();
-    }
-
     prometheus::Registry registry_;
     prometheus::Family<prometheus::Histogram>& latency_;
     prometheus::Family<prometheus::Counter>& answers_;
     prometheus::Family<prometheus::Counter>& reads_;
-    std::mutex mutex_;
-    std::set<customer_id> customers_;
+    bounded_labels customers_;
 };
 
 request_metrics::request_metrics() : implementation_(std::make_unique<implementation>()) {}
@@ -89,7 +72,7 @@
 
 void request_metrics::observe(const customer_id& customer, std::string_view request_class,
                               const outcome& answer, duration latency) {
-    const auto name = implementation_->label(customer);
+    const auto name = implementation_->customers_.label(customer);
     const std::string klass{request_class};
     const double elapsed = std::chrono::duration<double>(latency).count();
     implementation_->latency_.Add({{"customer", name}, {"class", klass}}, latency_buckets)
