--- a/libs/limits/src/usage_limiter.cpp
+++ b/libs/limits/src/usage_limiter.cpp
@@ -93,9 +93,10 @@
     auto [found, added] = peers_.try_emplace(sender);
     auto& other = found->second;
     const bool is_new = added || other.incarnation != incarnation;
-    // Before the totals of an older process can have been seen, only a process that is younger than
-    // this one is known to have admitted everything within this one's life.
-    const bool counts_from_zero = is_new && report.uptime < now - started_;
+    // What a silent peer admitted came out of the part that was set aside for it. All that a process
+    // admitted counts only if it has just started.
+    const bool was_set_aside = !is_new && is_silent(other, now);
+    const bool counts_from_zero = is_new && report.uptime < silence_limit;
     for (const auto& item : report.usage) {
         const auto bucket_found = buckets_.find(item.customer);
         if (bucket_found == buckets_.end()) {
@@ -107,7 +108,7 @@
             other.usage[item.customer] = {};
         }
         auto& known = other.usage[item.customer];
-        const bool has_baseline = !is_new || counts_from_zero;
+        const bool has_baseline = counts_from_zero || (!is_new && !was_set_aside);
         const double used =
             has_baseline && item.admitted >= known.admitted
                 ? static_cast<double>(item.admitted - known.admitted) - known.assumed
--- a/libs/limits/test/usage_limiter_test.cpp
+++ b/libs/limits/test/usage_limiter_test.cpp
@@ -203,6 +203,24 @@
     CHECK(static_cast<double>(hosts.most_in_window()) <= hosts.allowed());
 }
 
+// Guards against a debt after a partition: what silent hosts admitted came out of what was set
+// aside for them (stonepath-kyushu trouble-1, 128 operations of debt after a cut of 7 s).
+TEST_CASE("a customer below its rate is served at once after a partition has healed") {
+    for (const auto length : {milliseconds{3000}, milliseconds{7000}}) {
+        CAPTURE(length.count());
+        fleet hosts{6, {100, 100}};
+        hosts.run(seconds{8}, {10, 10, 10, 10, 10, 12});
+        hosts.set_cut(0, true);
+        hosts.set_cut(1, true);
+        hosts.run(length, {10, 10, 10, 10, 10, 12});
+        hosts.set_cut(0, false);
+        hosts.set_cut(1, false);
+        hosts.forget_counts();
+        hosts.run(seconds{4}, {10, 10, 10, 10, 10, 12});
+        CHECK(hosts.refused() * 50 <= hosts.offered());
+    }
+}
+
 // Guards against refusals of a customer without a limit's worth of history, and of unknown ones.
 TEST_CASE("customers without a limit are refused") {
     usage_limiter limiter{start};
