--- a/libs/gateway/include/masticgrade/gateway/wait_queue.hpp
+++ b/libs/gateway/include/masticgrade/gateway/wait_queue.hpp
@@ -56,7 +56,6 @@
     [[nodiscard]] bool has_waited_since(time_point moment) const;
     /// Whether an operation waits for the instance.
     [[nodiscard]] bool has_waiter_for(const instance_id& instance, bool is_primary) const;
-    [[nodiscard]] std::size_t size() const noexcept { return items_.size(); }
 
 private:
     std::map<waiter_number, waiter> items_;
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -23,53 +23,49 @@
         group_settings_.name = group_name;
         group_settings_.max_connections = 20;
         auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
+        group = std::make_shared<backend_group>(group_name, std::move(environment));
+        update();
     }
-    , {}
-};
-group = std::make_shared<backend_group>(group_name, std::move(environment));
-update();
-}
 
-void update() { group->update(group_settings_, connector.entries(), {}); }
-
-/// Runs until `done`, or until 10 s have passed.
-void run_until(const std::function<bool()>& done) {
-    failover_environment environment{context_.get_executor(),
-                                     host_id{"host-1"},
-                                     store,
-                                     promotions,
-                                     connector,
-                                     metrics_,
-                                     [] { return std::vector{host_id{"host-1"}}; },
-                                     [this] { return read_directory(); }};
-    auto failover = std::make_shared<group_failover>(group, std::move(environment));
-    boost::asio::co_spawn(context_, failover->run(), boost::asio::detached);
-    const auto give_up = steady_clock::now() + seconds{10};
-    while (!done() && steady_clock::now() < give_up) {
-        context_.run_for(milliseconds{20});
+    void update() { group->update(group_settings_, connector.entries(), {}); }
+
+    /// Runs until `done`, or until 10 s have passed.
+    void run_until(const std::function<bool()>& done) {
+        failover_environment environment{context_.get_executor(),
+                                         host_id{"host-1"},
+                                         store,
+                                         promotions,
+                                         connector,
+                                         metrics_,
+                                         [] { return std::vector{host_id{"host-1"}}; },
+                                         [this] { return read_directory(); }};
+        auto failover = std::make_shared<group_failover>(group, std::move(environment));
+        boost::asio::co_spawn(context_, failover->run(), boost::asio::detached);
+        const auto give_up = steady_clock::now() + seconds{10};
+        while (!done() && steady_clock::now() < give_up) {
+            context_.run_for(milliseconds{20});
+        }
+        failover->stop();
+        context_.run_for(milliseconds{200});
     }
-    failover->stop();
-    context_.run_for(milliseconds{200});
-}
 
-fake_connector connector;
-fake_store store;
-fake_promotions promotions{connector};
-std::shared_ptr<backend_group> group;
-std::function<void()> on_directory_read = [] {};
+    fake_connector connector;
+    fake_store store;
+    fake_promotions promotions{connector};
+    std::shared_ptr<backend_group> group;
+    std::function<void()> on_directory_read = [] {};
 
 private:
-boost::asio::awaitable<void> read_directory() {
-    on_directory_read();
-    update();
-    co_return;
-}
+    boost::asio::awaitable<void> read_directory() {
+        on_directory_read();
+        update();
+        co_return;
+    }
 
-boost::asio::io_context context_{1};
-gateway_metrics metrics_;
-group_settings group_settings_;
-}
-;
+    boost::asio::io_context context_{1};
+    gateway_metrics metrics_;
+    group_settings group_settings_;
+};
 
 }  // namespace
 
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -53,7 +53,7 @@
         add_route(*configuration, "current", read_consistency::current);
         add_route(*configuration, "bounded", read_consistency::bounded);
         add_route(*configuration, "session", read_consistency::session);
-        class configuration owners;
+        masticgrade::configuration owners;
         auto& owner = owners.customers[customer];
         owner.name = customer;
         for (const auto& text : keys) {
@@ -100,33 +100,29 @@
         settings_.name = group_name;
         settings_.max_connections = 20;
         auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
+        group_ = std::make_shared<backend_group>(group_name, std::move(environment));
     }
-    , {}
-};
-group_ = std::make_shared<backend_group>(group_name, std::move(environment));
-}
 
-static void add_route(gateway_configuration& configuration, const std::string& database,
-                      read_consistency consistency) {
-    database_route route;
-    route.database = database;
-    route.group = group_name;
-    route.consistency = consistency;
-    route.max_staleness = milliseconds{2000};
-    route.statement_timeout = milliseconds{2000};
-    route.latency_objective = milliseconds{500};
-    configuration.routes[database] = route;
-}
+    static void add_route(gateway_configuration& configuration, const std::string& database,
+                          read_consistency consistency) {
+        database_route route;
+        route.database = database;
+        route.group = group_name;
+        route.consistency = consistency;
+        route.max_staleness = milliseconds{2000};
+        route.statement_timeout = milliseconds{2000};
+        route.latency_objective = milliseconds{500};
+        configuration.routes[database] = route;
+    }
 
-boost::asio::io_context context_{1};
-control_state control_;
-usage_limiter limiter_;
-gateway_metrics metrics_;
-group_settings settings_;
-std::shared_ptr<backend_group> group_;
-session_environment environment_;
-}
-;
+    boost::asio::io_context context_{1};
+    control_state control_;
+    usage_limiter limiter_;
+    gateway_metrics metrics_;
+    group_settings settings_;
+    std::shared_ptr<backend_group> group_;
+    session_environment environment_;
+};
 
 }  // namespace
 
--- a/libs/limits/src/usage_limiter.cpp
+++ b/libs/limits/src/usage_limiter.cpp
@@ -93,8 +93,8 @@
     auto [found, added] = peers_.try_emplace(sender);
     auto& other = found->second;
     const bool is_new = added || other.incarnation != incarnation;
-    // What a silent peer admitted came out of the part that was set aside for it. All that a process
-    // admitted counts only if it has just started.
+    // What a silent peer admitted came out of the part that was set aside for it. All that a
+    // process admitted counts only if it has just started.
     const bool was_set_aside = !is_new && is_silent(other, now);
     const bool counts_from_zero = is_new && report.uptime < silence_limit;
     for (const auto& item : report.usage) {
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -14,8 +14,8 @@
 #include <cerrno>
 #include <utility>
 
-#include "masticgrade/net/endpoint.hpp"
 #include "masticgrade/base/invariant.hpp"
+#include "masticgrade/net/endpoint.hpp"
 
 namespace masticgrade {
 
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -14,9 +14,9 @@
 #include <unordered_map>
 #include <utility>
 
-#include "masticgrade/net/endpoint.hpp"
 #include "masticgrade/base/error.hpp"
 #include "masticgrade/base/log.hpp"
+#include "masticgrade/net/endpoint.hpp"
 
 namespace masticgrade {
 
--- a/tests/edge/platform_world.cpp
+++ b/tests/edge/platform_world.cpp
@@ -397,10 +397,9 @@
     }
 }
 
-std::string platform_world::answer_line(instance_server& server, test::fake_link& link,
-                                        const statement_answer& answer, const std::string& text) {
+std::string platform_world::answer_line(instance_server& server, const statement_answer& answer,
+                                        const std::string& text) {
     std::ostringstream lines;
-    static_cast<void>(link);
     if (answer.code == answer_code::done) {
         const auto item = text.find("READ ");
         if (item != std::string::npos && text.find("BEGIN") == std::string::npos) {
@@ -452,7 +451,7 @@
                 const auto answers =
                     co_await link.run(std::move(requests), steady_clock::now() + seconds{1});
                 replicate();
-                reply = answer_line(server, link, answers.front(), line);
+                reply = answer_line(server, answers.front(), line);
             }
             co_await asio::async_write(*socket, asio::buffer(reply), asio::use_awaitable);
         }
--- a/tests/edge/platform_world.hpp
+++ b/tests/edge/platform_world.hpp
@@ -52,8 +52,8 @@
     boost::asio::awaitable<void> accept(instance_server& server);
     boost::asio::awaitable<void> serve(instance_server& server,
                                        std::shared_ptr<boost::asio::ip::tcp::socket> socket);
-    std::string answer_line(instance_server& server, test::fake_link& link,
-                            const statement_answer& answer, const std::string& text);
+    std::string answer_line(instance_server& server, const statement_answer& answer,
+                            const std::string& text);
     void replicate();
 
     struct row {
