Ask the home of the primary for a position instead of starting a transaction

Cause: each host proved the position of each group about once a second with a transaction on a connection of its last customer, 450 a second on 68 hosts, for which the homes opened connections. The asker counts the proof from before its question, so that a late answer only makes it older. Probes of a primary stop when nothing is sent to it.

--- a/libs/gateway/include/masticgrade/gateway/primary_watch.hpp
+++ b/libs/gateway/include/masticgrade/gateway/primary_watch.hpp
@@ -11,14 +11,17 @@
 /// An answer on any connection is a sign of life. Statements that stay unanswered for
 /// `silence_limit` call for a probe of the instance's host; `failed_probes` in a row mean dead.
 /// Commits that all hang although the primary answers reads mean that it cannot reach a replica,
-/// which is as bad for writers. This host's own pauses count for nothing: after a gap between two
-/// calls of `tick` everything starts anew.
+/// which is as bad for writers. A probe that succeeds is repeated only while statements are sent.
+/// This host's own pauses count for nothing: after a gap between two calls of `tick` everything
+/// starts anew.
 ///
 /// Thread safety: none.
 class primary_watch {
 public:
     static constexpr milliseconds silence_limit{400};
     static constexpr milliseconds commit_stall_limit{1300};
+    /// A host that has sent nothing for longer, a statement's time, need not find out.
+    static constexpr milliseconds interest_time{2000};
     static constexpr milliseconds longest_tick_gap{400};
     static constexpr unsigned failed_probes_limit = 2;
 
@@ -39,6 +42,7 @@
 
 private:
     std::optional<time_point> unanswered_since_;
+    time_point last_sent_{};
     std::optional<time_point> commit_unanswered_since_;
     unsigned commits_timed_out_ = 0;
     unsigned failed_probes_ = 0;
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -365,6 +365,23 @@
     const auto self = shared_from_this();
     constexpr milliseconds refresh_timeout{300};
     const auto deadline = steady_clock::now() + refresh_timeout;
+    std::optional<position_proof> told;
+    const auto found = primary_ ? instances_.find(*primary_) : instances_.end();
+    if (found != instances_.end()) {
+        const auto home = environment_.home_of(found->second.entry).host;
+        if (!home.empty()) {
+            told = co_await environment_.ask_for_position(home, customer, deadline);
+        }
+    }
+    if (told && instances_.contains(told->instance)) {
+        add_proof(told->instance, told->moment, told->position);
+    } else {
+        co_await prove_position(std::move(customer), deadline);
+    }
+    refreshing_position_ = false;
+}
+
+asio::awaitable<void> backend_group::prove_position(customer_id customer, time_point deadline) {
     acquire_request request;
     request.order.customer = customer;
     request.order.needs_primary = true;
@@ -381,7 +398,6 @@
             .field("reason", failure.what())
             .write();
     }
-    refreshing_position_ = false;
 }
 
 asio::awaitable<std::optional<log_index>> backend_group::position_at(boot_time moment,
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -141,6 +141,13 @@
     acquire_failure failure = acquire_failure::not_lent;
 };
 
+/// Every commit acknowledged before `moment` is at or below `position`, says `instance`.
+struct position_proof {
+    instance_id instance;
+    boot_time moment;
+    log_index position;
+};
+
 using acquire_result = std::variant<connection_lease, acquire_failure>;
 
 /// What a group needs from the process.
@@ -160,6 +167,10 @@
     std::function<boost::asio::awaitable<remote_acquire_result>(host_id home, instance_id instance,
                                                                 acquire_request request)>
         acquire_remote;
+    /// Asks the home of the primary for a proof of the position.
+    std::function<boost::asio::awaitable<std::optional<position_proof>>(
+        host_id home, customer_id customer, time_point deadline)>
+        ask_for_position;
 };
 
 /// The instances of one database group as one host sees them: their connections, the operations
@@ -186,6 +197,9 @@
                                                                  const customer_id& customer,
                                                                  time_point deadline);
 
+    /// Whether this host uses the primary's connections for all.
+    [[nodiscard]] bool is_home_of_primary() const;
+
     // ---- what the failover needs ----
     [[nodiscard]] const group_id& name() const { return name_; }
     [[nodiscard]] std::optional<instance_id> primary() const;
@@ -293,6 +307,8 @@
     boost::asio::awaitable<void> roll_back(std::unique_ptr<pooled_connection> connection);
     boost::asio::awaitable<void> probe(endpoint_address address, instance_id instance);
     boost::asio::awaitable<void> refresh_position(customer_id customer);
+    /// Starts a transaction at the primary, whose answer is a proof.
+    boost::asio::awaitable<void> prove_position(customer_id customer, time_point deadline);
     void close(std::unique_ptr<pooled_connection> connection);
     void trim_idle(instance_state& instance, time_point now);
     void choose_primary(time_point now);
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -103,7 +103,21 @@
 
 asio::awaitable<std::vector<statement_answer>> connection_lease::execute_all(
     std::vector<backend_request> requests, time_point deadline) {
-    return run_observed(std::move(requests), false, deadline);
+    // Only a primary starts a plain transaction, so that its answer proves a position.
+    std::vector<bool> proves;
+    proves.reserve(requests.size());
+    for (const auto& request : requests) {
+        const auto* begin = std::get_if<backend_begin>(&request);
+        proves.push_back(begin != nullptr && !begin->read_only);
+    }
+    const auto sent_at = boot_clock::now();
+    auto answers = co_await run_observed(std::move(requests), false, deadline);
+    for (std::size_t i = 0; i < answers.size() && i < proves.size(); ++i) {
+        if (proves[i]) {
+            learn_from(answers[i], true, sent_at);
+        }
+    }
+    co_return answers;
 }
 
 void connection_lease::learn_from(const statement_answer& answer, bool proves_position,
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -207,6 +207,10 @@
                 [this, name](host_id home, instance_id instance, acquire_request request) {
                     return leases_->borrow(std::move(home), std::move(instance), name,
                                            std::move(request));
+                },
+                [this, name](host_id home, customer_id customer, time_point deadline) {
+                    return leases_->ask_for_position(std::move(home), name, std::move(customer),
+                                                     deadline);
                 }};
             group = std::make_shared<backend_group>(name, std::move(environment));
             failover_environment failover{executor_,
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -80,6 +80,11 @@
 
 std::optional<instance_id> backend_group::primary() const { return primary_; }
 
+bool backend_group::is_home_of_primary() const {
+    const auto found = primary_ ? instances_.find(*primary_) : instances_.end();
+    return found != instances_.end() && environment_.home_of(found->second.entry).is_self;
+}
+
 bool backend_group::primary_is_dead(time_point now) const {
     return !primary_ || watch_.is_dead(now);
 }
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -181,6 +181,19 @@
     std::pair<wire::Call, Offset<void>> operator()(const pong&) const {
         return {wire::Call::Pong, wire::CreatePong(out).Union()};
     }
+    std::pair<wire::Call, Offset<void>> operator()(const ask_position& call) const {
+        const auto group = out.CreateString(call.group.str());
+        const auto customer = out.CreateString(call.customer.str());
+        return {wire::Call::AskPosition,
+                wire::CreateAskPosition(out, group, customer, time_field(call.remaining)).Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const position_told& call) const {
+        const auto position = position_field(call.position);
+        const auto instance = out.CreateString(call.instance.str());
+        return {wire::Call::PositionTold,
+                wire::CreatePositionTold(out, instance, pointer_to(position), time_field(call.age))
+                    .Union()};
+    }
 };
 
 // ---- decoding ----
@@ -308,6 +321,16 @@
     return result;
 }
 
+lease_call read(const wire::AskPosition& call) {
+    return ask_position{group_id{text_of(call.group())}, customer_id{text_of(call.customer())},
+                        time_of(call.remaining_ms())};
+}
+
+lease_call read(const wire::PositionTold& call) {
+    return position_told{instance_id{text_of(call.instance())}, index_of(call.position()),
+                         time_of(call.age_ms())};
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> encode_lease_message(const lease_message& message) {
@@ -352,6 +375,12 @@
         case wire::Call::Pong:
             result.call = pong{};
             break;
+        case wire::Call::AskPosition:
+            result.call = read(*message.call_as_AskPosition());
+            break;
+        case wire::Call::PositionTold:
+            result.call = read(*message.call_as_PositionTold());
+            break;
         case wire::Call::NONE:
             reject("the message has no call");
     }
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -82,8 +82,29 @@
 struct ping {};
 struct pong {};
 
-using lease_call =
-    std::variant<open_lease, lease_opened, run_steps, steps_run, close_lease, ping, pong>;
+/// Asks the home of a group's primary for a recent proof of the group's position.
+struct ask_position {
+    group_id group;
+    customer_id customer;
+    /// Time left when the message was sent.
+    milliseconds remaining{0};
+
+    friend bool operator==(const ask_position&, const ask_position&) = default;
+};
+
+struct position_told {
+    /// The primary that made the proof.
+    instance_id instance;
+    /// Nothing when no proof could be had in time.
+    std::optional<log_index> position;
+    /// Every commit acknowledged this long before the answer was sent is at or below `position`.
+    milliseconds age{0};
+
+    friend bool operator==(const position_told&, const position_told&) = default;
+};
+
+using lease_call = std::variant<open_lease, lease_opened, run_steps, steps_run, close_lease, ping,
+                                pong, ask_position, position_told>;
 
 struct lease_message {
     /// The age of the sending process when it sent the message.
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -25,6 +25,9 @@
     return std::chrono::duration_cast<milliseconds>(moment - steady_clock::now());
 }
 
+/// A home answers with a proof of at most this age; routes allow a second and more.
+constexpr milliseconds recent_position_age{150};
+
 /// A connection that `home` lends.
 class borrowed_connection final : public remote_connection {
 public:
@@ -258,6 +261,8 @@
         } else {
             reply = co_await run_lent(std::move(*steps));
         }
+    } else if (auto* question = std::get_if<ask_position>(&request.call)) {
+        reply = co_await tell_position(std::move(*question));
     } else {
         co_return std::nullopt;
     }
@@ -296,6 +301,43 @@
     co_return lease_opened{{}, overloaded ? lease_failure::overloaded : lease_failure::timed_out};
 }
 
+asio::awaitable<position_told> lease_service::tell_position(ask_position call) {
+    const auto group = environment_.find_group(call.group);
+    if (!environment_.accepts() || !group->is_home_of_primary()) {
+        // Another question from here could come back to the host that asks.
+        co_return position_told{};
+    }
+    const auto moment = boot_clock::now() - recent_position_age;
+    const auto position =
+        co_await group->position_at(moment, call.customer, steady_clock::now() + call.remaining);
+    position_told result;
+    const auto primary = group->primary();
+    if (position && primary) {
+        result.instance = *primary;
+        result.position = position;
+        result.age = std::chrono::ceil<milliseconds>(boot_clock::now() - moment);
+    }
+    co_return result;
+}
+
+asio::awaitable<std::optional<position_proof>> lease_service::ask_for_position(
+    host_id home, group_id group, customer_id customer, time_point deadline) {
+    const auto self = shared_from_this();
+    const auto asked_at = boot_clock::now();
+    lease_call question = ask_position{std::move(group), std::move(customer), until(deadline)};
+    try {
+        const auto reply = co_await call(home, std::move(question), deadline + transit_time);
+        const auto* told = std::get_if<position_told>(&reply);
+        if (told != nullptr && told->position) {
+            co_return position_proof{told->instance, asked_at - told->age, *told->position};
+        }
+    } catch (const error& failure) {
+        event_line{"position_not_told"}.field("home", home).field("reason", failure.what()).write();
+        unusable_until_[home] = steady_clock::now() + unusable_time;
+    }
+    co_return std::nullopt;
+}
+
 asio::awaitable<steps_run> lease_service::run_lent(run_steps call) {
     const auto number = call.lease;
     const auto found = leases_.find(number);
--- a/libs/gateway/src/lease_service.hpp
+++ b/libs/gateway/src/lease_service.hpp
@@ -41,6 +41,12 @@
     /// Borrows a connection to `instance` from `home`.
     boost::asio::awaitable<remote_acquire_result> borrow(host_id home, instance_id instance,
                                                          group_id group, acquire_request request);
+    /// Asks `home` for a proof of the group's position. The proof's time is this host's own,
+    /// counted from before the question was sent. Nothing when the home has none.
+    boost::asio::awaitable<std::optional<position_proof>> ask_for_position(host_id home,
+                                                                           group_id group,
+                                                                           customer_id customer,
+                                                                           time_point deadline);
     /// Whether the host failed to answer of late.
     [[nodiscard]] bool is_unusable(const host_id& home) const;
 
@@ -67,6 +73,7 @@
 
     boost::asio::awaitable<lease_opened> lend(const peer::envelope& message, open_lease call);
     boost::asio::awaitable<steps_run> run_lent(run_steps call);
+    boost::asio::awaitable<position_told> tell_position(ask_position call);
     /// Learns the difference between the clocks of two hosts.
     boost::asio::awaitable<void> learn_delay(host_id sender, incarnation_number incarnation);
     boost::asio::awaitable<lease_call> call(const host_id& home, lease_call request,
--- a/libs/gateway/src/primary_watch.cpp
+++ b/libs/gateway/src/primary_watch.cpp
@@ -8,6 +8,7 @@
 }
 
 void primary_watch::on_statement_sent(time_point now) {
+    last_sent_ = now;
     if (!unanswered_since_) {
         unanswered_since_ = now;
     }
@@ -53,7 +54,8 @@
 }
 
 bool primary_watch::wants_probe(time_point now) const {
-    return unanswered_since_ && now - *unanswered_since_ >= silence_limit;
+    return unanswered_since_ && now - *unanswered_since_ >= silence_limit &&
+           now - last_sent_ <= interest_time;
 }
 
 bool primary_watch::is_dead(time_point now) const {
--- a/libs/gateway/test/lease_messages_test.cpp
+++ b/libs/gateway/test/lease_messages_test.cpp
@@ -37,6 +37,13 @@
         RC_ASSERT(std::get<close_lease>(transmit(closing)) == closing);
         RC_ASSERT(std::holds_alternative<ping>(transmit(ping{})));
         RC_ASSERT(std::holds_alternative<pong>(transmit(pong{})));
+        const ask_position question{group_id{text}, customer_id{text + "c"}, milliseconds{9}};
+        RC_ASSERT(std::get<ask_position>(transmit(question)) == question);
+        position_told told{instance_id{text}, std::nullopt, milliseconds{11}};
+        if (flag) {
+            told.position = index_of(number % 1000);
+        }
+        RC_ASSERT(std::get<position_told>(transmit(told)) == told);
     }));
 }
 
--- a/libs/gateway/test/local_group.hpp
+++ b/libs/gateway/test/local_group.hpp
@@ -19,6 +19,7 @@
             [](const instance_entry&) {
                 return instance_home{true, {}};
             },
+            {},
             {}};
 }
 
--- a/libs/gateway/test/report_relay_test.cpp
+++ b/libs/gateway/test/report_relay_test.cpp
@@ -63,8 +63,8 @@
         const auto live = hosts_.size() - stopped_.size();
         for (const auto& [host, listed] : hosts_) {
             const auto found = heard_.find(host);
-            if (!stopped_.contains(host) &&
-                (found == heard_.end() || found->second.size() != live - 1)) {
+            const auto heard = found == heard_.end() ? 0 : found->second.size();
+            if (!stopped_.contains(host) && heard != live - 1) {
                 return false;
             }
         }
