Add a randomized soak of real edge processes, with faults from outside them

It checks from what callers and instances see: no acknowledged write is lost or read too old, no refused write is kept, no write takes effect twice, no customer above its rate and burst over 5 s, no statement of a withdrawn key after 5 s, and service after the faults.

--- a/tests/edge/edge_run_test.cpp
+++ b/tests/edge/edge_run_test.cpp
@@ -1,6 +1,4 @@
 #include <doctest/doctest.h>
-#include <unistd.h>
-
 #include <csignal>
 #include <cstdlib>
 #include <deque>
@@ -9,6 +7,7 @@
 #include <thread>
 
 #include "child_process.hpp"
+#include "free_port.hpp"
 #include "line_client.hpp"
 #include "platform_world.hpp"
 
@@ -19,25 +18,6 @@
 
 const std::string key = "key-of-the-parish";
 
-/// Ports of loopback that nobody listens on; all different, and below the range from which the
-/// system gives ports to outgoing connections.
-unsigned short free_port() {
-    static unsigned short next = static_cast<unsigned short>(20000 + ::getpid() % 10000);
-    constexpr unsigned short first = 20000;
-    constexpr unsigned short end = 32000;
-    for (;;) {
-        next = next + 1 < end ? static_cast<unsigned short>(next + 1) : first;
-        boost::asio::io_context context;
-        boost::asio::ip::tcp::acceptor acceptor{context, boost::asio::ip::tcp::v4()};
-        boost::system::error_code fault;
-        acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
-        acceptor.bind({boost::asio::ip::make_address_v4("127.0.0.1"), next}, fault);
-        if (!fault) {
-            return next;
-        }
-    }
-}
-
 /// Waits for at most 30 s, far longer than anything here takes.
 bool wait_until(const std::function<bool()>& condition) {
     const auto give_up = steady_clock::now() + seconds{30};
--- a/tests/edge/platform_world.cpp
+++ b/tests/edge/platform_world.cpp
@@ -1,7 +1,5 @@
 #include "platform_world.hpp"
 
-#include <openssl/evp.h>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -15,6 +13,7 @@
 #include <set>
 #include <sstream>
 
+#include "line_words.hpp"
 #include "masticgrade/base/error.hpp"
 
 namespace masticgrade::edge_test {
@@ -29,66 +28,6 @@
 /// serves; at this rate the tokens of a statement are there before it arrives.
 constexpr std::uint64_t unlimited_rate = 1'000'000;
 
-std::string to_base64(const std::string& bytes) {
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    text.resize(static_cast<std::size_t>(EVP_EncodeBlock(
-        reinterpret_cast<unsigned char*>(text.data()),
-        reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()))));
-    return text;
-}
-
-std::string from_base64(const std::string& text) {
-    std::string bytes(3 * (text.size() / 4) + 3, '\0');
-    const auto length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                                        reinterpret_cast<const unsigned char*>(text.data()),
-                                        static_cast<int>(text.size()));
-    const auto padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1 : 0;
-    bytes.resize(static_cast<std::size_t>(length - padding));
-    return bytes;
-}
-
-/// The value of a query parameter; the stand-in's callers encode nothing but slashes and 0x7F.
-std::string parameter(const std::string& target, const std::string& name) {
-    const auto start = target.find(name + "=");
-    if (start == std::string::npos) {
-        return {};
-    }
-    const auto begin = start + name.size() + 1;
-    auto value = target.substr(begin, target.find('&', begin) - begin);
-    for (const auto& [code, character] :
-         {std::pair{"%2F", "/"}, std::pair{"%7F", "\x7f"}, std::pair{"%2f", "/"}}) {
-        for (auto at = value.find(code); at != std::string::npos; at = value.find(code)) {
-            value.replace(at, 3, character);
-        }
-    }
-    return value;
-}
-
-http_response json_response(const json::object& body, unsigned status = 200) {
-    http_response response;
-    response.status = status;
-    response.body = json::serialize(body);
-    return response;
-}
-
-std::string take_word(std::string& text) {
-    const auto blank = text.find(' ');
-    auto word = text.substr(0, blank);
-    text = blank == std::string::npos ? std::string{} : text.substr(blank + 1);
-    return word;
-}
-
-std::optional<log_index> take_position(std::string& text) {
-    if (text.rfind("MINLSN ", 0) != 0) {
-        return std::nullopt;
-    }
-    take_word(text);
-    const auto value = take_word(text);
-    const auto dot = value.find('.');
-    return log_index{term_number{std::stoull(value.substr(0, dot))},
-                     log_position{std::stoull(value.substr(dot + 1))}};
-}
-
 /// The request that a line asks for, in the words of the model.
 backend_request decode(const std::string& id, std::string text) {
     const auto at_least = take_position(text);
@@ -196,24 +135,23 @@
     done.get_future().wait();
 }
 
-void platform_world::put(const std::string& table, const std::string& key,
-                         const std::string& value) {
-    tables_[table][key] = {value, ++version_};
-}
-
 void platform_world::publish_entries() {
     for (auto& [name, server] : servers_) {
         if (!server->alive) {
-            tables_["servers"].erase(name);
+            rows_.remove("servers", name);
             continue;
         }
-        const json::object entry{
-            {"service", service},   {"address", server->model.entry.address.str()},
-            {"zone", "north"},      {"version", "v1"},
-            {"slots", 3},           {"state", "ready"},
-            {"warmup-left-ms", 0},  {"db-role", server->model.is_primary ? "primary" : "replica"},
-            {"sequence", version_}, {"born", 1}};
-        put("servers", name, json::serialize(entry));
+        const json::object entry{{"service", service},
+                                 {"address", server->model.entry.address.str()},
+                                 {"zone", "north"},
+                                 {"version", "v1"},
+                                 {"slots", 3},
+                                 {"state", "ready"},
+                                 {"warmup-left-ms", 0},
+                                 {"db-role", server->model.is_primary ? "primary" : "replica"},
+                                 {"sequence", rows_.version()},
+                                 {"born", 1}};
+        rows_.put("servers", name, json::serialize(entry));
     }
 }
 
@@ -245,7 +183,7 @@
             {"services", json::array{json::object{{"name", service}, {"max-connections", 20}}}},
             {"limits", json::object{{"tx-idle-ms", 3000}}},
             {"tenants", json::array{customer}}};
-        put("op", "config", json::serialize(document));
+        rows_.put("op", "config", json::serialize(document));
     });
 }
 
@@ -306,65 +244,24 @@
 }
 
 asio::awaitable<http_response> platform_world::answer_http(http_request request) {
-    if (request.target.rfind("/rows-get", 0) == 0) {
-        co_return read_rows(request.target);
-    }
-    if (request.target == "/rows-tx") {
-        co_return co_await change_rows(request.body);
-    }
     if (request.target == "/promote") {
         co_return co_await promote(request.body);
     }
-    co_return json_response({}, 404);
-}
-
-http_response platform_world::read_rows(const std::string& target) {
-    const auto table = parameter(target, "table");
-    const auto from = parameter(target, "from");
-    const auto to = parameter(target, "to");
-    json::array rows;
-    for (const auto& [key, item] : tables_[table]) {
-        if (key >= from && (to.empty() || key < to)) {
-            rows.push_back(json::object{{"table", table},
-                                        {"part", ""},
-                                        {"key", key},
-                                        {"value", to_base64(item.value)},
-                                        {"row-version", item.version}});
-        }
-    }
-    return json_response({{"rows", rows}, {"has-more", false}, {"row-version", version_}});
-}
-
-asio::awaitable<http_response> platform_world::change_rows(const std::string& body) {
-    const auto change = json::parse(body).as_object();
-    const auto key_of = [](const json::value& item, const char* name) {
-        return std::string{item.as_object().at(name).as_string()};
-    };
-    for (const auto& item : change.at("precondition").as_array()) {
-        const auto& table = tables_[key_of(item, "table")];
-        const auto found = table.find(key_of(item, "key"));
-        const auto present = found == table.end() ? 0 : found->second.version;
-        if (present != item.as_object().at("row-version").to_number<std::uint64_t>()) {
-            co_return json_response({{"rows", json::array{}}}, 412);
-        }
-    }
-    for (const auto& item : change.at("put").as_array()) {
-        put(key_of(item, "table"), key_of(item, "key"), from_base64(key_of(item, "value")));
-    }
-    if (lose_answer_) {
+    auto response = rows_.answer(request);
+    if (lose_answer_ && request.target == "/rows-tx") {
         lose_answer_ = false;
         constexpr seconds longer_than_any_deadline{5};
         asio::steady_timer silence{context_, longer_than_any_deadline};
         co_await silence.async_wait(asio::use_awaitable);
     }
-    co_return json_response({{"row-version", version_}});
+    co_return response;
 }
 
 asio::awaitable<http_response> platform_world::promote(const std::string& body) {
     const auto order = json::parse(body).as_object();
     const instance_id target{std::string{order.at("id").as_string()}};
     if (!servers_.at(target.str())->alive) {
-        co_return json_response({}, 409);
+        co_return make_json_response({}, 409);
     }
     co_await promotions_.promote(group_id{service}, target, 0, steady_clock::now());
     for (auto& [name, server] : servers_) {
@@ -372,7 +269,7 @@
         server->model.term = model_.at(target.str()).term;
     }
     publish_entries();
-    co_return json_response({});
+    co_return make_json_response({});
 }
 
 void platform_world::replicate() {
--- a/tests/edge/platform_world.hpp
+++ b/tests/edge/platform_world.hpp
@@ -11,6 +11,7 @@
 
 #include "fakes.hpp"
 #include "masticgrade/net/http_server.hpp"
+#include "store_rows.hpp"
 
 namespace masticgrade::edge_test {
 
@@ -44,10 +45,7 @@
 
     void run_in_world(const std::function<void()>& action);
     boost::asio::awaitable<http_response> answer_http(http_request request);
-    http_response read_rows(const std::string& target);
-    boost::asio::awaitable<http_response> change_rows(const std::string& body);
     boost::asio::awaitable<http_response> promote(const std::string& body);
-    void put(const std::string& table, const std::string& key, const std::string& value);
     void publish_entries();
     boost::asio::awaitable<void> accept(instance_server& server);
     boost::asio::awaitable<void> serve(instance_server& server,
@@ -56,18 +54,12 @@
                             const std::string& text);
     void replicate();
 
-    struct row {
-        std::string value;
-        std::uint64_t version = 0;
-    };
-
     boost::asio::io_context context_{1};
     test::fake_connector model_;
     test::fake_promotions promotions_{model_};
     std::map<std::string, std::unique_ptr<instance_server>> servers_;
-    std::map<std::string, std::map<std::string, row>> tables_;
+    store_rows rows_;
     std::map<std::string, std::string> data_;
-    std::uint64_t version_ = 0;
     std::uint64_t configuration_version_ = 0;
     bool lose_answer_ = false;
     std::unique_ptr<http_server> store_;
--- /dev/null
+++ b/tests/soak/database_cluster.cpp
@@ -0,0 +1,392 @@
+#include "database_cluster.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <iostream>
+
+#include "line_words.hpp"
+
+namespace masticgrade::soak {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using edge_test::take_position;
+using edge_test::take_word;
+
+namespace {
+
+constexpr std::size_t most_connections = 20;
+constexpr milliseconds work_time{2};
+constexpr milliseconds replica_poll{5};
+constexpr milliseconds promotion_time{200};
+/// A commit that no replica receives stays without an answer for this long.
+constexpr seconds commit_patience{6};
+/// The users' bound: over every 5 s, (rate x 5 + burst) x 1.1 + 20.
+constexpr seconds limit_window{5};
+constexpr double limit_overage = 1.1;
+constexpr double limit_slack = 20;
+
+std::string text_of(log_index index) {
+    return std::to_string(index.term.value()) + "." + std::to_string(index.number.value());
+}
+
+}  // namespace
+
+struct database_cluster::instance {
+    instance(asio::io_context& context, std::string id)
+        : name(std::move(id)), acceptor(context, {asio::ip::make_address_v4("127.0.0.1"), 0}) {}
+
+    [[nodiscard]] log_index position() const {
+        return log.empty() ? log_index{term_number{1}, log_position{0}} : log.back().index;
+    }
+    [[nodiscard]] std::string read(const std::string& item) const {
+        const auto found = std::find_if(log.rbegin(), log.rend(),
+                                        [&](const commit& entry) { return entry.item == item; });
+        return found == log.rend() ? "none" : found->value;
+    }
+
+    std::string name;
+    tcp::acceptor acceptor;
+    bool up = true;
+    bool primary = false;
+    std::uint64_t term = 1;
+    std::uint64_t held = 0;
+    std::vector<commit> log;
+    std::set<std::shared_ptr<tcp::socket>> sockets;
+};
+
+database_cluster::database_cluster(asio::io_context& context) : context_(context) {
+    for (const std::string name : {"i-a", "i-b", "i-c"}) {
+        auto& server = *(instances_[name] = std::make_unique<instance>(context, name));
+        server.primary = name == "i-a";
+        asio::co_spawn(context_, accept(server), asio::detached);
+    }
+}
+
+database_cluster::~database_cluster() = default;
+
+std::vector<std::string> database_cluster::names() const {
+    std::vector<std::string> result;
+    for (const auto& [name, server] : instances_) {
+        result.push_back(name);
+    }
+    return result;
+}
+
+unsigned short database_cluster::port_of(const std::string& name) const {
+    return instances_.at(name)->acceptor.local_endpoint().port();
+}
+
+bool database_cluster::is_up(const std::string& name) const { return instances_.at(name)->up; }
+
+bool database_cluster::is_primary(const std::string& name) const {
+    return instances_.at(name)->primary;
+}
+
+database_cluster::instance* database_cluster::leader() {
+    for (auto& [name, server] : instances_) {
+        if (server->primary) {
+            return server.get();
+        }
+    }
+    return nullptr;
+}
+
+void database_cluster::report(const std::string& fault) {
+    std::cerr << "violation: " << fault << std::endl;
+    violations_.push_back(fault);
+}
+
+void database_cluster::crash(const std::string& name) {
+    auto& server = *instances_.at(name);
+    server.up = false;
+    boost::system::error_code ignored;
+    for (const auto& socket : server.sockets) {
+        socket->close(ignored);
+    }
+}
+
+void database_cluster::restart(const std::string& name) {
+    auto& server = *instances_.at(name);
+    server.up = true;
+    server.held = 0;
+    const auto* primary = leader();
+    if (primary != nullptr && primary != &server && primary->up) {
+        copy_log(*primary, server);
+    }
+}
+
+void database_cluster::withdraw(const std::string& customer, time_point deadline) {
+    withdrawn_[customer] = deadline;
+}
+
+void database_cluster::set_limit(const std::string& customer, double rate, double burst) {
+    limits_[customer] = {rate, burst, {}};
+}
+
+void database_cluster::copy_log(const instance& from, instance& to) {
+    const auto size = to.log.size();
+    const bool is_prefix = size <= from.log.size() &&
+                           (size == 0 || to.log.back().statement == from.log[size - 1].statement);
+    if (is_prefix) {
+        to.log.insert(to.log.end(), from.log.begin() + static_cast<std::ptrdiff_t>(size),
+                      from.log.end());
+    } else {
+        to.log = from.log;
+    }
+    to.term = from.term;
+}
+
+void database_cluster::check_promotion(const instance& target) {
+    std::set<std::string> kept;
+    for (const auto& entry : target.log) {
+        kept.insert(entry.statement);
+    }
+    for (const auto& statement : acknowledged_) {
+        if (!kept.contains(statement)) {
+            report("the promotion of " + target.name + " loses acknowledged write " + statement);
+        }
+    }
+}
+
+asio::awaitable<bool> database_cluster::promote(std::string name, std::uint64_t fence) {
+    auto& target = *instances_.at(name);
+    if (!target.up || fence < fence_) {
+        co_return false;
+    }
+    fence_ = fence;
+    if (target.primary) {
+        co_return true;
+    }
+    asio::steady_timer pause{context_, promotion_time};
+    co_await pause.async_wait(asio::use_awaitable);
+    if (!target.up) {
+        co_return false;
+    }
+    check_promotion(target);
+    ++promotions_;
+    ++last_term_;
+    for (auto& [other, server] : instances_) {
+        server->primary = server.get() == &target;
+        server->held = 0;
+    }
+    target.term = last_term_;
+    for (auto& [other, server] : instances_) {
+        if (server->up) {
+            copy_log(target, *server);
+        }
+    }
+    co_return true;
+}
+
+void database_cluster::observe(const std::string& customer) {
+    const auto now = steady_clock::now();
+    const auto withdrawn = withdrawn_.find(customer);
+    if (withdrawn != withdrawn_.end() && now > withdrawn->second) {
+        report("a statement of " + customer + " runs after its key was withdrawn");
+    }
+    const auto found = limits_.find(customer);
+    if (found == limits_.end()) {
+        return;
+    }
+    auto& limit = found->second;
+    limit.operations.push_back(now);
+    while (limit.operations.front() <= now - limit_window) {
+        limit.operations.pop_front();
+    }
+    const double allowed =
+        (limit.rate * std::chrono::duration<double>(limit_window).count() + limit.burst) *
+            limit_overage +
+        limit_slack;
+    if (static_cast<double>(limit.operations.size()) > allowed) {
+        report(customer + " ran " + std::to_string(limit.operations.size()) +
+               " operations in 5 s, allowed " + std::to_string(allowed));
+        limit.operations.clear();
+    }
+}
+
+asio::awaitable<void> database_cluster::accept(instance& server) {
+    for (;;) {
+        boost::system::error_code fault;
+        auto socket = std::make_shared<tcp::socket>(context_);
+        co_await server.acceptor.async_accept(*socket,
+                                              asio::redirect_error(asio::use_awaitable, fault));
+        if (fault) {
+            co_return;
+        }
+        if (server.up) {
+            server.sockets.insert(socket);
+            asio::co_spawn(context_, serve(server, socket), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> database_cluster::serve(instance& server,
+                                              std::shared_ptr<tcp::socket> socket) {
+    session caller;
+    std::string buffer;
+    try {
+        for (;;) {
+            const auto length = co_await asio::async_read_until(
+                *socket, asio::dynamic_buffer(buffer), "\r\n", asio::use_awaitable);
+            auto line = buffer.substr(0, length - 2);
+            buffer.erase(0, length);
+            std::string reply;
+            if (take_word(line) == "START") {
+                take_word(line);
+                caller.customer = take_word(line);
+                if (server.sockets.size() > most_connections) {
+                    reply = "ERROR CONNLIMIT -\r\n";
+                }
+            } else {
+                const auto id = take_word(line);
+                const auto result = co_await run(server, caller, id, line);
+                for (const auto& row : result.rows) {
+                    reply += "DATAROW " + row + "\r\n";
+                }
+                reply += result.error.empty() ? "COMPLETE " + result.signature + "\r\n"
+                                              : "ERROR " + result.error + " -\r\n";
+            }
+            const char* state = !caller.open ? "I" : caller.failed ? "E" : "T";
+            reply += std::string{"READY "} + state + " " + text_of(server.position()) + "\r\n";
+            co_await asio::async_write(*socket, asio::buffer(reply), asio::use_awaitable);
+        }
+    } catch (const boost::system::system_error&) {
+        // The proxy closed the connection, or the instance crashed.
+    }
+    server.sockets.erase(socket);
+}
+
+asio::awaitable<database_cluster::answer> database_cluster::run(instance& server, session& caller,
+                                                                std::string id, std::string text) {
+    const auto at_least = take_position(text);
+    const auto word = take_word(text);
+    answer result;
+    if (word == "READ" || word == "WRITE" || word == "COMMIT") {
+        if (at_least && server.position() < *at_least) {
+            result.error = "LAGGING";
+            co_return result;
+        }
+        result = co_await run_on_data(server, caller, std::move(id), word, text);
+        caller.failed = caller.open && !result.error.empty();
+        co_return result;
+    }
+    if (word == "BEGIN") {
+        caller.read_only = text == "READ";
+        if (!caller.read_only && !server.primary) {
+            result.error = "READONLY";
+        } else if (at_least && server.position() < *at_least) {
+            result.error = "LAGGING";
+        } else {
+            caller.open = true;
+            caller.failed = false;
+            caller.term = server.term;
+            caller.writes.clear();
+        }
+    } else if (word == "ROLLBACK") {
+        caller.open = caller.failed = false;
+    } else if (word == "STATUS" || word == "PAUSE" || word == "RESUME" || word == "STEPDOWN") {
+        result = order(server, word, text);
+    }
+    co_return result;
+}
+
+database_cluster::answer database_cluster::order(instance& server, const std::string& word,
+                                                 const std::string& term) {
+    if (word == "PAUSE" && std::stoull(term) > server.term && !server.primary) {
+        server.held = std::stoull(term);
+    } else if (word == "RESUME") {
+        server.held = 0;
+    } else if (word == "STEPDOWN" && std::stoull(term) > server.term) {
+        server.primary = false;
+    }
+    answer result;
+    result.rows.push_back((server.primary ? "primary " : "replica ") + std::to_string(server.term) +
+                          " " + text_of(server.position()) + " " + std::to_string(server.held) +
+                          " 0 0 1");
+    return result;
+}
+
+asio::awaitable<database_cluster::answer> database_cluster::run_on_data(
+    instance& server, session& caller, std::string id, std::string word, std::string rest) {
+    answer result;
+    const bool plain = caller.open && !caller.read_only;
+    const bool lost_lead = plain && (!server.primary || caller.term != server.term);
+    const bool only_ends = word == "COMMIT" && caller.writes.empty();
+    if (caller.failed || (word == "COMMIT" && !caller.open)) {
+        result.error = "MALFORMED";
+        co_return result;
+    }
+    if ((lost_lead && !only_ends) || (word == "WRITE" && !server.primary)) {
+        result.error = "READONLY";
+        co_return result;
+    }
+    if (!caller.open) {
+        observe(caller.customer);
+    }
+    ++statements_;
+    asio::steady_timer work{context_, work_time};
+    co_await work.async_wait(asio::use_awaitable);
+    result.signature = "sig-" + id;
+    if (word == "READ") {
+        result.rows.push_back(server.read(rest));
+        co_return result;
+    }
+    if (word == "WRITE") {
+        const auto item = take_word(rest);
+        caller.writes.push_back({{}, item, rest, id});
+        if (caller.open) {
+            co_return result;
+        }
+    }
+    const auto writes = std::exchange(caller.writes, {});
+    caller.open = false;
+    if (!writes.empty() && !co_await append(server, writes)) {
+        result.error = "READONLY";
+    }
+    co_return result;
+}
+
+asio::awaitable<bool> database_cluster::append(instance& server, std::vector<commit> writes) {
+    if (!server.primary) {
+        co_return false;
+    }
+    const auto term = server.term;
+    for (auto& write : writes) {
+        const bool again =
+            std::any_of(server.log.begin(), server.log.end(),
+                        [&](const auto& entry) { return entry.statement == write.statement; });
+        if (again) {
+            report("statement " + write.statement + " takes effect twice");
+        }
+        write.index = {term_number{term}, log_position{server.position().number.value() + 1}};
+        server.log.push_back(write);
+    }
+    const auto give_up = steady_clock::now() + commit_patience;
+    while (server.up && server.primary && steady_clock::now() < give_up) {
+        bool received = false;
+        for (auto& [name, other] : instances_) {
+            if (other->up && !other->primary && other->held == 0) {
+                copy_log(server, *other);
+                received = true;
+            }
+        }
+        if (received) {
+            for (const auto& write : writes) {
+                acknowledged_.insert(write.statement);
+            }
+            co_return true;
+        }
+        asio::steady_timer pause{context_, replica_poll};
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+    throw boost::system::system_error{asio::error::connection_aborted};
+}
+
+}  // namespace masticgrade::soak
--- /dev/null
+++ b/tests/soak/database_cluster.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "masticgrade/base/time.hpp"
+#include "masticgrade/gateway/log_index.hpp"
+
+namespace masticgrade::soak {
+
+/// One commit in an instance's log.
+struct commit {
+    log_index index;
+    std::string item;
+    std::string value;
+    std::string statement;
+};
+
+/// Three instances of one database group with a log each. They speak the line protocol, and note
+/// what must not happen. Thread safety: none; one executor.
+class database_cluster {
+public:
+    explicit database_cluster(boost::asio::io_context& context);
+    database_cluster(const database_cluster&) = delete;
+    database_cluster& operator=(const database_cluster&) = delete;
+    ~database_cluster();
+
+    [[nodiscard]] std::vector<std::string> names() const;
+    [[nodiscard]] unsigned short port_of(const std::string& name) const;
+    [[nodiscard]] bool is_up(const std::string& name) const;
+    [[nodiscard]] bool is_primary(const std::string& name) const;
+
+    void crash(const std::string& name);
+    /// Starts the instance again with its log; as a replica if another one leads.
+    void restart(const std::string& name);
+    /// Statements of the customer count as faults from `deadline` on.
+    void withdraw(const std::string& customer, time_point deadline);
+    void set_limit(const std::string& customer, double rate, double burst);
+    /// Makes the instance lead; false when it does not run or a higher fence has been seen.
+    boost::asio::awaitable<bool> promote(std::string name, std::uint64_t fence);
+
+    [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
+    [[nodiscard]] std::size_t promotions() const { return promotions_; }
+    [[nodiscard]] std::size_t statements() const { return statements_; }
+
+private:
+    struct instance;
+    struct session {
+        std::string customer;
+        bool open = false;
+        bool failed = false;
+        bool read_only = false;
+        std::uint64_t term = 0;
+        std::vector<commit> writes;
+    };
+    struct answer {
+        std::vector<std::string> rows;
+        std::string error;
+        std::string signature = "-";
+    };
+
+    boost::asio::awaitable<void> accept(instance& server);
+    boost::asio::awaitable<void> serve(instance& server,
+                                       std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+    boost::asio::awaitable<answer> run(instance& server, session& caller, std::string id,
+                                       std::string text);
+    boost::asio::awaitable<answer> run_on_data(instance& server, session& caller, std::string id,
+                                               std::string word, std::string rest);
+    void check_promotion(const instance& target);
+    /// Appends the commits and waits until a replica has them; false when the instance does not
+    /// lead. Throws when it stays open whether they are kept.
+    boost::asio::awaitable<bool> append(instance& server, std::vector<commit> writes);
+    answer order(instance& server, const std::string& word, const std::string& term);
+    void copy_log(const instance& from, instance& to);
+    void observe(const std::string& customer);
+    void report(const std::string& fault);
+    instance* leader();
+
+    boost::asio::io_context& context_;
+    std::map<std::string, std::unique_ptr<instance>> instances_;
+    std::map<std::string, time_point> withdrawn_;
+    struct limit {
+        double rate = 0;
+        double burst = 0;
+        std::deque<time_point> operations;
+    };
+    std::map<std::string, limit> limits_;
+    /// Statements whose commit was acknowledged.
+    std::set<std::string> acknowledged_;
+    std::uint64_t fence_ = 0;
+    std::uint64_t last_term_ = 1;
+    std::size_t promotions_ = 0;
+    std::size_t statements_ = 0;
+    std::vector<std::string> violations_;
+};
+
+}  // namespace masticgrade::soak
--- /dev/null
+++ b/tests/soak/soak_caller.cpp
@@ -0,0 +1,176 @@
+#include "soak_caller.hpp"
+
+#include <array>
+#include <chrono>
+#include <iostream>
+#include <optional>
+#include <random>
+
+#include "line_client.hpp"
+
+namespace masticgrade::soak {
+
+using edge_test::is_done;
+using edge_test::line_client;
+
+namespace {
+
+/// Codes that promise that nothing of the attempt is kept.
+bool is_promise(const std::string& line) {
+    for (const auto* code :
+         {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT", "UNAUTH"}) {
+        if (line.rfind(std::string{"ERROR "} + code, 0) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string first_line(const std::vector<std::string>& answer) {
+    return answer.empty() ? "no answer" : answer.front();
+}
+
+constexpr std::chrono::milliseconds reconnect_pause{50};
+
+}  // namespace
+
+/// A session on one of the hosts, opened when it is needed and again after it ended.
+class soak_caller::session {
+public:
+    session(const caller_settings& settings, std::string database)
+        : settings_(settings), database_(std::move(database)) {}
+
+    /// Nothing when no host opened the session.
+    line_client* open(std::size_t host) {
+        if (!client_) {
+            try {
+                client_.emplace(settings_.port(host % settings_.hosts));
+                if (client_->start(database_, settings_.key).rfind("READY", 0) != 0) {
+                    client_.reset();
+                }
+            } catch (const boost::system::system_error&) {
+                client_.reset();
+            }
+        }
+        return client_ ? &*client_ : nullptr;
+    }
+
+    std::vector<std::string> query(const std::string& id, const std::string& text) {
+        auto answer = client_->query(id, text);
+        if (answer.empty() || answer.back().rfind("READY", 0) != 0) {
+            client_.reset();
+        }
+        return answer;
+    }
+    [[nodiscard]] bool is_open() const { return client_.has_value(); }
+    void close() { client_.reset(); }
+
+private:
+    const caller_settings& settings_;
+    std::string database_;
+    std::optional<line_client> client_;
+};
+
+soak_caller::soak_caller(caller_settings settings)
+    : settings_(std::move(settings)), thread_([this] { run(); }) {}
+
+soak_caller::~soak_caller() {
+    stop();
+    thread_.join();
+}
+
+std::vector<std::string> soak_caller::violations() const {
+    const std::scoped_lock lock{mutex_};
+    return violations_;
+}
+
+void soak_caller::report(const std::string& fault) {
+    const std::scoped_lock lock{mutex_};
+    std::cerr << "violation: " << settings_.name << ": " << fault << std::endl;
+    violations_.push_back(settings_.name + ": " + fault);
+}
+
+std::string soak_caller::next_id() { return settings_.name + "-" + std::to_string(++last_id_); }
+
+void soak_caller::run() {
+    std::mt19937_64 random{settings_.seed};
+    const std::string current = "db-primary";
+    const std::string own = "db-read_own";
+    session writer{settings_, own};
+    session reader{settings_, current};
+    while (!stopping_) {
+        auto& connection = random() % 3 == 0 ? reader : writer;
+        if (connection.open(random()) == nullptr) {
+            std::this_thread::sleep_for(reconnect_pause);
+            continue;
+        }
+        const auto kind = random() % 10;
+        if (kind < 4) {
+            write(connection, kind == 0);
+        } else {
+            read(connection, &connection == &reader ? current : own);
+        }
+        if (random() % 50 == 0) {
+            connection.close();
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{settings_.pause_ms});
+    }
+}
+
+void soak_caller::write(session& connection, bool in_transaction) {
+    const int number = ++last_number_;
+    const auto text = "WRITE " + settings_.name + " " + std::to_string(number);
+    std::vector<std::string> answer;
+    if (in_transaction) {
+        answer = connection.query(next_id(), "BEGIN");
+        if (is_done(answer)) {
+            answer = connection.query(next_id(), text);
+        }
+        if (is_done(answer)) {
+            answer = connection.query(next_id(), "COMMIT");
+        } else {
+            // Without a commit nothing of the transaction may be kept.
+            refused_numbers_.insert(number);
+            if (connection.is_open()) {
+                connection.query(next_id(), "ROLLBACK");
+            }
+            ++refused_;
+            return;
+        }
+    } else {
+        answer = connection.query(next_id(), text);
+    }
+    if (is_done(answer)) {
+        acknowledged_ = number;
+        ++served_;
+    } else {
+        ++refused_;
+        auto& numbers = is_promise(first_line(answer)) ? refused_numbers_ : open_numbers_;
+        numbers.insert(number);
+    }
+}
+
+void soak_caller::read(session& connection, const std::string& database) {
+    const int acknowledged = acknowledged_;
+    const auto id = next_id();
+    const auto answer = connection.query(id, "READ " + settings_.name);
+    if (!is_done(answer) || answer.size() != 3) {
+        ++refused_;
+        return;
+    }
+    ++served_;
+    const auto value = answer.front().substr(std::string{"DATAROW "}.size());
+    const int number = value == "none" ? 0 : std::stoi(value);
+    if (answer[1] != "COMPLETE sig-" + id) {
+        report("answer to another statement: " + answer[1] + " for " + id);
+    }
+    if (refused_numbers_.contains(number)) {
+        report("write " + value + " was refused and is kept, read on " + database + " by " + id);
+    }
+    if (database == "db-primary" && number < acknowledged && !open_numbers_.contains(number)) {
+        report("write " + std::to_string(acknowledged) + " was acknowledged, " + id + " reads " +
+               value + " on " + database);
+    }
+}
+
+}  // namespace masticgrade::soak
