--- a/libs/gateway/include/masticgrade/gateway/gateway.hpp
+++ b/libs/gateway/include/masticgrade/gateway/gateway.hpp
@@ -26,7 +26,7 @@
 /// The services outside that a gateway works with; they outlive it.
 struct gateway_services {
     instance_connector& connector;
-    control_source& control;
+    const control_documents& documents;
     promotion_service& promotions;
     table_service& store;
 };
--- a/libs/gateway/include/masticgrade/gateway/links.hpp
+++ b/libs/gateway/include/masticgrade/gateway/links.hpp
@@ -10,6 +10,7 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/gateway/statement.hpp"
 #include "masticgrade/gateway/topology.hpp"
+#include "masticgrade/version/table_row.hpp"
 
 namespace masticgrade {
 
@@ -100,18 +101,22 @@
     answer_code code_;
 };
 
-/// Gives what operators and instances have written. Each call reads the store itself, so that its
-/// answer proves what was in force when the call was made. Throws masticgrade::error.
-class control_source {
+/// Decodes the rows that operators and instances have written. Thread safety: reentrant.
+class control_documents {
 public:
-    control_source() = default;
-    control_source(const control_source&) = delete;
-    control_source& operator=(const control_source&) = delete;
-    virtual ~control_source() = default;
-
-    virtual boost::asio::awaitable<control_reading> read_control(time_point deadline) = 0;
-    virtual boost::asio::awaitable<std::vector<instance_entry>> read_instances(
-        time_point deadline) = 0;
+    control_documents() = default;
+    control_documents(const control_documents&) = delete;
+    control_documents& operator=(const control_documents&) = delete;
+    virtual ~control_documents() = default;
+
+    /// The prefixes of the rows' keys.
+    [[nodiscard]] virtual std::string operator_rows() const = 0;
+    [[nodiscard]] virtual std::string instance_rows() const = 0;
+    /// Throws masticgrade::error.
+    [[nodiscard]] virtual control_reading decode_control(
+        const std::vector<table_row>& rows) const = 0;
+    [[nodiscard]] virtual std::vector<instance_entry> decode_instances(
+        const std::vector<table_row>& rows) const = 0;
 };
 
 enum class promotion_outcome {
--- a/libs/gateway/src/control_state.cpp
+++ b/libs/gateway/src/control_state.cpp
@@ -15,10 +15,14 @@
             .write();
         return false;
     }
+    if (proven_at_ && sent_at < *proven_at_) {
+        // Another host's reading that is older than the one in force.
+        return false;
+    }
     const bool changed = !configuration_ ||
                          configuration_->version != reading.configuration->version ||
                          evacuated_ != reading.evacuated;
-    proven_at_ = proven_at_ ? std::max(*proven_at_, sent_at) : sent_at;
+    proven_at_ = sent_at;
     if (!changed) {
         return false;
     }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -24,6 +24,7 @@
 #include "masticgrade/limits/usage_limiter.hpp"
 #include "masticgrade/peer/peer_network.hpp"
 #include "report_relay.hpp"
+#include "shared_rows.hpp"
 
 namespace masticgrade {
 
@@ -35,15 +36,19 @@
 /// Readings of the operators' rows; their bound is 3 s after a change was taken.
 constexpr milliseconds control_interval{1000};
 constexpr milliseconds control_retry_interval{300};
-/// Readings of the instances' entries, which they renew about once a second.
-constexpr milliseconds directory_interval{1000};
+/// Hosts that ask a relay do so more often, since its reading is up to a second old.
+constexpr milliseconds relayed_interval{500};
+/// A relay's reading above this age is not taken; relays read once a second.
+constexpr milliseconds relayed_age{1300};
+constexpr milliseconds relayed_host_list_age{15000};
+/// While a primary is dead.
 constexpr milliseconds early_directory_interval{150};
 constexpr milliseconds read_timeout{700};
 constexpr milliseconds report_interval{250};
 /// Reports of other hosts are collected for this long before they are passed on together.
 constexpr milliseconds relay_interval{100};
 constexpr milliseconds report_lifetime{400};
-constexpr milliseconds host_list_interval{4000};
+constexpr milliseconds host_list_interval{10000};
 /// While this host is not listed itself, or knows of a host that is not.
 constexpr milliseconds early_host_list_interval{1000};
 /// Calls of one other host that wait for a connection or run at once.
@@ -71,6 +76,11 @@
               services.store, settings_.host,
               listed_peer{settings_.peer_address, settings_.failure_domain, settings_.link_mbps}),
           relay_(settings_.host, settings_.failure_domain, settings_.link_mbps),
+          rows_(
+              services.store, [this] { return hosts_to_ask(); },
+              [this](host_id host, ask_rows question, time_point deadline) {
+                  return leases_->ask_for_rows(std::move(host), std::move(question), deadline);
+              }),
           sessions_environment_{executor_, control_, limiter_, metrics_,
                                 [this](const group_id& name) { return find_group(name); }} {
         peer::network_options options;
@@ -83,12 +93,14 @@
             executor_, std::move(options),
             [this](peer::envelope message) { return on_peer_message(std::move(message)); });
         peers_->set_identity(incarnation_, {});
-        lease_environment leases{executor_,
-                                 *peers_,
-                                 [this](const group_id& name) { return find_group(name); },
-                                 [this](const host_id& host) { return address_of(host); },
-                                 [this] { return is_ready(); },
-                                 [this] { return uptime(); }};
+        lease_environment leases{
+            executor_,
+            *peers_,
+            [this](const group_id& name) { return find_group(name); },
+            [this](const host_id& host) { return address_of(host); },
+            [this] { return is_ready(); },
+            [this](const ask_rows& question) { return rows_.tell(question, boot_clock::now()); },
+            [this] { return uptime(); }};
         leases_ = std::make_shared<lease_service>(std::move(leases));
     }
 
@@ -306,31 +318,57 @@
         }
     }
 
+    /// The relays that read the store for this host, in turn.
+    std::vector<host_id> hosts_to_ask() {
+        if (relay_.is_relay()) {
+            return {};
+        }
+        std::vector<host_id> hosts{relay_.mates().begin(), relay_.mates().end()};
+        if (!hosts.empty()) {
+            std::rotate(hosts.begin(),
+                        hosts.begin() + static_cast<std::ptrdiff_t>(asked_++ % hosts.size()),
+                        hosts.end());
+        }
+        return hosts;
+    }
+
+    milliseconds reading_interval() const {
+        return relay_.is_relay() ? control_interval : relayed_interval;
+    }
+
     asio::awaitable<void> control_loop() {
         bool reachable = true;
         for (;;) {
-            const auto sent_at = boot_clock::now();
             const auto started = steady_clock::now();
             bool succeeded = false;
             try {
                 const auto deadline = started + read_timeout;
-                const auto reading = co_await services_.control.read_control(deadline);
+                auto prefix = services_.documents.operator_rows();
+                const auto reading = co_await rows_.read(std::move(prefix), relayed_age, deadline);
                 succeeded = true;
-                if (control_.apply(reading, sent_at)) {
-                    limiter_.configure(control_.configuration()->limits, boot_clock::now());
-                    update_groups();
-                }
+                apply_control(reading);
             } catch (const error& failure) {
                 note_store(reachable, false, failure.what());
             }
             if (succeeded) {
                 note_store(reachable, true, "");
             }
-            const auto next = started + (succeeded ? control_interval : control_retry_interval);
+            const auto next = started + (succeeded ? reading_interval() : control_retry_interval);
             co_await sleep(std::max<duration>(next - steady_clock::now(), milliseconds{1}));
         }
     }
 
+    void apply_control(const rows_reading& reading) {
+        if (!control_reading_.configuration || reading.digest != control_digest_) {
+            control_reading_ = services_.documents.decode_control(reading.rows);
+            control_digest_ = reading.digest;
+        }
+        if (control_.apply(control_reading_, reading.read_at)) {
+            limiter_.configure(control_.configuration()->limits, boot_clock::now());
+            update_groups();
+        }
+    }
+
     void note_store(bool& reachable, bool now_reachable, std::string_view reason) {
         if (reachable == now_reachable) {
             return;
@@ -343,36 +381,62 @@
             .write();
     }
 
+    /// Reads the instances' entries from the store itself.
     asio::awaitable<void> read_directory() {
         const auto deadline = steady_clock::now() + read_timeout;
-        const auto entries = co_await services_.control.read_instances(deadline);
-        directory_.apply(entries, boot_clock::now());
-        update_groups();
+        auto prefix = services_.documents.instance_rows();
+        apply_directory(co_await rows_.read_store(std::move(prefix), deadline));
+    }
+
+    void apply_directory(const rows_reading& reading) {
+        // Relays read at different times, and an answer may be older than the one before.
+        if (reading.read_at > directory_read_at_) {
+            directory_read_at_ = reading.read_at;
+            directory_.apply(services_.documents.decode_instances(reading.rows), boot_clock::now());
+            update_groups();
+        }
     }
 
     asio::awaitable<void> directory_loop() {
         for (;;) {
             const auto started = steady_clock::now();
-            directory_wanted_ = false;
             try {
-                co_await read_directory();
+                if (std::exchange(directory_wanted_, false)) {
+                    co_await read_directory();
+                } else {
+                    auto prefix = services_.documents.instance_rows();
+                    apply_directory(co_await rows_.read(std::move(prefix), relayed_age,
+                                                        started + read_timeout));
+                }
             } catch (const error& failure) {
                 directory_.on_store_lost();
                 metrics_.count("masticgrade_store_failures_total",
                                "Readings of the store that failed.", "instances");
             }
             while (steady_clock::now() - started <
-                   (directory_wanted_ ? early_directory_interval : directory_interval)) {
+                   (directory_wanted_ ? early_directory_interval : reading_interval())) {
                 co_await sleep(tick_interval);
             }
         }
     }
 
+    asio::awaitable<void> refresh_hosts() {
+        const auto deadline = steady_clock::now() + read_timeout;
+        auto prefix = host_registry::rows;
+        rows_reading reading;
+        if (hosts_.is_registered()) {
+            reading = co_await rows_.read(std::move(prefix), relayed_host_list_age, deadline);
+        } else {
+            reading = co_await rows_.read_store(std::move(prefix), deadline);
+        }
+        co_await hosts_.update(std::move(reading.rows), deadline);
+    }
+
     asio::awaitable<void> host_list_loop() {
         for (;;) {
             try {
                 const auto known = hosts_.others().size();
-                co_await hosts_.refresh(steady_clock::now() + read_timeout);
+                co_await refresh_hosts();
                 limiter_.expect_peers(other_hosts(), boot_clock::now());
                 if (hosts_.others().size() > known) {
                     update_relay();
@@ -490,6 +554,11 @@
     instance_directory directory_;
     host_registry hosts_;
     report_relay relay_;
+    shared_rows rows_;
+    /// The operators' rows that were decoded last.
+    std::uint64_t control_digest_ = 0;
+    control_reading control_reading_;
+    boot_time directory_read_at_;
     bool was_relay_ = false;
     session_environment sessions_environment_;
     std::unique_ptr<peer::peer_network> peers_;
@@ -504,6 +573,7 @@
     std::set<std::shared_ptr<caller_session>> sessions_;
     bool directory_wanted_ = false;
     bool hosts_wanted_ = false;
+    std::size_t asked_ = 0;
     bool stopping_ = false;
 };
 
--- a/libs/gateway/src/host_registry.cpp
+++ b/libs/gateway/src/host_registry.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-const std::string host_rows = "hosts/";
 /// A host that has not been heard of for this long gets no more reports; a live one sends reports
 /// itself and is then heard of again.
 constexpr seconds silent_host_lifetime{30};
@@ -36,19 +35,20 @@
 
 }  // namespace
 
+const std::string host_registry::rows = "hosts/";
+
 host_registry::host_registry(table_service& store, host_id self, listed_peer own)
     : store_(store), self_(std::move(self)), own_(std::move(own)) {}
 
 void host_registry::on_heard(const host_id& host) { heard_[host] = steady_clock::now(); }
 
-asio::awaitable<void> host_registry::refresh(time_point deadline) {
+asio::awaitable<void> host_registry::update(std::vector<table_row> read, time_point deadline) {
     const auto now = steady_clock::now();
-    const auto rows = co_await store_.scan(host_rows, {}, deadline);
     std::map<host_id, listed_peer> others;
     fleet_version own_version;
     bool listed = false;
-    for (const auto& row : rows.rows) {
-        const host_id host{row.key.substr(host_rows.size())};
+    for (const auto& row : read) {
+        const host_id host{row.key.substr(rows.size())};
         if (host == self_) {
             own_version = row.version;
             listed = row.value == encode(own_);
@@ -65,8 +65,8 @@
     others_ = std::move(others);
     if (!listed) {
         table_commit change;
-        change.conditions.push_back({host_rows + self_.str(), own_version});
-        change.puts.push_back({host_rows + self_.str(), encode(own_)});
+        change.conditions.push_back({rows + self_.str(), own_version});
+        change.puts.push_back({rows + self_.str(), encode(own_)});
         const auto result = co_await store_.commit(std::move(change), deadline);
         listed = result.committed;
     }
--- a/libs/gateway/src/host_registry.hpp
+++ b/libs/gateway/src/host_registry.hpp
@@ -25,9 +25,12 @@
 public:
     host_registry(table_service& store, host_id self, listed_peer own);
 
-    /// Reads the rows and writes the own one where it is missing or names another address.
+    /// The prefix of the rows' keys.
+    static const std::string rows;
+
+    /// Takes what was read, and writes the own row where it is missing or names another address.
     /// Throws masticgrade::error.
-    boost::asio::awaitable<void> refresh(time_point deadline);
+    boost::asio::awaitable<void> update(std::vector<table_row> read, time_point deadline);
     void on_heard(const host_id& host);
 
     [[nodiscard]] bool is_registered() const { return registered_; }
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -194,6 +194,23 @@
                 wire::CreatePositionTold(out, instance, pointer_to(position), time_field(call.age))
                     .Union()};
     }
+    std::pair<wire::Call, Offset<void>> operator()(const ask_rows& call) const {
+        const auto prefix = out.CreateString(call.prefix);
+        return {wire::Call::AskRows, wire::CreateAskRows(out, prefix, call.digest).Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const rows_told& call) const {
+        std::vector<Offset<wire::TableRow>> rows;
+        rows.reserve(call.rows.size());
+        for (const auto& row : call.rows) {
+            const auto key = out.CreateString(row.key);
+            const auto value = out.CreateString(row.value);
+            rows.push_back(wire::CreateTableRow(out, key, row.version.value(), value));
+        }
+        const auto list = out.CreateVector(rows);
+        return {
+            wire::Call::RowsTold,
+            wire::CreateRowsTold(out, call.known, call.digest, time_field(call.age), list).Union()};
+    }
 };
 
 // ---- decoding ----
@@ -331,6 +348,21 @@
                          time_of(call.age_ms())};
 }
 
+lease_call read(const wire::AskRows& call) {
+    return ask_rows{text_of(call.prefix()), call.digest()};
+}
+
+lease_call read(const wire::RowsTold& call) {
+    rows_told result{call.known(), call.digest(), time_of(call.age_ms()), {}};
+    if (call.rows() != nullptr) {
+        for (const auto* row : *call.rows()) {
+            result.rows.push_back(
+                {text_of(row->key()), fleet_version{row->version()}, text_of(row->value())});
+        }
+    }
+    return result;
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> encode_lease_message(const lease_message& message) {
@@ -381,6 +413,12 @@
         case wire::Call::PositionTold:
             result.call = read(*message.call_as_PositionTold());
             break;
+        case wire::Call::AskRows:
+            result.call = read(*message.call_as_AskRows());
+            break;
+        case wire::Call::RowsTold:
+            result.call = read(*message.call_as_RowsTold());
+            break;
         case wire::Call::NONE:
             reject("the message has no call");
     }
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -11,6 +11,7 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/gateway/session_state.hpp"
 #include "masticgrade/gateway/statement.hpp"
+#include "masticgrade/version/table_row.hpp"
 
 namespace masticgrade {
 
@@ -103,8 +104,27 @@
     friend bool operator==(const position_told&, const position_told&) = default;
 };
 
+/// Asks for rows of the store that the recipient has read.
+struct ask_rows {
+    std::string prefix;
+    /// Names the rows that the sender has.
+    std::uint64_t digest = 0;
+
+    friend bool operator==(const ask_rows&, const ask_rows&) = default;
+};
+
+struct rows_told {
+    /// False when the recipient has read no such rows.
+    bool known = false;
+    std::uint64_t digest = 0;
+    /// Time since the recipient asked the store for them.
+    milliseconds age{0};
+    /// Empty when the sender has the same rows.
+    std::vector<table_row> rows;
+};
+
 using lease_call = std::variant<open_lease, lease_opened, run_steps, steps_run, close_lease, ping,
-                                pong, ask_position, position_told>;
+                                pong, ask_position, position_told, ask_rows, rows_told>;
 
 struct lease_message {
     /// The age of the sending process when it sent the message.
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -263,6 +263,8 @@
         }
     } else if (auto* question = std::get_if<ask_position>(&request.call)) {
         reply = co_await tell_position(std::move(*question));
+    } else if (const auto* rows = std::get_if<ask_rows>(&request.call)) {
+        reply = environment_.tell_rows(*rows);
     } else {
         co_return std::nullopt;
     }
@@ -338,6 +340,22 @@
     co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<rows_told>> lease_service::ask_for_rows(host_id host,
+                                                                      ask_rows question,
+                                                                      time_point deadline) {
+    const auto self = shared_from_this();
+    lease_call message = std::move(question);
+    try {
+        auto reply = co_await call(host, std::move(message), deadline);
+        if (auto* told = std::get_if<rows_told>(&reply)) {
+            co_return std::move(*told);
+        }
+    } catch (const error& failure) {
+        event_line{"rows_not_told"}.field("peer", host).field("reason", failure.what()).write();
+    }
+    co_return std::nullopt;
+}
+
 asio::awaitable<steps_run> lease_service::run_lent(run_steps call) {
     const auto number = call.lease;
     const auto found = leases_.find(number);
--- a/libs/gateway/src/lease_service.hpp
+++ b/libs/gateway/src/lease_service.hpp
@@ -22,6 +22,8 @@
     std::function<std::optional<endpoint_address>(const host_id&)> address_of;
     /// Whether this host lends connections now.
     std::function<bool()> accepts;
+    /// What this host has read of the store.
+    std::function<rows_told(const ask_rows&)> tell_rows;
     /// The age of this process.
     std::function<milliseconds()> uptime;
 };
@@ -47,6 +49,9 @@
                                                                            group_id group,
                                                                            customer_id customer,
                                                                            time_point deadline);
+    /// Asks another host for rows that it has read; nothing when it does not answer.
+    boost::asio::awaitable<std::optional<rows_told>> ask_for_rows(host_id host, ask_rows question,
+                                                                  time_point deadline);
     /// Whether the host failed to answer of late.
     [[nodiscard]] bool is_unusable(const host_id& home) const;
 
--- a/libs/gateway/src/report_relay.hpp
+++ b/libs/gateway/src/report_relay.hpp
@@ -37,6 +37,8 @@
                       const std::function<bool(const host_id&)>& is_live);
 
     [[nodiscard]] bool is_relay() const { return is_relay_; }
+    /// The other relays of the own failure domain.
+    [[nodiscard]] const std::set<host_id>& mates() const { return mates_; }
 
     /// Keeps a report that another host sent, directly or for a third one, to pass it on.
     void keep(const host_id& sender, const peer::host_report& report, boot_time now);
