--- a/libs/gateway/test/lease_messages_test.cpp
+++ b/libs/gateway/test/lease_messages_test.cpp
@@ -44,6 +44,18 @@
             told.position = index_of(number % 1000);
         }
         RC_ASSERT(std::get<position_told>(transmit(told)) == told);
+        const ask_rows rows{text, number};
+        RC_ASSERT(std::get<ask_rows>(transmit(rows)) == rows);
+        const rows_told answer{
+            flag, number, milliseconds{12}, {{text, fleet_version{number}, text + "v"}}};
+        const auto arrived = std::get<rows_told>(transmit(answer));
+        RC_ASSERT(arrived.known == flag);
+        RC_ASSERT(arrived.digest == number);
+        RC_ASSERT(arrived.age == milliseconds{12});
+        RC_ASSERT(arrived.rows.size() == 1U);
+        RC_ASSERT(arrived.rows.front().key == text);
+        RC_ASSERT(arrived.rows.front().version == fleet_version{number});
+        RC_ASSERT(arrived.rows.front().value == text + "v");
     }));
 }
 
