--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -77,7 +77,7 @@
               listed_peer{settings_.peer_address, settings_.failure_domain, settings_.link_mbps}),
           relay_(settings_.host, settings_.failure_domain, settings_.link_mbps),
           rows_(
-              services.store, [this] { return hosts_to_ask(); },
+              services.store, [this] { return relay_.readers(); },
               [this](host_id host, ask_rows question, time_point deadline) {
                   return leases_->ask_for_rows(std::move(host), std::move(question), deadline);
               }),
@@ -318,22 +318,8 @@
         }
     }
 
-    /// The relays that read the store for this host, in turn.
-    std::vector<host_id> hosts_to_ask() {
-        if (relay_.is_relay()) {
-            return {};
-        }
-        std::vector<host_id> hosts{relay_.mates().begin(), relay_.mates().end()};
-        if (!hosts.empty()) {
-            std::rotate(hosts.begin(),
-                        hosts.begin() + static_cast<std::ptrdiff_t>(asked_++ % hosts.size()),
-                        hosts.end());
-        }
-        return hosts;
-    }
-
     milliseconds reading_interval() const {
-        return relay_.is_relay() ? control_interval : relayed_interval;
+        return relay_.readers().empty() ? control_interval : relayed_interval;
     }
 
     asio::awaitable<void> control_loop() {
@@ -573,7 +559,6 @@
     std::set<std::shared_ptr<caller_session>> sessions_;
     bool directory_wanted_ = false;
     bool hosts_wanted_ = false;
-    std::size_t asked_ = 0;
     bool stopping_ = false;
 };
 
--- a/libs/gateway/src/report_relay.cpp
+++ b/libs/gateway/src/report_relay.cpp
@@ -57,8 +57,12 @@
     mates_.clear();
     members_ = own_domain_;
     is_relay_ = false;
+    readers_.clear();
     for (const auto& host : choose_relays(own.live)) {
         is_relay_ = is_relay_ || host == self_;
+        if (!is_relay_) {
+            readers_.push_back(host);
+        }
         if (host != self_) {
             mates_.insert(host);
             members_.erase(host);
--- a/libs/gateway/src/report_relay.hpp
+++ b/libs/gateway/src/report_relay.hpp
@@ -37,8 +37,9 @@
                       const std::function<bool(const host_id&)>& is_live);
 
     [[nodiscard]] bool is_relay() const { return is_relay_; }
-    /// The other relays of the own failure domain.
-    [[nodiscard]] const std::set<host_id>& mates() const { return mates_; }
+    /// The relays of the own failure domain that go before this host, the first one first: those
+    /// that read the store for it.
+    [[nodiscard]] const std::vector<host_id>& readers() const { return readers_; }
 
     /// Keeps a report that another host sent, directly or for a third one, to pass it on.
     void keep(const host_id& sender, const peer::host_report& report, boot_time now);
@@ -67,6 +68,7 @@
     /// The other relays of the own failure domain and those of the others.
     std::set<host_id> mates_;
     std::set<host_id> relays_abroad_;
+    std::vector<host_id> readers_;
     /// Hosts of the own failure domain that get everything from this one.
     std::set<host_id> members_;
     std::set<host_id> own_domain_;
--- a/libs/gateway/test/report_relay_test.cpp
+++ b/libs/gateway/test/report_relay_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <set>
@@ -94,6 +95,12 @@
     [[nodiscard]] bool is_relay(const std::string& host) const {
         return relays_.at(host_id{host})->is_relay();
     }
+    /// Hosts that read the store themselves.
+    [[nodiscard]] std::size_t store_readers() const {
+        return static_cast<std::size_t>(
+            std::count_if(relays_.begin(), relays_.end(),
+                          [](const auto& entry) { return entry.second->readers().empty(); }));
+    }
 
 private:
     struct message {
@@ -156,6 +163,7 @@
     fleet.exchange();
     CHECK(fleet.all_heard());
     CHECK(fleet.relays() == 8);
+    CHECK(fleet.store_readers() == 4);
     CHECK(fleet.is_relay("host-2-0"));
     CHECK(fleet.is_relay("host-2-1"));
     CHECK(fleet.all_sent() < 68 * 15);
