Close connections with unfinished requests; call nothing unknown without a configuration

Cause: the product's HTTP interface limited only the time between two requests, 120 s, also while a request arrived byte by byte; and a host that had read no configuration answered a valid route with "there is no such route".

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -36,8 +36,9 @@
 /// Readings of the operators' rows; their bound is 3 s after a change was taken.
 constexpr milliseconds control_interval{1000};
 constexpr milliseconds control_retry_interval{300};
-/// Hosts that ask a relay do so more often, since its reading is up to a second old.
-constexpr milliseconds relayed_interval{500};
+/// Hosts that ask a relay do so more often, since its reading is up to a second old. An answer
+/// without a change is small.
+constexpr milliseconds relayed_interval{250};
 /// A relay's reading above this age is not taken; relays read once a second.
 constexpr milliseconds relayed_age{1300};
 constexpr milliseconds relayed_host_list_age{15000};
--- a/libs/net/include/masticgrade/net/http_server.hpp
+++ b/libs/net/include/masticgrade/net/http_server.hpp
@@ -22,8 +22,12 @@
     std::size_t max_body_bytes = 256UL * 1024;
     std::uint32_t max_header_bytes = 16U * 1024;
     std::size_t max_connections = 20000;
-    /// A connection that sends no whole request for this long is closed.
+    /// A connection that sends nothing for this long is closed.
     milliseconds idle_timeout{120000};
+    /// Time for the head of a request from its first byte on, and for its body after that; a caller
+    /// that sends byte by byte would otherwise hold a descriptor for as long as it likes.
+    milliseconds head_timeout{10000};
+    milliseconds body_timeout{10000};
 };
 
 /// Accepts connections and answers each request in turn through a handler coroutine.
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -132,11 +132,22 @@
             http::request_parser<http::string_body> parser;
             parser.body_limit(limits_.max_body_bytes);
             parser.header_limit(limits_.max_header_bytes);
-            stream.expires_at(stopping_ ? idle_deadline_.load()
-                                        : steady_clock::now() + limits_.idle_timeout);
+            if (!co_await has_first_byte(stream, buffer)) {
+                co_return;
+            }
             boost::system::error_code failure;
-            co_await http::async_read(stream, buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, failure));
+            stream.expires_after(limits_.head_timeout);
+            co_await http::async_read_header(stream, buffer, parser,
+                                             asio::redirect_error(asio::use_awaitable, failure));
+            if (!failure) {
+                stream.expires_after(limits_.body_timeout);
+                co_await http::async_read(stream, buffer, parser,
+                                          asio::redirect_error(asio::use_awaitable, failure));
+            }
+            if (failure == beast::error::timeout) {
+                log.warning("Closed a connection with an unfinished request peer={}.",
+                            peer.address);
+            }
             if (failure) {
                 co_await answer_parse_failure(stream, failure);
                 co_return;
@@ -155,6 +166,21 @@
         }
     }
 
+    /// Waits for the next request to begin; false when none came in time.
+    asio::awaitable<bool> has_first_byte(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+        if (buffer.size() > 0) {
+            co_return true;
+        }
+        stream.expires_at(stopping_ ? idle_deadline_.load()
+                                    : steady_clock::now() + limits_.idle_timeout);
+        constexpr std::size_t first_read_bytes = 4096;
+        boost::system::error_code failure;
+        const auto length = co_await stream.async_read_some(
+            buffer.prepare(first_read_bytes), asio::redirect_error(asio::use_awaitable, failure));
+        buffer.commit(length);
+        co_return !failure && length > 0;
+    }
+
     static asio::awaitable<void> answer_parse_failure(beast::tcp_stream& stream,
                                                       boost::system::error_code failure) {
         if (failure.category() != http::make_error_code(http::error::end_of_stream).category() ||
--- a/libs/proxy/src/caller_api.cpp
+++ b/libs/proxy/src/caller_api.cpp
@@ -45,6 +45,9 @@
         co_return refuse(refusal::not_found, "parse", "there is no such path for this method");
     }
     current.context = parse_context(request.headers, steady_clock::now());
+    if (auto refusal = refuse_without_configuration(parts_.fleet->snapshot()->config_version)) {
+        co_return std::move(*refusal);
+    }
     auto performed = std::visit(
         [&](auto& value) { return perform(std::move(value), request, current); }, *operation);
     co_return co_await std::move(performed);
--- a/libs/proxy/src/caller_request.cpp
+++ b/libs/proxy/src/caller_request.cpp
@@ -128,6 +128,13 @@
     return context;
 }
 
+std::optional<outcome> refuse_without_configuration(fleet_version configuration) {
+    if (configuration != fleet_version{}) {
+        return std::nullopt;
+    }
+    return refuse(refusal::unavailable, "route", "this host has no configuration yet");
+}
+
 caller_statement parse_statement(std::string_view body) {
     json::value document;
     try {
--- a/libs/proxy/src/caller_request.hpp
+++ b/libs/proxy/src/caller_request.hpp
@@ -56,6 +56,10 @@
 /// Checks the headers. Throws masticgrade::error that names the header and the accepted range.
 caller_context parse_context(const http_headers& headers, time_point now);
 
+/// The refusal of a host that has read no configuration yet, and cannot tell whether a route or a
+/// key exists; nothing when it has one.
+std::optional<outcome> refuse_without_configuration(fleet_version configuration);
+
 /// Checks the body of a statement. Throws masticgrade::error that names the field.
 caller_statement parse_statement(std::string_view body);
 
--- a/libs/proxy/test/caller_request_test.cpp
+++ b/libs/proxy/test/caller_request_test.cpp
@@ -82,3 +82,13 @@
     CHECK_FALSE(parse_operation("POST", "/v1/routes//statements"));
     CHECK_FALSE(parse_operation("POST", "/v1/routes/a/b/statements"));
 }
+
+// Guards against a host that calls a valid route or key unknown before it has read any.
+TEST_CASE("a host without a configuration only says that it is not ready") {
+    const auto refusal = refuse_without_configuration(fleet_version{0});
+    REQUIRE(refusal);
+    CHECK(refusal->kind == outcome_kind::not_run);
+    CHECK(refusal->why == refusal::unavailable);
+    CHECK(refusal->repeat_safe);
+    CHECK_FALSE(refuse_without_configuration(fleet_version{1}));
+}
