--- a/libs/gateway/test/primary_watch_test.cpp
+++ b/libs/gateway/test/primary_watch_test.cpp
@@ -71,3 +71,18 @@
     CHECK_FALSE(watch.is_dead(start + seconds{4}));
     CHECK_FALSE(watch.wants_probe(start + seconds{4}));
 }
+
+// Guards against a fleet whose idle hosts all probe a primary for ever after one slow statement.
+TEST_CASE("a probe that succeeded is repeated only while statements are sent") {
+    primary_watch watch;
+    auto now = time_point{} + seconds{10};
+    watch.reset(now);
+    watch.on_statement_sent(now);
+    now += primary_watch::silence_limit;
+    CHECK(watch.wants_probe(now));
+    watch.on_probe(true, now);
+    CHECK(watch.wants_probe(now + primary_watch::silence_limit));
+    CHECK_FALSE(watch.wants_probe(now + primary_watch::interest_time + milliseconds{1}));
+    watch.on_statement_sent(now + seconds{5});
+    CHECK(watch.wants_probe(now + seconds{5} + primary_watch::silence_limit));
+}
