--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -16,6 +16,7 @@
 #include "control_state.hpp"
 #include "gateway_metrics.hpp"
 #include "group_failover.hpp"
+#include "home_choice.hpp"
 #include "host_registry.hpp"
 #include "instance_directory.hpp"
 #include "lease_service.hpp"
@@ -23,7 +24,7 @@
 #include "masticgrade/base/scope_guard.hpp"
 #include "masticgrade/limits/usage_limiter.hpp"
 #include "masticgrade/peer/peer_network.hpp"
-#include "report_relay.hpp"
+#include "report_exchange.hpp"
 #include "shared_rows.hpp"
 
 namespace masticgrade {
@@ -45,19 +46,11 @@
 /// While a primary is dead.
 constexpr milliseconds early_directory_interval{150};
 constexpr milliseconds read_timeout{700};
-constexpr milliseconds report_interval{250};
-/// Reports of other hosts are collected for this long before they are passed on together.
-constexpr milliseconds relay_interval{100};
-constexpr milliseconds report_lifetime{400};
 constexpr milliseconds host_list_interval{10000};
 /// While this host is not listed itself, or knows of a host that is not.
 constexpr milliseconds early_host_list_interval{1000};
 /// Calls of one other host that wait for a connection or run at once.
 constexpr std::size_t most_peer_calls = 2048;
-/// A host that has been silent for longer is not asked for connections.
-constexpr milliseconds home_silence_limit{650};
-/// How long the choice of an instance's home is kept.
-constexpr milliseconds home_lifetime{100};
 /// The balancer takes a host out after two misses, one second apart.
 constexpr milliseconds balancer_delay{2200};
 
@@ -76,9 +69,8 @@
           hosts_(
               services.store, settings_.host,
               listed_peer{settings_.peer_address, settings_.failure_domain, settings_.link_mbps}),
-          relay_(settings_.host, settings_.failure_domain, settings_.link_mbps),
           rows_(
-              services.store, [this] { return relay_.readers(); },
+              services.store, [this] { return reports_->readers(); },
               [this](host_id host, ask_rows question, time_point deadline) {
                   return leases_->ask_for_rows(std::move(host), std::move(question), deadline);
               }),
@@ -103,13 +95,20 @@
             [this](const ask_rows& question) { return rows_.tell(question, boot_clock::now()); },
             [this] { return uptime(); }};
         leases_ = std::make_shared<lease_service>(std::move(leases));
+        reports_ = std::make_unique<report_exchange>(
+            reporting_host{settings_.host, incarnation_, settings_.failure_domain,
+                           settings_.link_mbps},
+            limiter_, hosts_, *peers_, [this] { return is_ready(); });
+        homes_ = std::make_unique<home_choice>(
+            home_candidate{settings_.host, settings_.failure_domain}, limiter_, hosts_, *leases_,
+            [this] { return is_ready(); });
     }
 
     void start() {
         spawn(control_loop());
         spawn(directory_loop());
         spawn(host_list_loop());
-        spawn(report_loop());
+        spawn(reports_->run(executor_));
         spawn(tick_loop());
     }
 
@@ -132,7 +131,7 @@
         const auto started = steady_clock::now();
         event_line{"stopping"}.field("sessions", sessions_.size()).write();
         // The others look for another home before their next operation.
-        send_report(false);
+        reports_->send(false);
         for (auto& [name, failover] : failovers_) {
             failover->stop();
         }
@@ -149,7 +148,7 @@
             }
             co_await sleep(tick_interval);
         }
-        send_report(true);
+        reports_->send(true);
         co_await sleep(tick_interval);
         event_line{"stopped"}.field("sessions", sessions_.size()).write();
     }
@@ -216,7 +215,7 @@
                 [this] { return live_hosts(); },
                 [this] { return limiter_.own_part(boot_clock::now()); },
                 [this] { refresh_directory(); },
-                [this](const instance_entry& entry) { return home_of(entry); },
+                [this](const instance_entry& entry) { return homes_->home_of(entry); },
                 [this, name](host_id home, instance_id instance, acquire_request request) {
                     return leases_->borrow(std::move(home), std::move(instance), name,
                                            std::move(request));
@@ -272,43 +271,6 @@
         return found->second.address;
     }
 
-    instance_home home_of(const instance_entry& entry) {
-        const auto now = steady_clock::now();
-        auto& known = homes_[entry.id];
-        if (now - known.chosen_at < home_lifetime && !leases_->is_unusable(known.home.host)) {
-            return known.home;
-        }
-        known = {now, choose_home(entry)};
-        return known.home;
-    }
-
-    /// Whether this host is the home of an instance.
-    bool lends_connections() const {
-        return std::any_of(homes_.begin(), homes_.end(),
-                           [](const auto& entry) { return entry.second.home.is_self; });
-    }
-
-    /// Chooses among the hosts that lend connections, those of the instance's own failure domain
-    /// first, so that an operation crosses between domains no more often than without a home.
-    instance_home choose_home(const instance_entry& entry) const {
-        const auto since = boot_clock::now() - home_silence_limit;
-        std::vector<home_candidate> candidates;
-        if (is_ready()) {
-            candidates.push_back({settings_.host, settings_.failure_domain});
-        }
-        for (const auto& [id, host] : hosts_.others()) {
-            if (limiter_.accepts_leases(id, since) && !leases_->is_unusable(id)) {
-                candidates.push_back({id, host.failure_domain});
-            }
-        }
-        const auto chosen = choose_home_host(entry.id, entry.failure_domain, candidates);
-        if (!chosen) {
-            return {};
-        }
-        const bool is_self = *chosen == settings_.host;
-        return {is_self, is_self ? host_id{} : *chosen};
-    }
-
     void update_groups() {
         const auto& configuration = control_.configuration();
         if (!configuration || !directory_.is_known()) {
@@ -320,7 +282,7 @@
     }
 
     milliseconds reading_interval() const {
-        return relay_.readers().empty() ? control_interval : relayed_interval;
+        return reports_->readers().empty() ? control_interval : relayed_interval;
     }
 
     asio::awaitable<void> control_loop() {
@@ -426,8 +388,7 @@
                 co_await refresh_hosts();
                 limiter_.expect_peers(other_hosts(), boot_clock::now());
                 if (hosts_.others().size() > known) {
-                    update_relay();
-                    send_report(false);
+                    reports_->send(false);
                 }
             } catch (const error& failure) {
                 metrics_.count("masticgrade_store_failures_total",
@@ -443,62 +404,10 @@
         }
     }
 
-    asio::awaitable<void> report_loop() {
-        auto report_at = steady_clock::now();
-        auto relay_at = report_at;
-        for (;;) {
-            const auto now = steady_clock::now();
-            update_relay();
-            if (now >= report_at) {
-                send_report(false);
-                report_at = now + report_interval;
-            }
-            if (now >= relay_at) {
-                deliver(relay_.route_kept(boot_clock::now()));
-                relay_at = now + relay_interval;
-            }
-            co_await sleep(std::min(report_at, relay_at) - now);
-        }
-    }
-
-    void update_relay() {
-        const auto now = boot_clock::now();
-        relay_.update_hosts(hosts_.others(),
-                            [&](const host_id& host) { return limiter_.is_live(host, now); });
-        if (std::exchange(was_relay_, relay_.is_relay()) != relay_.is_relay()) {
-            event_line{"relay_changed"}
-                .field("is_relay", relay_.is_relay())
-                .field("live_hosts", live_hosts())
-                .write();
-        }
-    }
-
-    void send_report(bool leaving) {
-        peer::host_report own{settings_.host, incarnation_,
-                              limiter_.report(boot_clock::now(), leaving, is_ready())};
-        own.report.is_relay = relay_.is_relay();
-        deliver(relay_.route_own(own));
-    }
-
-    void deliver(std::vector<report_relay::delivery> messages) {
-        for (auto& [recipient, message] : messages) {
-            if (const auto address = address_of(recipient)) {
-                peers_->send(*address, std::move(message), steady_clock::now() + report_lifetime);
-            }
-        }
-    }
-
-    void on_reports(const host_id& sender, const peer::usage_reports& message) {
-        const auto now = boot_clock::now();
-        for (const auto& item : message.reports) {
-            if (item.host == settings_.host ||
-                !limiter_.on_report(item.host, item.incarnation, item.report, now)) {
-                continue;
-            }
-            relay_.keep(sender, item, now);
-            hosts_.on_heard(item.host);
+    void take_reports(const host_id& sender, const peer::usage_reports& message) {
+        for (const auto& item : reports_->take(sender, message)) {
             hosts_wanted_ = hosts_wanted_ || !hosts_.others().contains(item.host);
-            if (lends_connections()) {
+            if (homes_->lends_connections()) {
                 leases_->on_report(item.host, item.incarnation);
             }
         }
@@ -506,7 +415,7 @@
 
     asio::awaitable<std::optional<peer::message_body>> on_peer_message(peer::envelope message) {
         if (const auto* reports = std::get_if<peer::usage_reports>(&message.body)) {
-            on_reports(message.sender, *reports);
+            take_reports(message.sender, *reports);
             co_return std::nullopt;
         }
         if (std::holds_alternative<peer::service_message>(message.body)) {
@@ -540,21 +449,16 @@
     gateway_metrics metrics_;
     instance_directory directory_;
     host_registry hosts_;
-    report_relay relay_;
     shared_rows rows_;
     /// The operators' rows that were decoded last.
     std::uint64_t control_digest_ = 0;
     control_reading control_reading_;
     boot_time directory_read_at_;
-    bool was_relay_ = false;
     session_environment sessions_environment_;
     std::unique_ptr<peer::peer_network> peers_;
     std::shared_ptr<lease_service> leases_;
-    struct known_home {
-        time_point chosen_at{};
-        instance_home home;
-    };
-    std::map<instance_id, known_home> homes_;
+    std::unique_ptr<report_exchange> reports_;
+    std::unique_ptr<home_choice> homes_;
     std::map<group_id, std::shared_ptr<backend_group>> groups_;
     std::map<group_id, std::shared_ptr<group_failover>> failovers_;
     std::set<std::shared_ptr<caller_session>> sessions_;
--- /dev/null
+++ b/libs/gateway/src/home_choice.cpp
@@ -0,0 +1,61 @@
+#include "home_choice.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace masticgrade {
+
+namespace {
+
+/// A host that has been silent for longer is not asked for connections.
+constexpr milliseconds home_silence_limit{650};
+/// How long the choice of an instance's home is kept.
+constexpr milliseconds home_lifetime{100};
+
+}  // namespace
+
+home_choice::home_choice(home_candidate self, const usage_limiter& limiter,
+                         const host_registry& hosts, const lease_service& leases,
+                         std::function<bool()> lends)
+    : self_(std::move(self)),
+      limiter_(limiter),
+      hosts_(hosts),
+      leases_(leases),
+      lends_(std::move(lends)) {}
+
+instance_home home_choice::home_of(const instance_entry& entry) {
+    const auto now = steady_clock::now();
+    auto& known = homes_[entry.id];
+    if (now - known.chosen_at < home_lifetime && !leases_.is_unusable(known.home.host)) {
+        return known.home;
+    }
+    known = {now, choose(entry)};
+    return known.home;
+}
+
+bool home_choice::lends_connections() const {
+    return std::any_of(homes_.begin(), homes_.end(),
+                       [](const auto& entry) { return entry.second.home.is_self; });
+}
+
+instance_home home_choice::choose(const instance_entry& entry) const {
+    const auto since = boot_clock::now() - home_silence_limit;
+    std::vector<home_candidate> candidates;
+    if (lends_()) {
+        candidates.push_back(self_);
+    }
+    for (const auto& [id, host] : hosts_.others()) {
+        if (limiter_.accepts_leases(id, since) && !leases_.is_unusable(id)) {
+            candidates.push_back({id, host.failure_domain});
+        }
+    }
+    const auto chosen = choose_home_host(entry.id, entry.failure_domain, candidates);
+    if (!chosen) {
+        return {};
+    }
+    const bool is_self = *chosen == self_.host;
+    return {is_self, is_self ? host_id{} : *chosen};
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/report_exchange.cpp
@@ -0,0 +1,96 @@
+#include "report_exchange.hpp"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "masticgrade/base/event_log.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds report_interval{250};
+/// Reports of other hosts are collected for this long before they are passed on together.
+constexpr milliseconds relay_interval{100};
+/// A report that could not be sent by then is superseded by the next ones.
+constexpr milliseconds report_lifetime{400};
+
+}  // namespace
+
+report_exchange::report_exchange(reporting_host self, usage_limiter& limiter, host_registry& hosts,
+                                 peer::peer_network& peers, std::function<bool()> lends_connections)
+    : self_(std::move(self)),
+      limiter_(limiter),
+      hosts_(hosts),
+      peers_(peers),
+      lends_connections_(std::move(lends_connections)),
+      relay_(self_.host, self_.failure_domain, self_.link_mbps) {}
+
+asio::awaitable<void> report_exchange::run(asio::any_io_executor executor) {
+    auto report_at = steady_clock::now();
+    auto relay_at = report_at;
+    for (;;) {
+        const auto now = steady_clock::now();
+        if (now >= report_at) {
+            send(false);
+            report_at = now + report_interval;
+        }
+        if (now >= relay_at) {
+            choose_relays();
+            deliver(relay_.route_kept(boot_clock::now()));
+            relay_at = now + relay_interval;
+        }
+        asio::steady_timer pause{executor, std::min(report_at, relay_at)};
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+}
+
+void report_exchange::send(bool leaving) {
+    choose_relays();
+    peer::host_report own{self_.host, self_.incarnation,
+                          limiter_.report(boot_clock::now(), leaving, lends_connections_())};
+    own.report.is_relay = relay_.is_relay();
+    deliver(relay_.route_own(own));
+}
+
+std::vector<peer::host_report> report_exchange::take(const host_id& sender,
+                                                     const peer::usage_reports& message) {
+    const auto now = boot_clock::now();
+    std::vector<peer::host_report> news;
+    for (const auto& item : message.reports) {
+        if (item.host != self_.host &&
+            limiter_.on_report(item.host, item.incarnation, item.report, now)) {
+            relay_.keep(sender, item, now);
+            hosts_.on_heard(item.host);
+            news.push_back(item);
+        }
+    }
+    return news;
+}
+
+void report_exchange::choose_relays() {
+    const auto now = boot_clock::now();
+    relay_.update_hosts(hosts_.others(),
+                        [&](const host_id& host) { return limiter_.is_live(host, now); });
+    if (std::exchange(was_relay_, relay_.is_relay()) != relay_.is_relay()) {
+        event_line{"relay_changed"}
+            .field("is_relay", relay_.is_relay())
+            .field("live_hosts", limiter_.live_peers(now) + 1)
+            .write();
+    }
+}
+
+void report_exchange::deliver(const std::vector<report_relay::delivery>& messages) {
+    for (const auto& [recipient, message] : messages) {
+        const auto found = hosts_.others().find(recipient);
+        if (found != hosts_.others().end()) {
+            peers_.send(found->second.address, message, steady_clock::now() + report_lifetime);
+        }
+    }
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/report_exchange.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <vector>
+
+#include "host_registry.hpp"
+#include "masticgrade/limits/usage_limiter.hpp"
+#include "masticgrade/peer/peer_network.hpp"
+#include "report_relay.hpp"
+
+namespace masticgrade {
+
+/// What a host says of itself in its reports.
+struct reporting_host {
+    host_id host;
+    incarnation_number incarnation;
+    failure_domain_id failure_domain;
+    unsigned link_mbps = 0;
+};
+
+/// Sends this host's reports of use, takes those of the others, and passes them on where this host
+/// is a relay. Lives as long as the process. Thread safety: none; one executor.
+class report_exchange {
+public:
+    report_exchange(reporting_host self, usage_limiter& limiter, host_registry& hosts,
+                    peer::peer_network& peers, std::function<bool()> lends_connections);
+
+    /// Sends reports until the process ends.
+    boost::asio::awaitable<void> run(boost::asio::any_io_executor executor);
+    /// Sends this host's report at once.
+    void send(bool leaving);
+    /// Returns the reports that are news.
+    std::vector<peer::host_report> take(const host_id& sender, const peer::usage_reports& message);
+    /// The hosts that read the store for this one, the first one first; none when it reads itself.
+    [[nodiscard]] const std::vector<host_id>& readers() const { return relay_.readers(); }
+
+private:
+    void choose_relays();
+    void deliver(const std::vector<report_relay::delivery>& messages);
+
+    reporting_host self_;
+    usage_limiter& limiter_;
+    host_registry& hosts_;
+    peer::peer_network& peers_;
+    std::function<bool()> lends_connections_;
+    report_relay relay_;
+    bool was_relay_ = false;
+};
+
+}  // namespace masticgrade
--- a/libs/limits/include/masticgrade/limits/usage_limiter.hpp
+++ b/libs/limits/include/masticgrade/limits/usage_limiter.hpp
@@ -70,10 +70,10 @@
 /// aside, as of when it was last heard; it does the same. After `peer_lifetime` it cannot admit any
 /// more, since it has had no proof of a current configuration.
 ///
-/// In a large fleet a customer's operations arrive one by one on many hosts, and parts are below one
-/// operation. So every host may use the upper half of the burst, for as many of the operations as
-/// are within the limit; a sudden overload spends at most the operations of one round more, which is
-/// taken from what follows.
+/// In a large fleet a customer's operations arrive one by one on many hosts, and parts are below
+/// one operation. So every host may use the upper half of the burst, for as many of the operations
+/// as are within the limit; a sudden overload spends at most the operations of one round more,
+/// which is taken from what follows.
 ///
 /// The work for a report grows with the customers in it, and the work for an operation does not
 /// grow with the fleet: sums over all peers are kept per customer.
