--- /dev/null
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "masticgrade/base/time.hpp"
+#include "masticgrade/base/types.hpp"
+
+namespace masticgrade {
+
+/// The state of a group's failovers, as stored in its failover row.
+struct failover_record {
+    /// Increases with each failover attempt.
+    std::uint64_t fence = 0;
+    /// An attempt is in progress.
+    bool open = false;
+    /// The instance that was promoted last; empty if there was no promotion.
+    instance_id target;
+    /// The term in which `target` leads; zero if unknown.
+    term_number term;
+
+    friend bool operator==(const failover_record&, const failover_record&) = default;
+};
+
+/// Decides whether a host may use an instance as its group's primary.
+///
+/// After a promotion, the old primary may continue to accept transactions until it hears of the new
+/// one, so its answers don't prove that it still leads. A host therefore relies on the group's
+/// failover row, whose lock every promotion acquires first, for at most `lifetime` after it read
+/// the row. The lock holder promotes only when every other host has confirmed that it stopped
+/// using the old primary, or when `expiry_wait` has passed since the lock was acquired.
+///
+/// Thread safety: none. Does not read the clock.
+class leadership_evidence {
+public:
+    /// How long a read of the failover row may be relied on. Operators expect no service from a
+    /// host that has not reached the store for 3 s.
+    static constexpr milliseconds lifetime{3000};
+    /// Longer than `lifetime` by 10%, for clocks that run at different speeds.
+    static constexpr milliseconds expiry_wait{3300};
+
+    /// Applies the group's failover row, empty if there is none, from a read that was sent at
+    /// `read_at`. Returns whether a newer promotion has become known.
+    bool on_row(const std::optional<failover_record>& row, boot_time read_at);
+    /// Another host has acquired the lock with this fencing token. No primary may be used until the
+    /// outcome of that failover is known.
+    void revoke(std::uint64_t fence, boot_time now);
+
+    struct claimant {
+        instance_id id;
+        /// The term at the end of the instance's log; zero if unknown.
+        term_number log_term;
+    };
+    /// Whether the instance may be used as the primary. `target_is_listed` tells whether the
+    /// directory lists the instance that was promoted last.
+    [[nodiscard]] bool allows(const claimant& instance, bool target_is_listed, boot_time now) const;
+    /// Whether recent evidence names another instance as the primary.
+    [[nodiscard]] bool contradicts(const claimant& instance, bool target_is_listed,
+                                   boot_time now) const;
+    /// Whether the last read of the failover row is too old to use any primary.
+    [[nodiscard]] bool is_expired(boot_time now) const;
+
+    [[nodiscard]] const failover_record& record() const { return record_; }
+    /// The time of the last read; empty if there was none.
+    [[nodiscard]] std::optional<boot_time> read_at() const { return read_at_; }
+
+private:
+    [[nodiscard]] bool is_settled(boot_time now) const;
+    [[nodiscard]] bool leads(const claimant& instance, bool target_is_listed) const;
+
+    failover_record record_;
+    std::optional<boot_time> read_at_;
+    std::uint64_t revoked_fence_ = 0;
+    boot_time revoked_at_;
+};
+
+}  // namespace masticgrade
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -83,6 +83,7 @@
                 close(std::move(connection));
             }
             instance.service_time = {};
+            instance.log_term = {};
             instance.denied_until = {};
             instance.connect_after = {};
             instance.failures = 0;
@@ -160,6 +161,9 @@
     if (is_primary && failure_detector_.is_dead(now)) {
         return false;
     }
+    if (request.queue_entry.needs_primary && !may_lead(id, boot_clock::now())) {
+        return false;
+    }
     if (!is_primary && request.at_least && lags_behind(instance, *request.at_least, now)) {
         return false;
     }
@@ -313,6 +317,7 @@
     if (answer.position) {
         found->second.position = answer.position;
         found->second.position_at = now;
+        found->second.log_term = std::max(found->second.log_term, answer.position->term);
     }
     // Answers that needed no slot don't reflect the instance's speed.
     if (answer.code == answer_code::done && answer.text != "-") {
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -14,6 +14,7 @@
 
 #include "gateway_metrics.hpp"
 #include "masticgrade/gateway/connections.hpp"
+#include "masticgrade/gateway/leadership_evidence.hpp"
 #include "masticgrade/gateway/placement.hpp"
 #include "masticgrade/gateway/position_proofs.hpp"
 #include "masticgrade/gateway/primary_failure_detector.hpp"
@@ -56,6 +57,8 @@
     time_point last_used;
     /// A transaction is open.
     bool in_transaction = false;
+    /// The operation that uses the connection needs the primary.
+    bool needs_primary = false;
     /// A transaction is open and no statement is in flight.
     bool idle_in_transaction = false;
 
@@ -107,6 +110,9 @@
 private:
     boost::asio::awaitable<std::vector<statement_answer>> run(std::vector<backend_request> requests,
                                                               time_point deadline);
+    /// Throws connection_error if the operation needs the primary and the instance is not known to
+    /// lead its group. Statements of an open transaction are allowed, except its commit.
+    void check_leadership(bool is_commit);
     /// As `run`, and reports the outcome to the group.
     boost::asio::awaitable<std::vector<statement_answer>> run_observed(
         std::vector<backend_request> requests, bool is_commit, time_point deadline);
@@ -199,6 +205,20 @@
     /// Whether this host owns the connection pool of the primary.
     [[nodiscard]] bool owns_primary_pool() const;
 
+    // ---- Evidence of leadership ----
+    /// Applies the group's failover row, empty if there is none, from a read sent at `read_at`.
+    void on_failover_row(const std::optional<failover_record>& row, boot_time read_at);
+    /// Stops using the primary, since another host has acquired the failover lock with this fence.
+    void on_failover_begun(std::uint64_t fence);
+    /// Whether the instance may be used as the primary now.
+    [[nodiscard]] bool may_lead(const instance_id& instance, boot_time now) const;
+    /// Whether no primary may be used because the failover row was not read recently.
+    [[nodiscard]] bool leadership_is_unproven(boot_time now) const {
+        return leadership_.is_expired(now);
+    }
+    /// The outcome of the group's failovers that this host knows.
+    [[nodiscard]] const failover_record& last_failover() const { return leadership_.record(); }
+
     // ---- Used by group_failover ----
     [[nodiscard]] const group_id& name() const { return name_; }
     [[nodiscard]] std::optional<instance_id> primary() const;
@@ -255,6 +275,8 @@
         /// The end of the instance's log as of its last answer.
         std::optional<log_index> position;
         time_point position_at{};
+        /// The highest term that the instance has reported.
+        term_number log_term;
         /// The instance has denied being the primary; its directory entry is ignored until then.
         time_point denied_until{};
         /// The instance has reached its connection limit; until then the pool doesn't grow beyond
@@ -314,6 +336,8 @@
     void close(std::unique_ptr<pooled_connection> connection);
     void trim_idle(instance_state& instance, time_point now);
     void update_primary(time_point now);
+    [[nodiscard]] leadership_evidence::claimant claimant_of(const instance_id& instance) const;
+    [[nodiscard]] bool promoted_instance_is_listed() const;
     void remove_missing(const std::set<instance_id>& listed, time_point now);
 
     group_id name_;
@@ -327,6 +351,7 @@
     term_number newest_term_;
     std::optional<log_index> acknowledged_;
     position_proofs proofs_;
+    leadership_evidence leadership_;
     primary_failure_detector failure_detector_;
     bool probe_in_progress_ = false;
     bool position_refresh_in_progress_ = false;
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -36,8 +36,23 @@
     co_return answers;
 }
 
+void connection_lease::check_leadership(bool is_commit) {
+    const bool continues_transaction = connection_->in_transaction && !is_commit;
+    if (!connection_->needs_primary || continues_transaction ||
+        group_->may_lead(connection_->instance, boot_clock::now())) {
+        return;
+    }
+    if (connection_->in_transaction) {
+        // The instance rolls back the transaction.
+        connection_->close();
+    }
+    throw connection_error("send", connection_->instance.str(), "it may no longer be the primary",
+                           false);
+}
+
 asio::awaitable<std::vector<statement_answer>> connection_lease::run_observed(
     std::vector<backend_request> requests, bool is_commit, time_point deadline) {
+    check_leadership(is_commit);
     const auto sent_at = steady_clock::now();
     group_->on_request_sent(connection_->instance, is_commit);
     std::vector<statement_answer> answers;
--- /dev/null
+++ b/libs/gateway/src/failover_row.cpp
@@ -0,0 +1,82 @@
+#include "failover_row.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <random>
+
+#include "masticgrade/base/event_log.hpp"
+
+namespace masticgrade {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string random_nonce() {
+    std::random_device source;
+    return std::to_string((std::uint64_t{source()} << 32U) | source());
+}
+
+std::uint64_t number_or_zero(const json::object& object, std::string_view name) {
+    const auto* value = object.if_contains(name);
+    boost::system::error_code failure;
+    const auto number =
+        value != nullptr && value->is_number() ? value->to_number<std::uint64_t>(failure) : 0;
+    return failure ? 0 : number;
+}
+
+std::string string_or_empty(const json::object& object, std::string_view name) {
+    const auto* value = object.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string{value->as_string()} : std::string{};
+}
+
+}  // namespace
+
+const std::string failover_row::prefix = "failover/";
+
+std::string failover_row_key(const group_id& group) { return failover_row::prefix + group.str(); }
+
+std::string encode_failover_row(const failover_record& record, const host_id& holder) {
+    return json::serialize(json::object{{"fence", record.fence},
+                                        {"holder", holder.str()},
+                                        {"target", record.target.str()},
+                                        {"term", record.term.value()},
+                                        {"open", record.open},
+                                        {"mark", random_nonce()}});
+}
+
+failover_row decode_failover_row(const table_row& row) {
+    failover_row result;
+    result.version = row.version;
+    boost::system::error_code failure;
+    const auto value = json::parse(row.value, failure);
+    if (failure || !value.is_object()) {
+        event_line{"failover_row_unreadable"}
+            .field("row", row.key)
+            .field("version", row.version)
+            .write();
+        result.record.open = true;
+        return result;
+    }
+    const auto& object = value.as_object();
+    result.record.fence = number_or_zero(object, "fence");
+    result.record.target = instance_id{string_or_empty(object, "target")};
+    result.record.term = term_number{number_or_zero(object, "term")};
+    const auto* open = object.if_contains("open");
+    result.record.open = open == nullptr || !open->is_bool() || open->as_bool();
+    result.holder = host_id{string_or_empty(object, "holder")};
+    return result;
+}
+
+std::optional<failover_row> find_failover_row(const std::vector<table_row>& rows,
+                                              const group_id& group) {
+    const auto key = failover_row_key(group);
+    const auto found =
+        std::find_if(rows.begin(), rows.end(), [&](const auto& row) { return row.key == key; });
+    if (found == rows.end()) {
+        return std::nullopt;
+    }
+    return decode_failover_row(*found);
+}
+
+}  // namespace masticgrade
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
@@ -14,6 +15,7 @@
 #include "backend_group.hpp"
 #include "caller_session.hpp"
 #include "control_state.hpp"
+#include "failover_row.hpp"
 #include "gateway_metrics.hpp"
 #include "group_failover.hpp"
 #include "host_registry.hpp"
@@ -43,6 +45,15 @@
 /// Older rows from a relay are rejected. Relays read the store once a second.
 constexpr milliseconds max_relayed_age{1300};
 constexpr milliseconds max_relayed_host_list_age{15000};
+/// Interval between reads of the failover rows, and between retries after a failed read.
+constexpr milliseconds failover_read_interval{1000};
+constexpr milliseconds relayed_failover_read_interval{500};
+constexpr milliseconds failover_retry_interval{200};
+constexpr milliseconds registration_poll_interval{20};
+/// Time that a relay is given to read a changed failover row before other hosts ask it.
+constexpr milliseconds relay_read_delay{15};
+/// Time in which a host confirms that a failover has begun.
+constexpr milliseconds announcement_timeout{250};
 /// Used while a group requests a refresh, as after the loss of its primary.
 constexpr milliseconds fast_directory_interval{150};
 constexpr milliseconds read_timeout{700};
@@ -56,6 +67,16 @@
 
 }  // namespace
 
+namespace {
+
+/// Hosts that have not confirmed an announcement yet; the timer ends the wait for them.
+struct pending_confirmations {
+    std::size_t missing;
+    asio::steady_timer timer;
+};
+
+}  // namespace
+
 class gateway::implementation : public std::enable_shared_from_this<implementation> {
 public:
     implementation(asio::any_io_executor executor, gateway_settings settings,
@@ -93,7 +114,8 @@
             [this](const host_id& host) { return address_of(host); },
             [this] { return is_ready(); },
             [this](const row_query& query) { return rows_.answer(query, boot_clock::now()); },
-            [this] { return uptime(); }};
+            [this] { return uptime(); },
+            [this] { refresh_failovers(); }};
         leases_ = std::make_shared<lease_service>(std::move(leases));
         reports_ = std::make_unique<report_exchange>(
             reporting_host{settings_.host, incarnation_, settings_.failure_domain,
@@ -108,6 +130,7 @@
         spawn(control_loop());
         spawn(directory_loop());
         spawn(host_list_loop());
+        spawn(failover_row_loop());
         spawn(reports_->run(executor_));
         spawn(tick_loop());
     }
@@ -122,6 +145,7 @@
 
     bool is_ready() const {
         return !stopping_ && control_.configuration() != nullptr && directory_.is_loaded() &&
+               failover_rows_ &&
                control_.is_current(boot_clock::now(), control_state::readiness_max_age);
     }
 
@@ -234,13 +258,58 @@
                                           services_.connector,
                                           metrics_,
                                           [this] { return live_host_ids(); },
-                                          [this] { return read_directory(); }};
+                                          [this] { return read_directory(); },
+                                          [this](group_id group_name, std::uint64_t fence) {
+                                              return announce_begun(std::move(group_name), fence);
+                                          },
+                                          [this](const group_id& group_name, std::uint64_t fence) {
+                                              announce_recorded(group_name, fence);
+                                          }};
+            if (failover_rows_) {
+                apply_failover_row(name, *group);
+            }
             failovers_[name] = std::make_shared<group_failover>(group, std::move(failover));
             spawn(failovers_[name]->run());
         }
         return group;
     }
 
+    /// Tells all registered hosts that this host has acquired a failover lock. Hosts that register
+    /// later read the lock row after they have registered.
+    asio::awaitable<std::size_t> announce_begun(group_id group, std::uint64_t fence) {
+        const auto self = shared_from_this();
+        const auto deadline = steady_clock::now() + read_timeout;
+        auto prefix = host_registry::rows;
+        auto snapshot = co_await rows_.read_store(std::move(prefix), deadline);
+        co_await hosts_.update(std::move(snapshot.rows), deadline);
+        const auto confirm_by = steady_clock::now() + announcement_timeout;
+        const auto recipients = other_hosts();
+        const auto pending = std::make_shared<pending_confirmations>(
+            pending_confirmations{recipients.size(), asio::steady_timer{executor_, confirm_by}});
+        for (const auto& host : recipients) {
+            asio::co_spawn(executor_, leases_->announce_failover(host, {group, fence}, confirm_by),
+                           [pending](const std::exception_ptr& failure, bool confirmed) {
+                               if (failure) {
+                                   std::rethrow_exception(failure);
+                               }
+                               if (confirmed && --pending->missing == 0) {
+                                   pending->timer.cancel();
+                               }
+                           });
+        }
+        if (pending->missing > 0) {
+            boost::system::error_code ignored;
+            co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        co_return pending->missing;
+    }
+
+    void announce_recorded(const group_id& group, std::uint64_t fence) {
+        for (const auto& [id, host] : hosts_.others()) {
+            leases_->announce_recorded(id, {group, fence});
+        }
+    }
+
     std::vector<host_id> live_host_ids() const {
         std::vector<host_id> result{settings_.host};
         for (const auto& [id, host] : hosts_.others()) {
@@ -373,6 +442,79 @@
         }
     }
 
+    void refresh_failovers() {
+        failovers_changed_at_ = boot_clock::now();
+        failover_read_timer_.cancel();
+    }
+
+    void apply_failover_row(const group_id& name, backend_group& group) {
+        const auto row = find_failover_row(failover_rows_->rows, name);
+        group.on_failover_row(row ? std::optional{row->record} : std::nullopt,
+                              failover_rows_->read_at);
+    }
+
+    /// Reads the failover rows, not older than the last announcement of a change.
+    asio::awaitable<void> read_failover_rows(boot_time asked_at) {
+        const auto deadline = steady_clock::now() + read_timeout;
+        auto max_age = max_relayed_age;
+        const bool changed = failover_rows_ && failovers_changed_at_ > failover_rows_->read_at;
+        if (changed) {
+            max_age = std::min(max_age,
+                               std::chrono::floor<milliseconds>(asked_at - failovers_changed_at_));
+        }
+        auto prefix = failover_row::prefix;
+        auto snapshot = co_await rows_.read(std::move(prefix), max_age, deadline);
+        if (failover_rows_ && snapshot.read_at < failover_rows_->read_at) {
+            co_return;
+        }
+        failover_rows_ = std::move(snapshot);
+        for (const auto& [name, group] : groups_) {
+            apply_failover_row(name, *group);
+        }
+    }
+
+    asio::awaitable<void> failover_row_loop() {
+        bool reachable = true;
+        // A host that promotes looks for registered hosts after it has locked the failover row, so
+        // the row proves nothing to a host that is not registered.
+        while (!hosts_.is_registered()) {
+            co_await sleep(registration_poll_interval);
+        }
+        for (;;) {
+            const auto asked_at = boot_clock::now();
+            auto next = failover_retry_interval;
+            try {
+                co_await read_failover_rows(asked_at);
+                next = reports_->row_sources().empty() ? failover_read_interval
+                                                       : relayed_failover_read_interval;
+                log_failover_rows(reachable, true, "");
+            } catch (const error& failure) {
+                log_failover_rows(reachable, false, failure.what());
+            }
+            if (failovers_changed_at_ <= asked_at) {
+                failover_read_timer_.expires_after(next);
+                boost::system::error_code ignored;
+                co_await failover_read_timer_.async_wait(
+                    asio::redirect_error(asio::use_awaitable, ignored));
+            }
+            if (failovers_changed_at_ > asked_at && !reports_->row_sources().empty()) {
+                co_await sleep(relay_read_delay);
+            }
+        }
+    }
+
+    void log_failover_rows(bool& reachable, bool now_reachable, std::string_view reason) {
+        if (std::exchange(reachable, now_reachable) == now_reachable) {
+            return;
+        }
+        const auto age =
+            failover_rows_ ? boot_clock::now() - failover_rows_->read_at : boot_clock::duration{};
+        event_line{now_reachable ? "failover_rows_regained" : "failover_rows_lost"}
+            .field_ms("age_ms", age)
+            .field("reason", reason)
+            .write();
+    }
+
     asio::awaitable<void> refresh_hosts() {
         const auto deadline = steady_clock::now() + read_timeout;
         auto prefix = host_registry::rows;
@@ -460,6 +602,11 @@
     std::uint64_t control_digest_ = 0;
     control_snapshot decoded_control_;
     boot_time directory_read_at_;
+    /// The failover rows of all groups, as read last.
+    std::optional<row_snapshot> failover_rows_;
+    /// When another host last announced that it has changed a failover row.
+    boot_time failovers_changed_at_;
+    asio::steady_timer failover_read_timer_{executor_};
     session_environment sessions_environment_;
     std::unique_ptr<peer::peer_network> peers_;
     std::shared_ptr<lease_service> leases_;
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -87,6 +87,7 @@
                                        request.queue_entry.customer, request.queue_entry.deadline);
         }
         if (connection) {
+            connection->needs_primary = request.queue_entry.needs_primary;
             environment_.metrics.observe_wait(name_, steady_clock::now() - started);
             co_return connection_lease{self, std::move(connection)};
         }
@@ -369,6 +370,7 @@
         state.idle.pop_back();
         ++state.outstanding;
         ++in_flight_[connection->customer];
+        connection->needs_primary = false;
         connection_lease lease{self, std::move(connection)};
         const auto answers = co_await lease.execute_all(std::move(requests), deadline);
         co_return answers.front();
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -1,9 +1,9 @@
 #include "group_failover.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
-#include <random>
 #include <utility>
 
 #include "masticgrade/base/event_log.hpp"
@@ -12,7 +12,6 @@
 namespace masticgrade {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
@@ -35,11 +34,8 @@
 /// Calls with an unknown outcome are repeated for this long. The platform may carry out a call up
 /// to 12 s late.
 constexpr seconds promote_timeout{15};
-
-std::string random_nonce() {
-    std::random_device source;
-    return std::to_string((std::uint64_t{source()} << 32U) | source());
-}
+/// Outcomes that the store did not accept are written again for this long.
+constexpr seconds record_timeout{10};
 
 }  // namespace
 
@@ -47,16 +43,7 @@
                                failover_environment environment)
     : group_(std::move(group)), environment_(std::move(environment)) {}
 
-std::string group_failover::lock_key() const { return "failover/" + group_->name().str(); }
-
-std::string group_failover::encode(std::uint64_t fence, const instance_id& target,
-                                   bool open) const {
-    return json::serialize(json::object{{"fence", fence},
-                                        {"holder", environment_.self.str()},
-                                        {"target", target.str()},
-                                        {"open", open},
-                                        {"mark", random_nonce()}});
-}
+std::string group_failover::lock_key() const { return failover_row_key(group_->name()); }
 
 asio::awaitable<void> group_failover::sleep(duration length) {
     asio::steady_timer timer{environment_.executor, length};
@@ -67,7 +54,7 @@
     if (group_->entries().size() < 2) {
         return failover_kind::none;
     }
-    if (group_->primary_is_dead(now)) {
+    if (group_->primary_is_dead(now) || group_->last_failover().open) {
         return failover_kind::unplanned;
     }
     const auto primary = group_->primary();
@@ -111,6 +98,9 @@
     const auto replaced = group_->primary();
     const bool has_primary = co_await find_primary();
     if (has_primary && kind == failover_kind::unplanned) {
+        if (group_->last_failover().open) {
+            co_await close_abandoned_row();
+        }
         co_return;
     }
     if (!co_await acquire_lock()) {
@@ -119,36 +109,65 @@
     // Another host may have finished a promotion in the meantime.
     if (group_->primary() != replaced ||
         required_failover(steady_clock::now()) == failover_kind::none) {
-        co_await release_lock({});
+        co_await release_lock();
         co_return;
     }
+    group_->on_failover_begun(lock_.record.fence);
+    asio::co_spawn(environment_.executor, announce(lock_.record.fence), asio::detached);
     event_line{"failover_started"}
         .field("group", group_->name())
         .field("planned", kind == failover_kind::planned)
         .field("primary", group_->primary() ? group_->primary()->str() : std::string{"none"})
         .field("term", group_->newest_term())
-        .field("fence", lock_.fence)
+        .field("fence", lock_.record.fence)
         .write();
     const auto choice = co_await prepare_target(kind);
     if (!choice) {
         co_await release_replicas();
-        co_await release_lock({});
+        co_await release_lock();
         co_return;
     }
-    const bool promoted = co_await promote(*choice);
+    const auto term = co_await promote(*choice);
     event_line{"failover_ended"}
         .field("group", group_->name())
         .field("target", choice->target)
         .field("position", choice->position)
-        .field("fence", lock_.fence)
-        .field("leads", promoted)
+        .field("fence", lock_.record.fence)
+        .field("leads", term.has_value())
         .write();
     environment_.metrics.count("masticgrade_promotions_total", "Promotions by outcome.",
-                               promoted ? "done" : "failed");
-    if (promoted) {
+                               term ? "done" : "failed");
+    if (term) {
         retry_after_ = steady_clock::now() + delay_after_promotion;
-        co_await release_lock(choice->target);
+        auto target = choice->target;
+        co_await record_promotion(std::move(target), *term);
+    }
+}
+
+asio::awaitable<void> group_failover::close_abandoned_row() {
+    if (!co_await acquire_lock()) {
+        co_return;
+    }
+    const auto primary = group_->primary();
+    if (!primary) {
+        co_await release_lock();
+        co_return;
     }
+    event_line{"failover_abandoned"}
+        .field("group", group_->name())
+        .field("primary", *primary)
+        .field("fence", lock_.record.fence)
+        .write();
+    held_replicas_.clear();
+    const auto entries = group_->entries();
+    for (const auto& entry : entries) {
+        if (entry.id != *primary) {
+            held_replicas_.push_back(entry.id);
+        }
+    }
+    co_await release_replicas();
+    auto target = *primary;
+    co_await record_promotion(std::move(target), group_->newest_term());
 }
 
 asio::awaitable<std::optional<promotion_choice>> group_failover::prepare_target(
@@ -160,15 +179,18 @@
     // A replica that started after the hold can still acknowledge commits of a live primary. After
     // the primary has stepped down, the replicas in a fresh directory have every acknowledged
     // commit between them.
-    co_await demote_primary();
+    const bool stepped_down = co_await demote_primary();
+    if (!stepped_down) {
+        co_await wait_until_primary_unused();
+    }
     co_await environment_.read_directory();
     co_return co_await hold_replicas(kind);
 }
 
-asio::awaitable<void> group_failover::demote_primary() {
+asio::awaitable<bool> group_failover::demote_primary() {
     const auto primary = group_->primary();
     if (!primary) {
-        co_return;
+        co_return false;
     }
     const backend_request request = backend_step_down{hold_term_};
     const auto status = co_await request_status(*primary, request);
@@ -178,6 +200,48 @@
         .field("term", hold_term_)
         .field("answered", status.has_value())
         .write();
+    co_return status && !status->is_primary;
+}
+
+asio::awaitable<void> group_failover::announce(std::uint64_t fence) {
+    const auto self = shared_from_this();
+    while (promoting_ && lock_.record.fence == fence && lock_.record.open) {
+        try {
+            auto group = group_->name();
+            const auto unconfirmed = co_await environment_.announce_begun(std::move(group), fence);
+            event_line{"failover_announced"}
+                .field("group", group_->name())
+                .field("fence", fence)
+                .field("unconfirmed", unconfirmed)
+                .write();
+            if (unconfirmed == 0) {
+                confirmed_fence_ = fence;
+                co_return;
+            }
+        } catch (const error& failure) {
+            event_line{"failover_not_announced"}
+                .field("group", group_->name())
+                .field("fence", fence)
+                .field("reason", failure.what())
+                .write();
+        }
+        co_await sleep(check_interval);
+    }
+}
+
+asio::awaitable<void> group_failover::wait_until_primary_unused() {
+    constexpr milliseconds poll_interval{10};
+    const auto started = boot_clock::now();
+    const auto unused_at = lock_acquired_at_ + leadership_evidence::expiry_wait;
+    while (confirmed_fence_ != lock_.record.fence && boot_clock::now() < unused_at) {
+        co_await sleep(poll_interval);
+    }
+    event_line{"primary_unused"}
+        .field("group", group_->name())
+        .field("fence", lock_.record.fence)
+        .field("confirmed", confirmed_fence_ == lock_.record.fence)
+        .field_ms("waited_ms", boot_clock::now() - started)
+        .write();
 }
 
 asio::awaitable<std::optional<instance_status>> group_failover::request_status(
@@ -214,51 +278,54 @@
         const auto status = co_await request_status(entry.id, status_request);
         if (status) {
             group_->on_status(entry.id, *status);
-            found = found || (status->is_primary && group_->primary() == entry.id);
+            found = found || (status->is_primary && group_->primary() == entry.id &&
+                              status->term >= group_->newest_term());
         }
     }
     // A primary that answers but can't commit counts as dead too.
     co_return found && !group_->primary_is_dead(steady_clock::now());
 }
 
-asio::awaitable<group_failover::failover_lock> group_failover::read_lock() {
+asio::awaitable<failover_row> group_failover::read_lock() {
     const auto deadline = steady_clock::now() + store_timeout;
     auto key = lock_key();
     const auto rows = co_await environment_.store.scan(std::move(key), {}, deadline);
-    failover_lock result;
-    for (const auto& row : rows.rows) {
-        if (row.key != lock_key()) {
-            continue;
-        }
-        result.version = row.version;
-        boost::system::error_code fault;
-        const auto value = json::parse(row.value, fault);
-        if (fault || !value.is_object()) {
-            throw error("read failover row", "", "the row is not a JSON object");
-        }
-        const auto& object = value.as_object();
-        if (const auto* fence = object.if_contains("fence")) {
-            result.fence = fence->to_number<std::uint64_t>();
-        }
-        if (const auto* holder = object.if_contains("holder"); holder && holder->is_string()) {
-            result.holder = host_id{std::string{holder->as_string()}};
-        }
-        if (const auto* target = object.if_contains("target"); target && target->is_string()) {
-            result.target = instance_id{std::string{target->as_string()}};
-        }
-        const auto* open = object.if_contains("open");
-        result.open = open != nullptr && open->is_bool() && open->as_bool();
+    co_return find_failover_row(rows.rows, group_->name()).value_or(failover_row{});
+}
+
+asio::awaitable<std::optional<fleet_version>> group_failover::write_row(failover_record record,
+                                                                        fleet_version expected) {
+    table_commit change;
+    change.conditions.push_back({lock_key(), expected});
+    change.puts.push_back({lock_key(), encode_failover_row(record, environment_.self)});
+    std::optional<commit_result> result;
+    try {
+        result = co_await environment_.store.commit(std::move(change),
+                                                    steady_clock::now() + store_timeout);
+    } catch (const error& failure) {
+        event_line{"store_answer_lost"}
+            .field("row", lock_key())
+            .field("reason", failure.what())
+            .write();
+    }
+    if (result) {
+        co_return result->committed ? std::optional{result->version} : std::nullopt;
     }
-    co_return result;
+    // The commit may have taken effect or may still do so; the row tells.
+    const auto after = co_await read_lock();
+    const bool written =
+        after.holder == environment_.self && after.record == record && after.version != expected;
+    co_return written ? std::optional{after.version} : std::nullopt;
 }
 
 asio::awaitable<bool> group_failover::acquire_lock() {
     const auto now = steady_clock::now();
+    const auto read_at = boot_clock::now();
     const auto observed = co_await read_lock();
-    if (adopt_result(observed)) {
+    if (adopt_result(observed, read_at)) {
         co_return false;
     }
-    const bool held_by_other = observed.open && observed.holder != environment_.self;
+    const bool held_by_other = observed.record.open && observed.holder != environment_.self;
     if (held_by_other) {
         if (foreign_version_ != observed.version) {
             foreign_version_ = observed.version;
@@ -268,58 +335,82 @@
             co_return false;
         }
     }
-    table_commit change;
-    change.conditions.push_back({lock_key(), observed.version});
-    const auto value = encode(observed.fence + 1, {}, true);
-    change.puts.push_back({lock_key(), value});
-    std::optional<commit_result> result;
-    try {
-        result = co_await environment_.store.commit(std::move(change),
-                                                    steady_clock::now() + store_timeout);
-    } catch (const error& failure) {
-        event_line{"store_answer_lost"}
-            .field("row", lock_key())
-            .field("reason", failure.what())
-            .write();
+    auto record = observed.record;
+    record.fence = std::max(observed.record.fence, group_->last_failover().fence) + 1;
+    record.open = true;
+    const auto valid_until = boot_clock::now() + lock_expiry;
+    const auto version = co_await write_row(record, observed.version);
+    if (!version) {
+        co_return false;
     }
-    if (result) {
-        lock_ = {observed.fence + 1, environment_.self, true, {}, result->version};
-        co_return result->committed;
+    lock_ = {record, environment_.self, *version};
+    lock_valid_until_ = valid_until;
+    lock_acquired_at_ = boot_clock::now();
+    co_return true;
+}
+
+asio::awaitable<bool> group_failover::keep_lock() {
+    const auto now = boot_clock::now();
+    if (now + promote_call_timeout <= lock_valid_until_) {
+        co_return true;
     }
-    // The commit may have taken effect or may still do so; the row tells.
-    const auto after = co_await read_lock();
-    if (!after.open || after.holder != environment_.self || after.fence != observed.fence + 1) {
+    const auto version = co_await write_row(lock_.record, lock_.version);
+    if (!version) {
+        event_line{"failover_lock_lost"}
+            .field("group", group_->name())
+            .field("fence", lock_.record.fence)
+            .write();
         co_return false;
     }
-    lock_ = after;
+    lock_.version = *version;
+    lock_valid_until_ = now + lock_expiry;
     co_return true;
 }
 
-bool group_failover::adopt_result(const failover_lock& observed) {
-    if (observed.open || observed.fence <= known_fence_) {
-        return false;
+bool group_failover::adopt_result(const failover_row& observed, boot_time read_at) {
+    const auto previous = group_->primary();
+    if (observed.version != fleet_version{}) {
+        group_->on_failover_row(observed.record, read_at);
     }
-    known_fence_ = observed.fence;
-    if (observed.target.empty() || group_->primary() == observed.target) {
-        return false;
+    return group_->primary() != previous;
+}
+
+asio::awaitable<void> group_failover::release_lock() {
+    lock_.record.open = false;
+    const auto written_at = boot_clock::now();
+    // If the row stays open, another host acquires the lock after `lock_expiry`.
+    if (co_await write_row(lock_.record, lock_.version)) {
+        group_->on_failover_row(lock_.record, written_at);
+        environment_.announce_recorded(group_->name(), lock_.record.fence);
     }
-    group_->set_primary(observed.target, group_->newest_term(), "failover_row");
-    return true;
 }
 
-asio::awaitable<void> group_failover::release_lock(instance_id target) {
-    known_fence_ = lock_.fence;
-    table_commit change;
-    change.conditions.push_back({lock_key(), lock_.version});
-    change.puts.push_back({lock_key(), encode(lock_.fence, target, false)});
-    try {
-        co_await environment_.store.commit(std::move(change), steady_clock::now() + store_timeout);
-    } catch (const error& failure) {
-        // If the row stays open, another host acquires the lock after `lock_expiry`.
-        event_line{"store_answer_lost"}
-            .field("row", lock_key())
-            .field("reason", failure.what())
-            .write();
+asio::awaitable<void> group_failover::record_promotion(instance_id target, term_number term) {
+    lock_.record.target = std::move(target);
+    lock_.record.term = term;
+    lock_.record.open = false;
+    const auto deadline = steady_clock::now() + record_timeout;
+    while (steady_clock::now() < deadline) {
+        const auto written_at = boot_clock::now();
+        try {
+            const auto version = co_await write_row(lock_.record, lock_.version);
+            if (version) {
+                group_->on_failover_row(lock_.record, written_at);
+                environment_.announce_recorded(group_->name(), lock_.record.fence);
+                co_return;
+            }
+            const auto row = co_await read_lock();
+            if (row.version != lock_.version) {
+                co_return;
+            }
+        } catch (const error& failure) {
+            event_line{"failover_not_recorded"}
+                .field("group", group_->name())
+                .field("fence", lock_.record.fence)
+                .field("reason", failure.what())
+                .write();
+        }
+        co_await sleep(check_interval);
     }
 }
 
@@ -376,7 +467,7 @@
 asio::awaitable<void> group_failover::release_replicas() {
     // Only the current lock holder may resume replicas; a later holder may hold the same ones.
     const auto row = co_await read_lock();
-    if (row.fence != lock_.fence || row.holder != environment_.self) {
+    if (row.record.fence != lock_.record.fence || row.holder != environment_.self) {
         co_return;
     }
     const backend_request request = backend_resume{};
@@ -386,36 +477,33 @@
     held_replicas_.clear();
 }
 
-asio::awaitable<bool> group_failover::promote(promotion_choice choice) {
+asio::awaitable<std::optional<term_number>> group_failover::promote(promotion_choice choice) {
     const auto deadline = steady_clock::now() + promote_timeout;
-    while (steady_clock::now() < deadline) {
+    while (steady_clock::now() < deadline && co_await keep_lock()) {
         const auto outcome = co_await environment_.promotions.promote(
-            group_->name(), choice.target, lock_.fence, steady_clock::now() + promote_call_timeout);
+            group_->name(), choice.target, lock_.record.fence,
+            steady_clock::now() + promote_call_timeout);
         event_line{"promote_call"}
             .field("group", group_->name())
             .field("target", choice.target)
-            .field("fence", lock_.fence)
+            .field("fence", lock_.record.fence)
             .field("outcome", outcome == promotion_outcome::done      ? "done"
                               : outcome == promotion_outcome::refused ? "refused"
                                                                       : "unknown")
             .write();
         if (outcome == promotion_outcome::refused) {
             co_await release_replicas();
-            co_await release_lock({});
-            co_return false;
-        }
-        if (co_await wait_until_primary(choice.target)) {
-            co_return true;
+            co_await release_lock();
+            co_return std::nullopt;
         }
-        const auto row = co_await read_lock();
-        if (row.fence != lock_.fence) {
-            co_return false;
+        if (const auto term = co_await wait_until_primary(choice.target)) {
+            co_return term;
         }
     }
-    co_return false;
+    co_return std::nullopt;
 }
 
-asio::awaitable<bool> group_failover::wait_until_primary(instance_id target) {
+asio::awaitable<std::optional<term_number>> group_failover::wait_until_primary(instance_id target) {
     const auto deadline = steady_clock::now() + new_primary_timeout;
     const backend_request status_request = backend_status{};
     while (steady_clock::now() < deadline) {
@@ -424,17 +512,17 @@
         if (status && status->is_primary) {
             group_->on_status(target, *status);
             group_->set_primary(target, status->term, "promotion");
-            co_return true;
+            co_return status->term;
         }
         if (!status) {
             co_await environment_.read_directory();
         }
         if (group_->claims_primary(target)) {
             group_->set_primary(target, hold_term_, "promotion");
-            co_return true;
+            co_return hold_term_;
         }
     }
-    co_return false;
+    co_return std::nullopt;
 }
 
 }  // namespace masticgrade
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "backend_group.hpp"
+#include "failover_row.hpp"
 #include "masticgrade/gateway/promotion_choice.hpp"
 #include "masticgrade/net/table_service.hpp"
 
@@ -25,6 +26,12 @@
     std::function<std::vector<host_id>()> live_hosts;
     /// Refreshes the instance directory. Throws masticgrade::error.
     std::function<boost::asio::awaitable<void>()> read_directory;
+    /// Tells all other registered hosts that this host has acquired the failover lock. Returns the
+    /// number of hosts that did not confirm. Throws masticgrade::error.
+    std::function<boost::asio::awaitable<std::size_t>(group_id group, std::uint64_t fence)>
+        announce_begun;
+    /// Tells all other hosts that the outcome of the failover is in the store.
+    std::function<void(const group_id& group, std::uint64_t fence)> announce_recorded;
 };
 
 /// Replaces a group's primary that is dead, shutting down or in an evacuated failure domain.
@@ -35,6 +42,10 @@
 /// request is unknown, the request may still be carried out; the holder repeats it with the same
 /// target and fencing token.
 ///
+/// An old primary that the holder cannot reach may continue to lead. Unless it has confirmed that
+/// it stepped down, the holder promotes only after all other hosts have stopped using it (see
+/// leadership_evidence). A holder that was suspended renews its lock before it acts again.
+///
 /// Lives as long as the process. Thread safety: none; one executor.
 class group_failover : public std::enable_shared_from_this<group_failover> {
 public:
@@ -48,42 +59,46 @@
 
 private:
     enum class failover_kind { none, planned, unplanned };
-    /// The lock row of the group's failover.
-    struct failover_lock {
-        std::uint64_t fence = 0;
-        host_id holder;
-        /// The holder has not released the lock.
-        bool open = false;
-        /// The instance that the holder promoted; empty if it promoted none.
-        instance_id target;
-        fleet_version version;
-    };
-
     [[nodiscard]] failover_kind required_failover(time_point now) const;
     boost::asio::awaitable<void> run_failover(failover_kind kind);
-    boost::asio::awaitable<failover_lock> read_lock();
+    /// Closes the row of an attempt whose holder is gone, while the group has a primary.
+    boost::asio::awaitable<void> close_abandoned_row();
+    boost::asio::awaitable<failover_row> read_lock();
     boost::asio::awaitable<bool> acquire_lock();
+    /// Writes the record to the row if its version is unchanged. Returns the row's new version, or
+    /// nullopt if the write failed or another host has replaced the row.
+    boost::asio::awaitable<std::optional<fleet_version>> write_row(failover_record record,
+                                                                   fleet_version expected);
+    /// Renews the lock if it may expire before a promotion request ends. Returns whether this host
+    /// still holds it.
+    boost::asio::awaitable<bool> keep_lock();
     /// Adopts the result of a promotion that another holder has finished. Returns whether this
     /// changed the primary.
-    bool adopt_result(const failover_lock& observed);
-    boost::asio::awaitable<void> release_lock(instance_id target);
+    bool adopt_result(const failover_row& observed, boot_time read_at);
+    /// Records that the attempt has ended without a promotion.
+    boost::asio::awaitable<void> release_lock();
+    /// Records the promotion of `target`, which leads in `term`.
+    boost::asio::awaitable<void> record_promotion(instance_id target, term_number term);
+    /// Repeats the announcement until all hosts have confirmed or the attempt has ended.
+    boost::asio::awaitable<void> announce(std::uint64_t fence);
+    /// Waits until no other host uses the old primary.
+    boost::asio::awaitable<void> wait_until_primary_unused();
     /// Chooses the replica to promote, after ensuring that the current primary can't acknowledge
     /// further commits.
     boost::asio::awaitable<std::optional<promotion_choice>> prepare_target(failover_kind kind);
-    boost::asio::awaitable<void> demote_primary();
+    /// Returns whether the primary has confirmed that it no longer leads.
+    boost::asio::awaitable<bool> demote_primary();
     /// Queries all instances. Returns whether the known primary is alive.
     boost::asio::awaitable<bool> find_primary();
     boost::asio::awaitable<std::optional<promotion_choice>> hold_replicas(failover_kind kind);
     boost::asio::awaitable<void> release_replicas();
-    /// Returns whether the target has become the primary.
-    boost::asio::awaitable<bool> promote(promotion_choice choice);
-    boost::asio::awaitable<bool> wait_until_primary(instance_id target);
+    /// Returns the term of the target if it has become the primary.
+    boost::asio::awaitable<std::optional<term_number>> promote(promotion_choice choice);
+    boost::asio::awaitable<std::optional<term_number>> wait_until_primary(instance_id target);
     boost::asio::awaitable<std::optional<instance_status>> request_status(
         const instance_id& instance, const backend_request& request);
     boost::asio::awaitable<void> sleep(duration length);
     [[nodiscard]] std::string lock_key() const;
-    [[nodiscard]] std::string encode(std::uint64_t fence, const instance_id& target,
-                                     bool open) const;
 
     std::shared_ptr<backend_group> group_;
     failover_environment environment_;
@@ -92,9 +107,12 @@
     std::optional<time_point> required_since_;
     time_point retry_after_{};
     /// The lock as last acquired by this host.
-    failover_lock lock_;
-    /// The highest fence whose outcome this host knows.
-    std::uint64_t known_fence_ = 0;
+    failover_row lock_;
+    /// No other host acquires the lock before this time.
+    boot_time lock_valid_until_;
+    boot_time lock_acquired_at_;
+    /// Fence of the last attempt whose begin all hosts have confirmed.
+    std::uint64_t confirmed_fence_ = 0;
     /// Version of another holder's lock row, and since when it has been unchanged.
     std::optional<fleet_version> foreign_version_;
     time_point foreign_since_{};
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -17,8 +17,12 @@
 }  // namespace
 
 void backend_group::update_primary(time_point now) {
+    const auto checked_at = boot_clock::now();
+    const bool target_is_listed = promoted_instance_is_listed();
     const auto is_denied = [&](const instance_state& instance) {
-        return instance.denied_until > now;
+        return instance.denied_until > now ||
+               leadership_.contradicts(claimant_of(instance.entry.id), target_is_listed,
+                                       checked_at);
     };
     if (primary_) {
         const auto found = instances_.find(*primary_);
@@ -73,6 +77,9 @@
 }
 
 void backend_group::on_status(const instance_id& instance, const instance_status& status) {
+    if (const auto found = instances_.find(instance); found != instances_.end()) {
+        found->second.log_term = std::max(found->second.log_term, status.term);
+    }
     if (status.is_primary && status.term >= newest_term_) {
         set_primary(instance, status.term, "status");
     }
@@ -87,7 +94,43 @@
 }
 
 bool backend_group::primary_is_dead(time_point now) const {
-    return !primary_ || failure_detector_.is_dead(now);
+    return !primary_ || failure_detector_.is_dead(now) ||
+           leadership_.contradicts(claimant_of(*primary_), promoted_instance_is_listed(),
+                                   boot_clock::now());
+}
+
+leadership_evidence::claimant backend_group::claimant_of(const instance_id& instance) const {
+    const auto found = instances_.find(instance);
+    return {instance, found == instances_.end() ? term_number{} : found->second.log_term};
+}
+
+bool backend_group::promoted_instance_is_listed() const {
+    return instances_.contains(leadership_.record().target);
+}
+
+bool backend_group::may_lead(const instance_id& instance, boot_time now) const {
+    return leadership_.allows(claimant_of(instance), promoted_instance_is_listed(), now);
+}
+
+void backend_group::on_failover_row(const std::optional<failover_record>& row, boot_time read_at) {
+    const bool is_new_promotion = leadership_.on_row(row, read_at);
+    const auto& record = leadership_.record();
+    if (is_new_promotion && instances_.contains(record.target)) {
+        set_primary(record.target, record.term, "failover_row");
+    } else if (is_new_promotion) {
+        environment_.refresh_directory();
+    }
+    dispatch_waiting();
+}
+
+void backend_group::on_failover_begun(std::uint64_t fence) {
+    leadership_.revoke(fence, boot_clock::now());
+    event_line{"primary_suspended"}
+        .field("group", name_)
+        .field("instance", primary_ ? primary_->str() : std::string{"none"})
+        .field("fence", fence)
+        .field("known_fence", leadership_.record().fence)
+        .write();
 }
 
 void backend_group::on_primary_denied(const instance_id& instance) {
@@ -105,6 +148,10 @@
 }
 
 void backend_group::add_proof(const instance_id& instance, boot_time sent_at, log_index position) {
+    // Commits that another primary has acknowledged may be missing in this instance's log.
+    if (!may_lead(instance, sent_at)) {
+        return;
+    }
     proofs_.add(sent_at, position);
     newest_term_ = std::max(newest_term_, position.term);
     if (position.term >= newest_term_) {
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -210,6 +210,19 @@
             wire::Call::RowsTold,
             wire::CreateRowsTold(out, call.known, call.digest, time_field(call.age), list).Union()};
     }
+    std::pair<wire::Call, Offset<void>> operator()(const failover_begun& call) const {
+        const auto group = out.CreateString(call.group.str());
+        return {wire::Call::FailoverBegun,
+                wire::CreateFailoverBegun(out, group, call.fence).Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const failover_confirmed&) const {
+        return {wire::Call::FailoverConfirmed, wire::CreateFailoverConfirmed(out).Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const failover_recorded& call) const {
+        const auto group = out.CreateString(call.group.str());
+        return {wire::Call::FailoverRecorded,
+                wire::CreateFailoverRecorded(out, group, call.fence).Union()};
+    }
 };
 
 // ---- Decoding ----
@@ -418,6 +431,19 @@
         case wire::Call::RowsTold:
             result.call = read(*message.call_as_RowsTold());
             break;
+        case wire::Call::FailoverBegun: {
+            const auto& call = *message.call_as_FailoverBegun();
+            result.call = failover_begun{group_id{text_of(call.group())}, call.fence()};
+            break;
+        }
+        case wire::Call::FailoverConfirmed:
+            result.call = failover_confirmed{};
+            break;
+        case wire::Call::FailoverRecorded: {
+            const auto& call = *message.call_as_FailoverRecorded();
+            result.call = failover_recorded{group_id{text_of(call.group())}, call.fence()};
+            break;
+        }
         case wire::Call::NONE:
             reject("the message has no call");
     }
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -124,9 +124,30 @@
     std::vector<table_row> rows;
 };
 
+/// The sender has acquired the lock of a group's failover. The recipient stops using the group's
+/// primary before it replies with `failover_confirmed`.
+struct failover_begun {
+    group_id group;
+    /// The fencing token of the lock.
+    std::uint64_t fence = 0;
+
+    friend bool operator==(const failover_begun&, const failover_begun&) = default;
+};
+
+struct failover_confirmed {};
+
+/// The sender has recorded the outcome of a failover in the store.
+struct failover_recorded {
+    group_id group;
+    std::uint64_t fence = 0;
+
+    friend bool operator==(const failover_recorded&, const failover_recorded&) = default;
+};
+
 using lease_payload =
     std::variant<lease_request, lease_reply, run_request, run_reply, lease_release, ping, pong,
-                 position_query, position_reply, row_query, row_reply>;
+                 position_query, position_reply, row_query, row_reply, failover_begun,
+                 failover_confirmed, failover_recorded>;
 
 struct lease_message {
     /// Uptime of the sending process at the time of sending.
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -25,6 +25,10 @@
     return std::chrono::duration_cast<milliseconds>(moment - steady_clock::now());
 }
 
+/// An announcement of a failover's outcome that is not sent within this time is dropped; hosts also
+/// read the outcome from the store.
+constexpr seconds announcement_lifetime{1};
+
 /// Maximum age of the position proof that a pool owner answers with. Routes allow a staleness of at
 /// least one second.
 constexpr milliseconds max_position_age{150};
@@ -268,6 +272,12 @@
         reply = co_await answer_position_query(std::move(*query));
     } else if (const auto* rows = std::get_if<row_query>(&request.call)) {
         reply = environment_.answer_row_query(*rows);
+    } else if (const auto* begun = std::get_if<failover_begun>(&request.call)) {
+        environment_.find_group(begun->group)->on_failover_begun(begun->fence);
+        reply = failover_confirmed{};
+    } else if (std::holds_alternative<failover_recorded>(request.call)) {
+        environment_.refresh_failovers();
+        co_return std::nullopt;
     } else {
         co_return std::nullopt;
     }
@@ -365,6 +375,29 @@
     co_return std::nullopt;
 }
 
+asio::awaitable<bool> lease_service::announce_failover(host_id host, failover_begun announcement,
+                                                       time_point deadline) {
+    const auto self = shared_from_this();
+    lease_payload message = std::move(announcement);
+    try {
+        const auto reply = co_await call(host, std::move(message), deadline);
+        co_return std::holds_alternative<failover_confirmed>(reply);
+    } catch (const error& failure) {
+        event_line{"failover_unconfirmed"}
+            .field("peer", host)
+            .field("reason", failure.what())
+            .write();
+    }
+    co_return false;
+}
+
+void lease_service::announce_recorded(const host_id& host, failover_recorded announcement) {
+    if (const auto address = environment_.address_of(host)) {
+        environment_.peers.send(*address, make_message(std::move(announcement)),
+                                steady_clock::now() + announcement_lifetime);
+    }
+}
+
 asio::awaitable<run_reply> lease_service::run_on_lease(run_request call) {
     const auto number = call.lease;
     const auto found = leases_.find(number);
--- a/libs/gateway/src/lease_service.hpp
+++ b/libs/gateway/src/lease_service.hpp
@@ -26,6 +26,8 @@
     std::function<row_reply(const row_query&)> answer_row_query;
     /// Uptime of this process.
     std::function<milliseconds()> uptime;
+    /// Reads the failover rows again, since another host has changed one.
+    std::function<void()> refresh_failovers;
 };
 
 /// Leases connections to instances to other hosts and from other hosts.
@@ -56,6 +58,12 @@
     /// Queries another host for rows that it has read. Returns nullopt if it does not answer.
     boost::asio::awaitable<std::optional<row_reply>> query_rows(host_id host, row_query query,
                                                                 time_point deadline);
+    /// Tells the host that this host has acquired the failover lock of the group. Returns whether
+    /// the host has confirmed that it stopped using the group's primary.
+    boost::asio::awaitable<bool> announce_failover(host_id host, failover_begun announcement,
+                                                   time_point deadline);
+    /// Tells the host that the outcome of a failover is in the store.
+    void announce_recorded(const host_id& host, failover_recorded announcement);
     /// Whether a recent call to the host failed or was refused.
     [[nodiscard]] bool is_unusable(const host_id& host) const;
 
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -124,7 +124,7 @@
         answer = co_await serve_in_transaction(op);
     }
     answer.phase = phase();
-    if (op.reason == "configuration_too_old") {
+    if (op.reason == "configuration_too_old" || op.reason == "primary_unproven") {
         // Closing the connection makes the caller reconnect, which may reach a host that can serve
         // it.
         closing_ = true;
@@ -155,6 +155,10 @@
             co_return refuse(answer_code::busy, "the primary's position is unknown");
         }
     }
+    if (on_primary && op.group->leadership_is_unproven(boot_clock::now())) {
+        op.reason = "primary_unproven";
+        co_return refuse(answer_code::busy, "the current primary is unknown, try another host");
+    }
     request.queue_entry.customer = customer_;
     request.queue_entry.needs_primary = on_primary;
     request.queue_entry.deadline = op.queue_deadline;
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/steady_timer.hpp>
+#include <thread>
 
 #include "fakes.hpp"
 #include "group_failover.hpp"
@@ -24,6 +25,7 @@
         group_settings_.max_connections = 20;
         auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
         group = std::make_shared<backend_group>(group_name, std::move(environment));
+        prove_leadership(*group);
         update();
     }
 
@@ -38,7 +40,9 @@
                                          connector,
                                          metrics_,
                                          [] { return std::vector{host_id{"host-1"}}; },
-                                         [this] { return read_directory(); }};
+                                         [this] { return read_directory(); },
+                                         [this](group_id, std::uint64_t) { return announce(); },
+                                         [](const group_id&, std::uint64_t) {}};
         auto failover = std::make_shared<group_failover>(group, std::move(environment));
         boost::asio::co_spawn(context_, failover->run(), boost::asio::detached);
         const auto deadline = steady_clock::now() + seconds{10};
@@ -54,8 +58,12 @@
     fake_promotions promotions{connector};
     std::shared_ptr<backend_group> group;
     std::function<void()> on_directory_read = [] {};
+    /// Other hosts that don't confirm that they stopped using the primary.
+    std::size_t silent_hosts = 0;
 
 private:
+    boost::asio::awaitable<std::size_t> announce() { co_return silent_hosts; }
+
     boost::asio::awaitable<void> read_directory() {
         on_directory_read();
         update();
@@ -154,3 +162,198 @@
     fixture.run_until([&] { return ++checks > 100; });
     CHECK(fixture.promotions.orders.empty());
 }
+
+namespace {
+
+/// A group whose primary "a" only the second of two hosts reaches. The first host finds it dead and
+/// runs the failover; the primary continues to lead.
+class partitioned_fixture {
+public:
+    partitioned_fixture() {
+        connector.add("a", true).position = 12;
+        connector.add("b", false).position = 12;
+        connector.add("c", false).position = 10;
+        settings_.name = group_name;
+        settings_.max_connections = 20;
+        first = make_group(first_connector_);
+        second = make_group(connector);
+    }
+
+    std::shared_ptr<backend_group> make_group(instance_connector& reached) {
+        auto environment = make_local_environment(context.get_executor(), reached, metrics_);
+        auto group = std::make_shared<backend_group>(group_name, std::move(environment));
+        prove_leadership(*group);
+        group->update(settings_, connector.entries(), {});
+        return group;
+    }
+
+    /// Starts the failover on the first host. `silent_hosts` other hosts don't confirm.
+    std::shared_ptr<group_failover> start_failover(std::size_t silent_hosts) {
+        failover_environment environment{context.get_executor(),
+                                         host_id{"host-1"},
+                                         store,
+                                         promotions,
+                                         first_connector_,
+                                         metrics_,
+                                         [] { return std::vector{host_id{"host-1"}}; },
+                                         [this]() -> boost::asio::awaitable<void> {
+                                             first->update(settings_, connector.entries(), {});
+                                             co_return;
+                                         },
+                                         [this, silent_hosts](group_id, std::uint64_t fence) {
+                                             return announce(silent_hosts, fence);
+                                         },
+                                         [](const group_id&, std::uint64_t) {}};
+        auto failover = std::make_shared<group_failover>(first, std::move(environment));
+        boost::asio::co_spawn(context, failover->run(), boost::asio::detached);
+        // The probes of a silent primary are not part of this test.
+        for (int i = 0; i < 3; ++i) {
+            boost::asio::co_spawn(context, use_primary(first, milliseconds{50}),
+                                  boost::asio::detached);
+        }
+        return failover;
+    }
+
+    /// Whether the host can use a connection to the primary within the time.
+    boost::asio::awaitable<bool> use_primary(std::shared_ptr<backend_group> group,
+                                             milliseconds patience) {
+        acquire_request request;
+        request.queue_entry.customer = customer_id{"parish"};
+        request.queue_entry.needs_primary = true;
+        request.queue_entry.deadline = steady_clock::now() + patience;
+        request.queue_entry.latest_start = request.queue_entry.deadline;
+        auto result = co_await group->acquire(std::move(request));
+        auto* lease = std::get_if<connection_lease>(&result);
+        if (lease == nullptr) {
+            co_return false;
+        }
+        try {
+            const auto begun =
+                co_await lease->begin(false, std::nullopt, steady_clock::now() + patience);
+            co_return begun.code == answer_code::done;
+        } catch (const connection_error&) {
+            co_return false;
+        }
+    }
+
+    /// Runs until a promotion was requested, for at most 10 s.
+    void run_until_promoted() {
+        context.restart();
+        const auto deadline = steady_clock::now() + seconds{10};
+        while (promotions.orders.empty() && steady_clock::now() < deadline) {
+            first->tick(steady_clock::now());
+            context.run_for(milliseconds{5});
+        }
+    }
+
+    bool second_host_uses_primary() {
+        context.restart();
+        std::optional<bool> used;
+        boost::asio::co_spawn(context, use_primary(second, milliseconds{100}),
+                              [&](const std::exception_ptr&, bool result) { used = result; });
+        while (!used) {
+            context.run_for(milliseconds{5});
+        }
+        return *used;
+    }
+
+    boost::asio::io_context context{1};
+    fake_connector connector;
+    fake_store store;
+    fake_promotions promotions{connector};
+    std::shared_ptr<backend_group> first;
+    std::shared_ptr<backend_group> second;
+
+private:
+    boost::asio::awaitable<std::size_t> announce(std::size_t silent_hosts, std::uint64_t fence) {
+        if (silent_hosts == 0) {
+            second->on_failover_begun(fence);
+        }
+        co_return silent_hosts;
+    }
+
+    partitioned_connector first_connector_{connector, {"a"}};
+    gateway_metrics metrics_;
+    group_settings settings_;
+};
+
+}  // namespace
+
+// An old primary that the promoting host does not reach continues to answer other hosts, whose
+// reads would lack commits that the new primary has acknowledged.
+TEST_CASE("a host that does not hear of a failover has stopped using the old primary") {
+    partitioned_fixture fixture;
+    CHECK(fixture.second_host_uses_primary());
+    const auto failover = fixture.start_failover(1);
+    fixture.run_until_promoted();
+    failover->stop();
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    REQUIRE(fixture.connector.at("a").is_primary);
+    CHECK_FALSE(fixture.second_host_uses_primary());
+}
+
+TEST_CASE("a host that confirms a failover stops using the old primary at once") {
+    partitioned_fixture fixture;
+    const auto started = steady_clock::now();
+    const auto failover = fixture.start_failover(0);
+    fixture.run_until_promoted();
+    failover->stop();
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    CHECK(steady_clock::now() - started < leadership_evidence::expiry_wait);
+    CHECK_FALSE(fixture.second_host_uses_primary());
+}
+
+// A holder that was suspended for longer than its lock lasts would promote a second instance after
+// its successor has promoted one.
+TEST_CASE("a holder whose lock was taken while it was suspended sends no promotion request") {
+    failover_fixture fixture;
+    bool taken = false;
+    fixture.on_directory_read = [&] {
+        if (!std::exchange(taken, true)) {
+            std::this_thread::sleep_for(seconds{4});
+            fixture.store.put(
+                lock_row,
+                R"({"fence":2,"holder":"host-2","target":"","term":0,"open":true,"mark":"1"})");
+        }
+    };
+    unsigned checks = 0;
+    fixture.run_until([&] { return taken && ++checks > 50; });
+    CHECK(fixture.promotions.orders.empty());
+}
+
+// While the row of a failover is open, no host uses a primary; a holder that ends must not leave it
+// open.
+TEST_CASE("the row of an abandoned failover is closed while the primary is alive") {
+    failover_fixture fixture;
+    auto& primary = fixture.connector.add("a", true);
+    primary.position = 12;
+    fixture.update();
+    fixture.store.put(
+        lock_row, R"({"fence":4,"holder":"host-2","target":"","term":0,"open":true,"mark":"1"})");
+    fixture.group->on_failover_row(failover_record{4, true, {}, {}}, boot_clock::now());
+    CHECK_FALSE(fixture.group->may_lead(instance_id{"a"}, boot_clock::now()));
+    fixture.run_until([&] { return fixture.group->may_lead(instance_id{"a"}, boot_clock::now()); });
+    CHECK(fixture.group->may_lead(instance_id{"a"}, boot_clock::now()));
+    CHECK(fixture.promotions.orders.empty());
+    CHECK(fixture.store.value_of(lock_row).find("\"open\":false") != std::string::npos);
+}
+
+// Until the outcome is recorded, no host uses the new primary.
+TEST_CASE("a promotion whose outcome the store did not accept is recorded later") {
+    failover_fixture fixture;
+    fixture.promotions.on_promote = [&] { fixture.store.failures = 2; };
+    fixture.run_until([&] {
+        return fixture.store.value_of(lock_row).find("\"target\":\"c\"") != std::string::npos;
+    });
+    CHECK(fixture.promotions.orders.size() == 1);
+    CHECK(fixture.store.value_of(lock_row).find("\"open\":false") != std::string::npos);
+}
+
+TEST_CASE("an unreadable failover row allows no primary and is replaced") {
+    failover_fixture fixture;
+    fixture.store.put(lock_row, "not json");
+    const auto row = decode_failover_row({lock_row, fleet_version{1}, "not json"});
+    CHECK(row.record.open);
+    fixture.run_until([&] { return fixture.group->primary() == instance_id{"c"}; });
+    CHECK(fixture.store.value_of(lock_row).find("\"target\":\"c\"") != std::string::npos);
+}
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -199,6 +199,25 @@
     co_return false;
 }
 
+asio::awaitable<instance_connection_ptr> partitioned_connector::connect(instance_entry instance,
+                                                                        customer_id customer,
+                                                                        time_point deadline) {
+    if (unreachable_.contains(instance.id.str())) {
+        throw connection_error("connect", instance.id.str(), "unreachable for the test", false);
+    }
+    return instances_.connect(std::move(instance), std::move(customer), deadline);
+}
+
+asio::awaitable<bool> partitioned_connector::is_reachable(endpoint_address address,
+                                                          time_point deadline) {
+    for (const auto& entry : instances_.entries()) {
+        if (entry.address == address && unreachable_.contains(entry.id.str())) {
+            co_return false;
+        }
+    }
+    co_return co_await instances_.is_reachable(std::move(address), deadline);
+}
+
 std::optional<instance_status> fake_connector::read_status(const statement_answer& answer) const {
     if (answer.rows.size() != 1) {
         return std::nullopt;
@@ -245,6 +264,7 @@
 
 asio::awaitable<scan_result> fake_store::scan(std::string prefix, fleet_version /*modified_after*/,
                                               time_point /*deadline*/) {
+    fail_if_requested();
     scan_result result;
     result.version = fleet_version{version_};
     for (const auto& [key, row] : rows_) {
@@ -256,6 +276,7 @@
 }
 
 asio::awaitable<commit_result> fake_store::commit(table_commit change, time_point /*deadline*/) {
+    fail_if_requested();
     commit_result result;
     for (const auto& condition : change.conditions) {
         const auto found = rows_.find(condition.key);
@@ -280,6 +301,13 @@
     co_return std::vector<platform_host>{};
 }
 
+void fake_store::fail_if_requested() {
+    if (failures > 0) {
+        --failures;
+        throw error("call", "store", "unavailable for the test");
+    }
+}
+
 void fake_store::put(const std::string& key, const std::string& value) {
     rows_[key] = {key, fleet_version{++version_}, value};
 }
@@ -293,6 +321,7 @@
                                                             std::uint64_t fence,
                                                             time_point /*deadline*/) {
     orders.push_back({target, fence});
+    on_promote();
     if (!outcomes.empty()) {
         const auto outcome = outcomes.front();
         outcomes.pop_front();
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -97,6 +98,27 @@
     std::map<std::string, fake_instance> instances_;
 };
 
+/// The instances as another host reaches them: connections to some of them fail.
+class partitioned_connector final : public instance_connector {
+public:
+    partitioned_connector(fake_connector& instances, std::set<std::string> unreachable)
+        : instances_(instances), unreachable_(std::move(unreachable)) {}
+
+    boost::asio::awaitable<instance_connection_ptr> connect(instance_entry instance,
+                                                            customer_id customer,
+                                                            time_point deadline) override;
+    boost::asio::awaitable<bool> is_reachable(endpoint_address address,
+                                              time_point deadline) override;
+    [[nodiscard]] std::optional<instance_status> read_status(
+        const statement_answer& answer) const override {
+        return instances_.read_status(answer);
+    }
+
+private:
+    fake_connector& instances_;
+    std::set<std::string> unreachable_;
+};
+
 /// A caller that sends the given statements in order.
 class fake_caller final : public caller_connection {
 public:
@@ -134,8 +156,12 @@
     [[nodiscard]] std::string value_of(const std::string& key) const;
 
     unsigned answers_to_lose = 0;
+    /// Calls that fail without effect.
+    unsigned failures = 0;
 
 private:
+    void fail_if_requested();
+
     std::map<std::string, table_row> rows_;
     std::uint64_t version_ = 0;
 };
@@ -153,6 +179,7 @@
         std::uint64_t fence = 0;
     };
     std::vector<order> orders;
+    std::function<void()> on_promote = [] {};
     std::deque<promotion_outcome> outcomes;
 
 private:
--- a/libs/gateway/test/lease_messages_test.cpp
+++ b/libs/gateway/test/lease_messages_test.cpp
@@ -45,6 +45,11 @@
             reported.position = index_of(number % 1000);
         }
         RC_ASSERT(std::get<position_reply>(transmit(reported)) == reported);
+        const failover_begun begun{group_id{text}, number};
+        RC_ASSERT(std::get<failover_begun>(transmit(begun)) == begun);
+        RC_ASSERT(std::holds_alternative<failover_confirmed>(transmit(failover_confirmed{})));
+        const failover_recorded recorded{group_id{text}, number};
+        RC_ASSERT(std::get<failover_recorded>(transmit(recorded)) == recorded);
         const row_query rows{text, number};
         RC_ASSERT(std::get<row_query>(transmit(rows)) == rows);
         const row_reply answer{
--- a/libs/gateway/test/local_group.hpp
+++ b/libs/gateway/test/local_group.hpp
@@ -7,7 +7,7 @@
 
 /// The environment of a group on the only host of a fleet.
 inline group_environment make_local_environment(const boost::asio::any_io_executor& executor,
-                                                fake_connector& connector,
+                                                instance_connector& connector,
                                                 gateway_metrics& metrics) {
     return {executor,
             connector,
@@ -23,4 +23,9 @@
             {}};
 }
 
+/// Lets the group use its primary as if no failover had ever taken place.
+inline void prove_leadership(backend_group& group) {
+    group.on_failover_row(std::nullopt, boot_clock::now());
+}
+
 }  // namespace masticgrade::test
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -101,6 +101,7 @@
         settings_.max_connections = 20;
         auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
         group_ = std::make_shared<backend_group>(group_name, std::move(environment));
+        prove_leadership(*group_);
     }
 
     static void add_route(gateway_configuration& configuration, const std::string& database,
