--- a/libs/gateway/include/masticgrade/gateway/placement.hpp
+++ b/libs/gateway/include/masticgrade/gateway/placement.hpp
@@ -44,11 +44,17 @@
 struct pool_owner_candidate {
     host_id host;
     failure_domain_id failure_domain;
+    /// Bandwidth of the host's network link; 0 if unknown.
+    unsigned link_mbps = 0;
+
+    friend bool operator==(const pool_owner_candidate&, const pool_owner_candidate&) = default;
 };
 
 /// Chooses the host that owns an instance's connection pool and leases its connections to the other
 /// hosts. Uses rendezvous hashing, so that all hosts agree and the loss of a host moves only the
-/// pools that it owned. Hosts in the instance's failure domain are preferred.
+/// pools that it owned. Hosts in the instance's failure domain are preferred, and among these the
+/// hosts with at least half of the bandwidth of the fastest one: all statements for the instance
+/// pass through the pool owner, and small hosts were overloaded by them.
 /// Thread safety: reentrant.
 std::optional<host_id> choose_pool_owner(const instance_id& instance,
                                          const failure_domain_id& failure_domain,
--- a/libs/gateway/include/masticgrade/gateway/primary_failure_detector.hpp
+++ b/libs/gateway/include/masticgrade/gateway/primary_failure_detector.hpp
@@ -42,9 +42,12 @@
 
     [[nodiscard]] bool should_probe(time_point now) const;
     [[nodiscard]] bool is_dead(time_point now) const;
+    /// The time of the last answer, if any.
+    [[nodiscard]] std::optional<time_point> last_answer() const { return last_answer_; }
 
 private:
     std::optional<time_point> unanswered_since_;
+    std::optional<time_point> last_answer_;
     time_point last_sent_{};
     std::optional<time_point> commit_unanswered_since_;
     unsigned commits_timed_out_ = 0;
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -369,14 +369,37 @@
     }
     const auto newest = proofs_.newest();
     const bool is_old = !newest || boot_clock::now() - *newest > proof_refresh_age;
-    if (is_old && now - last_position_use_ < position_use_lifetime &&
-        !position_refresh_in_progress_ && !last_customer_.empty() && !primary_is_dead(now)) {
+    if (is_old && position_customer(now) && !position_refresh_in_progress_ &&
+        !primary_is_dead(now) && !environment_.positions_are_relayed()) {
         position_refresh_in_progress_ = true;
         asio::co_spawn(environment_.executor, refresh_position(last_customer_), asio::detached);
     }
     dispatch_waiting();
 }
 
+std::optional<customer_id> backend_group::position_customer(time_point now) const {
+    if (last_customer_.empty() || now - last_position_use_ >= position_use_lifetime) {
+        return std::nullopt;
+    }
+    return last_customer_;
+}
+
+void backend_group::keep_position_fresh(const customer_id& customer) {
+    last_position_use_ = steady_clock::now();
+    if (last_customer_.empty()) {
+        last_customer_ = customer;
+    }
+}
+
+std::optional<position_proof> backend_group::newest_proof() const {
+    const auto moment = proofs_.newest();
+    const auto position = moment ? proofs_.covering(*moment) : std::nullopt;
+    if (!position || !primary_) {
+        return std::nullopt;
+    }
+    return position_proof{*primary_, *moment, *position};
+}
+
 asio::awaitable<void> backend_group::refresh_position(customer_id customer) {
     const auto self = shared_from_this();
     constexpr milliseconds refresh_timeout{300};
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gateway_metrics.hpp"
+#include "lease_messages.hpp"
 #include "masticgrade/gateway/connections.hpp"
 #include "masticgrade/gateway/leadership_evidence.hpp"
 #include "masticgrade/gateway/placement.hpp"
@@ -176,6 +177,9 @@
     std::function<boost::asio::awaitable<std::optional<position_proof>>(
         host_id owner, customer_id customer, time_point deadline)>
         query_position;
+    /// Whether another host currently supplies the position proofs, so that they are only queried
+    /// when a read finds none.
+    std::function<bool()> positions_are_relayed = [] { return false; };
 };
 
 /// This host's state of one database group: its instances and their connection pools, the
@@ -202,6 +206,12 @@
                                                                  const customer_id& customer,
                                                                  time_point deadline);
 
+    /// The customer whose reads have needed position proofs lately, if any.
+    [[nodiscard]] std::optional<customer_id> position_customer(time_point now) const;
+    /// Keeps the proofs fresh for another host, as if a read of the customer had needed one.
+    void keep_position_fresh(const customer_id& customer);
+    /// The newest position proof, if any.
+    [[nodiscard]] std::optional<position_proof> newest_proof() const;
     /// Whether this host owns the connection pool of the primary.
     [[nodiscard]] bool owns_primary_pool() const;
 
@@ -236,6 +246,10 @@
     [[nodiscard]] bool has_recently_lost_instance(time_point now) const;
     [[nodiscard]] bool primary_is_dead(time_point now) const;
     void set_primary(const instance_id& instance, term_number term, std::string_view reason);
+    /// Answers another host that finds the instance dead.
+    [[nodiscard]] primary_reply report_primary(const instance_id& instance) const;
+    /// Another host has just received answers from the instance.
+    void on_primary_reported_alive(const instance_id& instance);
     /// The instance has answered an order, if only with a refusal.
     void on_order_refused(const instance_id& instance);
     void on_status(const instance_id& instance, const instance_status& status);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -55,6 +55,13 @@
 constexpr milliseconds relay_read_delay{15};
 /// Time in which a host confirms that a failover has begun.
 constexpr milliseconds announcement_timeout{250};
+/// Hosts that are asked whether they reach a primary, besides the owner of its connection pool.
+constexpr std::size_t hosts_asked_about_primary = 4;
+/// Interval between queries of position proofs from a relay. Routes allow a staleness of at least
+/// one second; relays refresh their proofs when they are 350 ms old.
+constexpr milliseconds relayed_position_interval{300};
+/// In smaller fleets hosts query the pool owners.
+constexpr std::size_t min_hosts_for_relayed_positions = 24;
 /// Used while a group requests a refresh, as after the loss of its primary.
 constexpr milliseconds fast_directory_interval{150};
 constexpr milliseconds read_timeout{700};
@@ -123,8 +130,8 @@
                            settings_.link_mbps},
             limiter_, hosts_, *peers_, [this] { return is_ready(); });
         pool_owners_ = std::make_unique<pool_owner_selector>(
-            pool_owner_candidate{settings_.host, settings_.failure_domain}, limiter_, hosts_,
-            *leases_, [this] { return is_ready(); });
+            pool_owner_candidate{settings_.host, settings_.failure_domain, settings_.link_mbps},
+            limiter_, hosts_, *leases_, [this] { return is_ready(); });
     }
 
     void start() {
@@ -132,6 +139,7 @@
         spawn(directory_loop());
         spawn(host_list_loop());
         spawn(failover_row_loop());
+        spawn(position_loop());
         spawn(reports_->run(executor_));
         spawn(tick_loop());
     }
@@ -250,7 +258,8 @@
                 [this, name](host_id owner, customer_id customer, time_point deadline) {
                     return leases_->query_position(std::move(owner), name, std::move(customer),
                                                    deadline);
-                }};
+                },
+                [this] { return steady_clock::now() < positions_relayed_until_; }};
             group = std::make_shared<backend_group>(name, std::move(environment));
             failover_environment failover{executor_,
                                           settings_.host,
@@ -260,6 +269,10 @@
                                           metrics_,
                                           [this] { return live_host_ids(); },
                                           [this] { return read_directory(); },
+                                          [this](group_id group_name, instance_entry primary) {
+                                              return query_primary(std::move(group_name),
+                                                                   std::move(primary));
+                                          },
                                           [this](group_id group_name, std::uint64_t fence) {
                                               return announce_begun(std::move(group_name), fence);
                                           },
@@ -275,6 +288,47 @@
         return group;
     }
 
+    /// Asks the pool owner of the primary and the hosts that rank highest for the group's failover.
+    asio::awaitable<std::optional<milliseconds>> query_primary(group_id group,
+                                                               instance_entry primary) {
+        const auto self = shared_from_this();
+        const auto answer_by = steady_clock::now() + announcement_timeout;
+        std::vector<host_id> hosts;
+        if (const auto owner = pool_owners_->pool_owner_of(primary).host; !owner.empty()) {
+            hosts.push_back(owner);
+        }
+        const auto live = live_host_ids();
+        for (const auto& host : live) {
+            if (host != settings_.host &&
+                failover_rank(group, host, live) < hosts_asked_about_primary) {
+                hosts.push_back(host);
+            }
+        }
+        const auto best = std::make_shared<std::optional<milliseconds>>();
+        const auto pending = std::make_shared<pending_confirmations>(
+            pending_confirmations{hosts.size(), asio::steady_timer{executor_, answer_by}});
+        for (const auto& host : hosts) {
+            asio::co_spawn(executor_, leases_->query_primary(host, {group, primary.id}, answer_by),
+                           [pending, best](const std::exception_ptr& failure,
+                                           const std::optional<primary_reply>& reply) {
+                               if (failure) {
+                                   std::rethrow_exception(failure);
+                               }
+                               if (reply && reply->alive && (!*best || reply->age < **best)) {
+                                   *best = reply->age;
+                               }
+                               if (--pending->missing == 0) {
+                                   pending->timer.cancel();
+                               }
+                           });
+        }
+        if (pending->missing > 0) {
+            boost::system::error_code ignored;
+            co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        co_return *best;
+    }
+
     /// Tells all registered hosts that this host has acquired a failover lock. Hosts that register
     /// later read the lock row after they have registered.
     asio::awaitable<std::size_t> announce_begun(group_id group, std::uint64_t fence) {
@@ -517,6 +571,37 @@
             .write();
     }
 
+    /// Queries the position proofs of all groups in use from the first relay of the failure domain.
+    asio::awaitable<void> position_loop() {
+        for (;;) {
+            co_await sleep(relayed_position_interval);
+            const auto now = steady_clock::now();
+            const auto& sources = reports_->rows().sources;
+            if (reports_->is_relay() || sources.empty() ||
+                live_hosts() < min_hosts_for_relayed_positions) {
+                continue;
+            }
+            positions_query query;
+            for (const auto& [name, group] : groups_) {
+                if (auto customer = group->position_customer(now)) {
+                    query.groups.push_back({name, std::move(*customer)});
+                }
+            }
+            if (query.groups.empty()) {
+                continue;
+            }
+            const auto proofs = co_await leases_->query_positions(sources.front(), std::move(query),
+                                                                  now + announcement_timeout);
+            if (!proofs) {
+                continue;
+            }
+            for (const auto& [name, proof] : *proofs) {
+                find_group(name)->add_proof(proof.instance, proof.moment, proof.position);
+            }
+            positions_relayed_until_ = steady_clock::now() + 2 * relayed_position_interval;
+        }
+    }
+
     asio::awaitable<void> refresh_hosts() {
         const auto deadline = steady_clock::now() + read_timeout;
         auto prefix = host_registry::rows;
@@ -609,6 +694,8 @@
     /// When another host last announced that it has changed a failover row.
     boot_time failovers_changed_at_;
     asio::steady_timer failover_read_timer_{executor_};
+    /// A relay supplies position proofs until then.
+    time_point positions_relayed_until_;
     session_environment sessions_environment_;
     std::unique_ptr<peer::peer_network> peers_;
     std::shared_ptr<lease_service> leases_;
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -28,6 +28,9 @@
 constexpr seconds hold_timeout{3};
 /// Time from a promotion call until the target is the primary; instances take up to 1 s.
 constexpr seconds new_primary_timeout{3};
+/// A primary that answered another host this recently is alive. Shorter than the time in which a
+/// failure is detected, so that answers from before the failure don't count.
+constexpr milliseconds recent_answer_age{400};
 /// Prevents that one failure causes a series of promotions.
 constexpr seconds delay_after_promotion{3};
 constexpr milliseconds delay_after_failure{400};
@@ -103,6 +106,9 @@
         }
         co_return;
     }
+    if (kind == failover_kind::unplanned && co_await others_reach_primary()) {
+        co_return;
+    }
     if (!co_await acquire_lock()) {
         co_return;
     }
@@ -301,6 +307,27 @@
     co_return found && !group_->primary_is_dead(steady_clock::now());
 }
 
+asio::awaitable<bool> group_failover::others_reach_primary() {
+    const auto primary = group_->primary();
+    for (const auto& entry : group_->entries()) {
+        if (entry.id != primary) {
+            continue;
+        }
+        const auto age = co_await environment_.query_primary(group_->name(), entry);
+        if (!age || *age > recent_answer_age) {
+            co_return false;
+        }
+        event_line{"primary_reported_alive"}
+            .field("group", group_->name())
+            .field("instance", entry.id)
+            .field_ms("answer_age_ms", *age)
+            .write();
+        group_->on_primary_reported_alive(entry.id);
+        co_return true;
+    }
+    co_return false;
+}
+
 asio::awaitable<failover_row> group_failover::read_lock() {
     const auto deadline = steady_clock::now() + store_timeout;
     auto key = lock_key();
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -26,6 +26,11 @@
     std::function<std::vector<host_id>()> live_hosts;
     /// Refreshes the instance directory. Throws masticgrade::error.
     std::function<boost::asio::awaitable<void>()> read_directory;
+    /// Asks some other hosts whether the primary is alive. Returns the time since one of them last
+    /// received an answer from it, or nullopt if none has.
+    std::function<boost::asio::awaitable<std::optional<milliseconds>>(group_id group,
+                                                                      instance_entry primary)>
+        query_primary;
     /// Tells all other registered hosts that this host has acquired the failover lock. Returns the
     /// number of hosts that did not confirm. Throws masticgrade::error.
     std::function<boost::asio::awaitable<std::size_t>(group_id group, std::uint64_t fence)>
@@ -91,6 +96,9 @@
     boost::asio::awaitable<bool> demote_primary();
     /// Queries all instances. Returns whether the known primary is alive.
     boost::asio::awaitable<bool> find_primary();
+    /// Whether other hosts have just received answers from the primary, so that this host is the
+    /// one that is cut off or slow.
+    boost::asio::awaitable<bool> others_reach_primary();
     boost::asio::awaitable<std::optional<promotion_choice>> hold_replicas(failover_kind kind);
     boost::asio::awaitable<void> release_replicas();
     /// Returns the term of the target if it has become the primary.
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -86,6 +86,21 @@
     newest_term_ = std::max(newest_term_, status.term);
 }
 
+primary_reply backend_group::report_primary(const instance_id& instance) const {
+    const auto now = steady_clock::now();
+    const auto answered = failure_detector_.last_answer();
+    if (primary_ != instance || !answered || primary_is_dead(now)) {
+        return {};
+    }
+    return {true, std::chrono::ceil<milliseconds>(now - *answered)};
+}
+
+void backend_group::on_primary_reported_alive(const instance_id& instance) {
+    if (primary_ == instance) {
+        failure_detector_.reset(steady_clock::now());
+    }
+}
+
 void backend_group::on_order_refused(const instance_id& instance) {
     if (primary_ == instance) {
         failure_detector_.on_answer(steady_clock::now());
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -223,6 +223,37 @@
         return {wire::Call::FailoverRecorded,
                 wire::CreateFailoverRecorded(out, group, call.fence).Union()};
     }
+    std::pair<wire::Call, Offset<void>> operator()(const primary_query& call) const {
+        const auto group = out.CreateString(call.group.str());
+        const auto instance = out.CreateString(call.instance.str());
+        return {wire::Call::AskPrimary, wire::CreateAskPrimary(out, group, instance).Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const primary_reply& call) const {
+        return {wire::Call::PrimaryTold,
+                wire::CreatePrimaryTold(out, call.alive, time_field(call.age)).Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const positions_query& call) const {
+        std::vector<Offset<wire::GroupQuery>> groups;
+        for (const auto& item : call.groups) {
+            const auto group = out.CreateString(item.group.str());
+            const auto customer = out.CreateString(item.customer.str());
+            groups.push_back(wire::CreateGroupQuery(out, group, customer));
+        }
+        const auto list = out.CreateVector(groups);
+        return {wire::Call::AskPositions, wire::CreateAskPositions(out, list).Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const positions_reply& call) const {
+        std::vector<Offset<wire::GroupPosition>> positions;
+        for (const auto& item : call.positions) {
+            const auto position = position_field(item.reply.position);
+            const auto group = out.CreateString(item.group.str());
+            const auto instance = out.CreateString(item.reply.instance.str());
+            positions.push_back(wire::CreateGroupPosition(
+                out, group, instance, pointer_to(position), time_field(item.reply.age)));
+        }
+        const auto list = out.CreateVector(positions);
+        return {wire::Call::PositionsTold, wire::CreatePositionsTold(out, list).Union()};
+    }
 };
 
 // ---- Decoding ----
@@ -375,6 +406,29 @@
     return result;
 }
 
+lease_payload read(const wire::AskPositions& call) {
+    positions_query result;
+    if (call.groups() != nullptr) {
+        for (const auto* item : *call.groups()) {
+            result.groups.push_back(
+                {group_id{text_of(item->group())}, customer_id{text_of(item->customer())}});
+        }
+    }
+    return result;
+}
+
+lease_payload read(const wire::PositionsTold& call) {
+    positions_reply result;
+    if (call.positions() != nullptr) {
+        for (const auto* item : *call.positions()) {
+            result.positions.push_back({group_id{text_of(item->group())},
+                                        {instance_id{text_of(item->instance())},
+                                         index_of(item->position()), time_of(item->age_ms())}});
+        }
+    }
+    return result;
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> encode_lease_message(const lease_message& message) {
@@ -444,6 +498,23 @@
             result.call = failover_recorded{group_id{text_of(call.group())}, call.fence()};
             break;
         }
+        case wire::Call::AskPrimary: {
+            const auto& call = *message.call_as_AskPrimary();
+            result.call = primary_query{group_id{text_of(call.group())},
+                                        instance_id{text_of(call.instance())}};
+            break;
+        }
+        case wire::Call::PrimaryTold: {
+            const auto& call = *message.call_as_PrimaryTold();
+            result.call = primary_reply{call.alive(), time_of(call.age_ms())};
+            break;
+        }
+        case wire::Call::AskPositions:
+            result.call = read(*message.call_as_AskPositions());
+            break;
+        case wire::Call::PositionsTold:
+            result.call = read(*message.call_as_PositionsTold());
+            break;
         case wire::Call::NONE:
             reject("the message has no call");
     }
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -105,6 +105,35 @@
     friend bool operator==(const position_reply&, const position_reply&) = default;
 };
 
+/// Queries the newest position proofs of several groups from a relay of the failure domain. One
+/// such query replaces a query to each group's pool owner, of which a fleet of 295 hosts would send
+/// thousands a second.
+struct positions_query {
+    struct item {
+        group_id group;
+        /// A customer of the group, for the relay's own queries.
+        customer_id customer;
+
+        friend bool operator==(const item&, const item&) = default;
+    };
+    std::vector<item> groups;
+
+    friend bool operator==(const positions_query&, const positions_query&) = default;
+};
+
+/// The proofs that the recipient has; groups without one are omitted.
+struct positions_reply {
+    struct item {
+        group_id group;
+        position_reply reply;
+
+        friend bool operator==(const item&, const item&) = default;
+    };
+    std::vector<item> positions;
+
+    friend bool operator==(const positions_reply&, const positions_reply&) = default;
+};
+
 /// Queries rows of the store that the recipient has read.
 struct row_query {
     std::string prefix;
@@ -144,10 +173,29 @@
     friend bool operator==(const failover_recorded&, const failover_recorded&) = default;
 };
 
+/// Asks whether the recipient finds the primary alive. Sent before an unplanned failover, since the
+/// sender itself may be the one that is cut off.
+struct primary_query {
+    group_id group;
+    instance_id instance;
+
+    friend bool operator==(const primary_query&, const primary_query&) = default;
+};
+
+struct primary_reply {
+    /// The recipient uses the instance as the primary, and it has answered.
+    bool alive = false;
+    /// Time since the last answer.
+    milliseconds age{0};
+
+    friend bool operator==(const primary_reply&, const primary_reply&) = default;
+};
+
 using lease_payload =
     std::variant<lease_request, lease_reply, run_request, run_reply, lease_release, ping, pong,
                  position_query, position_reply, row_query, row_reply, failover_begun,
-                 failover_confirmed, failover_recorded>;
+                 failover_confirmed, failover_recorded, primary_query, primary_reply,
+                 positions_query, positions_reply>;
 
 struct lease_message {
     /// Uptime of the sending process at the time of sending.
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -232,10 +232,7 @@
     if (!delays_.is_known(sender, incarnation) && measuring_.emplace(sender, incarnation).second) {
         asio::co_spawn(environment_.executor, measure_delay(sender, incarnation), asio::detached);
     }
-    std::erase_if(leases_, [&](const auto& entry) {
-        const auto& lease = entry.second;
-        return lease.holder == sender && lease.incarnation != incarnation && !lease.busy;
-    });
+    incarnations_[sender] = incarnation;
 }
 
 asio::awaitable<std::optional<peer::message_body>> lease_service::on_message(
@@ -270,11 +267,15 @@
         }
     } else if (auto* query = std::get_if<position_query>(&request.call)) {
         reply = co_await answer_position_query(std::move(*query));
+    } else if (const auto* positions = std::get_if<positions_query>(&request.call)) {
+        reply = answer_positions_query(*positions);
     } else if (const auto* rows = std::get_if<row_query>(&request.call)) {
         reply = environment_.answer_row_query(*rows);
     } else if (const auto* begun = std::get_if<failover_begun>(&request.call)) {
         environment_.find_group(begun->group)->on_failover_begun(begun->fence);
         reply = failover_confirmed{};
+    } else if (const auto* about = std::get_if<primary_query>(&request.call)) {
+        reply = environment_.find_group(about->group)->report_primary(about->instance);
     } else if (std::holds_alternative<failover_recorded>(request.call)) {
         environment_.refresh_failovers();
         co_return std::nullopt;
@@ -336,6 +337,48 @@
     co_return result;
 }
 
+positions_reply lease_service::answer_positions_query(const positions_query& call) {
+    positions_reply result;
+    for (const auto& item : call.groups) {
+        const auto group = environment_.find_group(item.group);
+        group->keep_position_fresh(item.customer);
+        if (const auto proof = group->newest_proof()) {
+            result.positions.push_back(
+                {item.group,
+                 {proof->instance, proof->position,
+                  std::chrono::ceil<milliseconds>(boot_clock::now() - proof->moment)}});
+        }
+    }
+    return result;
+}
+
+asio::awaitable<std::optional<std::vector<group_position_proof>>> lease_service::query_positions(
+    host_id host, positions_query query, time_point deadline) {
+    const auto self = shared_from_this();
+    const auto asked_at = boot_clock::now();
+    lease_payload message = std::move(query);
+    try {
+        const auto reply = co_await call(host, std::move(message), deadline);
+        if (const auto* answer = std::get_if<positions_reply>(&reply)) {
+            std::vector<group_position_proof> proofs;
+            for (const auto& item : answer->positions) {
+                if (item.reply.position) {
+                    proofs.push_back(
+                        {item.group,
+                         {item.reply.instance, asked_at - item.reply.age, *item.reply.position}});
+                }
+            }
+            co_return proofs;
+        }
+    } catch (const error& failure) {
+        event_line{"positions_query_failed"}
+            .field("peer", host)
+            .field("reason", failure.what())
+            .write();
+    }
+    co_return std::nullopt;
+}
+
 asio::awaitable<std::optional<position_proof>> lease_service::query_position(host_id owner,
                                                                              group_id group,
                                                                              customer_id customer,
@@ -391,6 +434,25 @@
     co_return false;
 }
 
+asio::awaitable<std::optional<primary_reply>> lease_service::query_primary(host_id host,
+                                                                           primary_query query,
+                                                                           time_point deadline) {
+    const auto self = shared_from_this();
+    lease_payload message = std::move(query);
+    try {
+        const auto reply = co_await call(host, std::move(message), deadline);
+        if (const auto* answer = std::get_if<primary_reply>(&reply)) {
+            co_return *answer;
+        }
+    } catch (const error& failure) {
+        event_line{"primary_query_failed"}
+            .field("peer", host)
+            .field("reason", failure.what())
+            .write();
+    }
+    co_return std::nullopt;
+}
+
 void lease_service::announce_recorded(const host_id& host, failover_recorded announcement) {
     if (const auto address = environment_.address_of(host)) {
         environment_.peers.send(*address, make_message(std::move(announcement)),
@@ -442,7 +504,11 @@
 void lease_service::tick(time_point now) {
     std::erase_if(leases_, [&](const auto& entry) {
         const auto& lease = entry.second;
-        const bool ends = !lease.busy && now - lease.last_used > idle_lease_limit;
+        const auto known = incarnations_.find(lease.holder);
+        const bool has_restarted =
+            known != incarnations_.end() && known->second != lease.incarnation;
+        const bool ends =
+            !lease.busy && (has_restarted || now - lease.last_used > idle_lease_limit);
         if (ends) {
             event_line{"lease_expired"}
                 .field("borrower", lease.holder)
--- a/libs/gateway/src/lease_service.hpp
+++ b/libs/gateway/src/lease_service.hpp
@@ -30,6 +30,11 @@
     std::function<void()> refresh_failovers;
 };
 
+struct group_position_proof {
+    group_id group;
+    position_proof proof;
+};
+
 /// Leases connections to instances to other hosts and from other hosts.
 ///
 /// An instance accepts fewer connections than there are pairs of host and customer, and each
@@ -55,6 +60,10 @@
                                                                          group_id group,
                                                                          customer_id customer,
                                                                          time_point deadline);
+    /// Queries another host for the newest position proofs that it has of several groups. The times
+    /// of the proofs are on this host's clock. Returns nullopt if the host does not answer.
+    boost::asio::awaitable<std::optional<std::vector<group_position_proof>>> query_positions(
+        host_id host, positions_query query, time_point deadline);
     /// Queries another host for rows that it has read. Returns nullopt if it does not answer.
     boost::asio::awaitable<std::optional<row_reply>> query_rows(host_id host, row_query query,
                                                                 time_point deadline);
@@ -62,6 +71,11 @@
     /// the host has confirmed that it stopped using the group's primary.
     boost::asio::awaitable<bool> announce_failover(host_id host, failover_begun announcement,
                                                    time_point deadline);
+    /// Asks the host whether it finds the group's primary alive. Returns nullopt if it does not
+    /// answer.
+    boost::asio::awaitable<std::optional<primary_reply>> query_primary(host_id host,
+                                                                       primary_query query,
+                                                                       time_point deadline);
     /// Tells the host that the outcome of a failover is in the store.
     void announce_recorded(const host_id& host, failover_recorded announcement);
     /// Whether a recent call to the host failed or was refused.
@@ -91,6 +105,7 @@
     boost::asio::awaitable<lease_reply> grant(const peer::envelope& message, lease_request call);
     boost::asio::awaitable<run_reply> run_on_lease(run_request call);
     boost::asio::awaitable<position_reply> answer_position_query(position_query call);
+    positions_reply answer_positions_query(const positions_query& call);
     /// Measures the offset between the clocks of the sender and this host.
     boost::asio::awaitable<void> measure_delay(host_id sender, incarnation_number incarnation);
     boost::asio::awaitable<lease_payload> call(const host_id& host, lease_payload request,
@@ -103,6 +118,8 @@
     std::uint64_t last_lease_ = 0;
     std::map<host_id, time_point> unusable_until_;
     std::map<host_id, incarnation_number> measuring_;
+    /// The last reported process of each host.
+    std::map<host_id, incarnation_number> incarnations_;
 };
 
 }  // namespace masticgrade
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <compare>
+#include <map>
 #include <utility>
 
 namespace masticgrade {
@@ -58,12 +60,24 @@
 std::optional<host_id> choose_pool_owner(const instance_id& instance,
                                          const failure_domain_id& failure_domain,
                                          const std::vector<pool_owner_candidate>& candidates) {
+    struct rank {
+        bool same_domain = false;
+        bool has_fast_link = false;
+        std::uint64_t hash = 0;
+        auto operator<=>(const rank&) const = default;
+    };
+    std::map<bool, unsigned> fastest_link;
+    for (const auto& item : candidates) {
+        auto& fastest = fastest_link[item.failure_domain == failure_domain];
+        fastest = std::max(fastest, item.link_mbps);
+    }
     std::optional<host_id> best;
-    std::pair<bool, std::uint64_t> best_rank;
+    rank best_rank;
     for (const auto& item : candidates) {
         const auto text = instance.str() + '\n' + item.host.str();
-        const std::pair rank{item.failure_domain == failure_domain,
-                             std::uint64_t{XXH3_64bits(text.data(), text.size())}};
+        const bool same_domain = item.failure_domain == failure_domain;
+        const rank rank{same_domain, 2 * item.link_mbps >= fastest_link[same_domain],
+                        XXH3_64bits(text.data(), text.size())};
         if (!best || rank > best_rank) {
             best = item.host;
             best_rank = rank;
--- a/libs/gateway/src/pool_owner_selector.cpp
+++ b/libs/gateway/src/pool_owner_selector.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace masticgrade {
 
@@ -10,8 +9,8 @@
 
 /// Hosts from which no report has arrived for longer than this are not selected.
 constexpr milliseconds max_report_age{650};
-/// How long a selection is cached.
-constexpr milliseconds selection_lifetime{100};
+/// Interval at which the hosts that lease connections are collected.
+constexpr milliseconds candidates_lifetime{100};
 
 }  // namespace
 
@@ -27,10 +26,13 @@
 instance_pool_owner pool_owner_selector::pool_owner_of(const instance_entry& entry) {
     const auto now = steady_clock::now();
     auto& cached = owners_[entry.id];
-    if (now - cached.chosen_at < selection_lifetime && !leases_.is_unusable(cached.owner.host)) {
-        return cached.owner;
+    if (now - candidates_at_ >= candidates_lifetime ||
+        (cached.generation == generation_ && leases_.is_unusable(cached.owner.host))) {
+        refresh_candidates(now);
+    }
+    if (cached.generation != generation_ || cached.failure_domain != entry.failure_domain) {
+        cached = {generation_, entry.failure_domain, choose(entry)};
     }
-    cached = {now, choose(entry)};
     return cached.owner;
 }
 
@@ -39,7 +41,7 @@
                        [](const auto& entry) { return entry.second.owner.is_self; });
 }
 
-instance_pool_owner pool_owner_selector::choose(const instance_entry& entry) const {
+void pool_owner_selector::refresh_candidates(time_point now) {
     const auto since = boot_clock::now() - max_report_age;
     std::vector<pool_owner_candidate> candidates;
     if (accepts_leases_()) {
@@ -47,10 +49,18 @@
     }
     for (const auto& [id, host] : hosts_.others()) {
         if (limiter_.accepts_leases(id, since) && !leases_.is_unusable(id)) {
-            candidates.push_back({id, host.failure_domain});
+            candidates.push_back({id, host.failure_domain, host.link_mbps});
         }
     }
-    const auto chosen = choose_pool_owner(entry.id, entry.failure_domain, candidates);
+    candidates_at_ = now;
+    if (candidates != candidates_ || generation_ == 0) {
+        candidates_ = std::move(candidates);
+        ++generation_;
+    }
+}
+
+instance_pool_owner pool_owner_selector::choose(const instance_entry& entry) const {
+    const auto chosen = choose_pool_owner(entry.id, entry.failure_domain, candidates_);
     if (!chosen) {
         return {};
     }
--- a/libs/gateway/src/pool_owner_selector.hpp
+++ b/libs/gateway/src/pool_owner_selector.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <vector>
 
 #include "backend_group.hpp"
 #include "host_registry.hpp"
@@ -27,6 +29,9 @@
     [[nodiscard]] bool owns_any_pool() const;
 
 private:
+    /// Collects the hosts that lease connections now. The instances' owners are selected again only
+    /// if these have changed.
+    void refresh_candidates(time_point now);
     [[nodiscard]] instance_pool_owner choose(const instance_entry& entry) const;
 
     pool_owner_candidate self_;
@@ -34,8 +39,13 @@
     const host_registry& hosts_;
     const lease_service& leases_;
     std::function<bool()> accepts_leases_;
+    std::vector<pool_owner_candidate> candidates_;
+    time_point candidates_at_{};
+    /// Incremented when the candidates change.
+    std::uint64_t generation_ = 0;
     struct cached_owner {
-        time_point chosen_at{};
+        std::uint64_t generation = 0;
+        failure_domain_id failure_domain;
         instance_pool_owner owner;
     };
     std::map<instance_id, cached_owner> owners_;
--- a/libs/gateway/src/primary_failure_detector.cpp
+++ b/libs/gateway/src/primary_failure_detector.cpp
@@ -14,7 +14,8 @@
     }
 }
 
-void primary_failure_detector::on_answer(time_point /*now*/) {
+void primary_failure_detector::on_answer(time_point now) {
+    last_answer_ = now;
     unanswered_since_.reset();
     failed_probes_ = 0;
 }
--- a/libs/gateway/src/report_exchange.cpp
+++ b/libs/gateway/src/report_exchange.cpp
@@ -85,11 +85,16 @@
 }
 
 void report_exchange::deliver(const std::vector<report_relay::delivery>& messages) {
-    for (const auto& [recipient, message] : messages) {
-        const auto found = hosts_.others().find(recipient);
-        if (found != hosts_.others().end()) {
-            peers_.send(found->second.address, message, steady_clock::now() + report_lifetime);
+    for (const auto& [recipients, message] : messages) {
+        std::vector<endpoint_address> addresses;
+        addresses.reserve(recipients.size());
+        for (const auto& recipient : recipients) {
+            const auto found = hosts_.others().find(recipient);
+            if (found != hosts_.others().end()) {
+                addresses.push_back(found->second.address);
+            }
         }
+        peers_.send_to_all(addresses, message, steady_clock::now() + report_lifetime);
     }
 }
 
--- a/libs/gateway/src/report_relay.cpp
+++ b/libs/gateway/src/report_relay.cpp
@@ -37,6 +37,9 @@
 
 void report_relay::update_hosts(const std::map<host_id, registered_host>& others,
                                 const std::function<bool(const host_id&)>& is_live) {
+    if (!hosts_changed(others, is_live)) {
+        return;
+    }
     struct domain_hosts {
         std::vector<relay_candidate> live;
         std::vector<host_id> listed;
@@ -84,6 +87,22 @@
     rows_ = choose_row_access(own.live, std::move(first_relays));
 }
 
+bool report_relay::hosts_changed(const std::map<host_id, registered_host>& others,
+                                 const std::function<bool(const host_id&)>& is_live) {
+    std::vector<bool> live;
+    live.reserve(others.size());
+    for (const auto& [id, host] : others) {
+        live.push_back(is_live(id));
+    }
+    const bool is_first = domain_hosts_.empty() && rows_.sources.empty() && live_.empty();
+    if (!is_first && live == live_ && others == others_) {
+        return false;
+    }
+    live_ = std::move(live);
+    others_ = others;
+    return true;
+}
+
 row_access report_relay::choose_row_access(std::vector<relay_candidate> domain_hosts,
                                            std::vector<relay_candidate> first_relays) const {
     row_access result;
@@ -120,12 +139,7 @@
         recipients.insert(remote_relays_.begin(), remote_relays_.end());
         recipients.insert(domain_members_.begin(), domain_members_.end());
     }
-    std::vector<delivery> result;
-    result.reserve(recipients.size());
-    for (const auto& recipient : recipients) {
-        result.push_back({recipient, {{own}}});
-    }
-    return result;
+    return {{{recipients.begin(), recipients.end()}, {{own}}}};
 }
 
 std::vector<report_relay::delivery> report_relay::route_queued(boot_time now) {
@@ -143,14 +157,12 @@
         return result;
     }
     if (!domain_reports.reports.empty()) {
-        for (const auto& recipient : remote_relays_) {
-            result.push_back({recipient, domain_reports});
-        }
+        result.push_back(
+            {{remote_relays_.begin(), remote_relays_.end()}, std::move(domain_reports)});
     }
     if (!all_reports.reports.empty()) {
-        for (const auto& recipient : domain_members_) {
-            result.push_back({recipient, all_reports});
-        }
+        result.push_back(
+            {{domain_members_.begin(), domain_members_.end()}, std::move(all_reports)});
     }
     return result;
 }
--- a/libs/gateway/src/report_relay.hpp
+++ b/libs/gateway/src/report_relay.hpp
@@ -71,7 +71,7 @@
     void enqueue(const host_id& sender, const peer::host_report& report, boot_time now);
 
     struct delivery {
-        host_id recipient;
+        std::vector<host_id> recipients;
         peer::usage_reports message;
     };
     /// The messages that carry this host's own report.
@@ -88,12 +88,18 @@
         bool for_other_domains = false;
     };
 
+    /// Whether the hosts or their liveness differ from the last call.
+    bool hosts_changed(const std::map<host_id, registered_host>& others,
+                       const std::function<bool(const host_id&)>& is_live);
     [[nodiscard]] row_access choose_row_access(std::vector<relay_candidate> domain_hosts,
                                                std::vector<relay_candidate> first_relays) const;
 
     host_id self_;
     failure_domain_id domain_;
     unsigned link_mbps_;
+    std::map<host_id, registered_host> others_;
+    /// Liveness of `others_`, in order.
+    std::vector<bool> live_;
     bool is_relay_ = false;
     /// The other relays of the own failure domain.
     std::set<host_id> peer_relays_;
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -41,6 +41,7 @@
                                          metrics_,
                                          [] { return std::vector{host_id{"host-1"}}; },
                                          [this] { return read_directory(); },
+                                         [this](group_id, instance_entry) { return answer_age(); },
                                          [this](group_id, std::uint64_t) { return announce(); },
                                          [](const group_id&, std::uint64_t) {}};
         auto failover = std::make_shared<group_failover>(group, std::move(environment));
@@ -63,6 +64,7 @@
 
 private:
     boost::asio::awaitable<std::size_t> announce() { co_return silent_hosts; }
+    boost::asio::awaitable<std::optional<milliseconds>> answer_age() { co_return std::nullopt; }
 
     boost::asio::awaitable<void> read_directory() {
         on_directory_read();
@@ -189,21 +191,23 @@
 
     /// Starts the failover on the first host. `silent_hosts` other hosts don't confirm.
     std::shared_ptr<group_failover> start_failover(std::size_t silent_hosts) {
-        failover_environment environment{context.get_executor(),
-                                         host_id{"host-1"},
-                                         store,
-                                         promotions,
-                                         first_connector_,
-                                         metrics_,
-                                         [] { return std::vector{host_id{"host-1"}}; },
-                                         [this]() -> boost::asio::awaitable<void> {
-                                             first->update(settings_, connector.entries(), {});
-                                             co_return;
-                                         },
-                                         [this, silent_hosts](group_id, std::uint64_t fence) {
-                                             return announce(silent_hosts, fence);
-                                         },
-                                         [](const group_id&, std::uint64_t) {}};
+        failover_environment environment{
+            context.get_executor(),
+            host_id{"host-1"},
+            store,
+            promotions,
+            first_connector_,
+            metrics_,
+            [] { return std::vector{host_id{"host-1"}}; },
+            [this]() -> boost::asio::awaitable<void> {
+                first->update(settings_, connector.entries(), {});
+                co_return;
+            },
+            [this](group_id, instance_entry primary) { return answer_age(std::move(primary)); },
+            [this, silent_hosts](group_id, std::uint64_t fence) {
+                return announce(silent_hosts, fence);
+            },
+            [](const group_id&, std::uint64_t) {}};
         auto failover = std::make_shared<group_failover>(first, std::move(environment));
         boost::asio::co_spawn(context, failover->run(), boost::asio::detached);
         // The probes of a silent primary are not part of this test.
@@ -273,8 +277,15 @@
     fake_promotions promotions{connector};
     std::shared_ptr<backend_group> first;
     std::shared_ptr<backend_group> second;
+    /// Whether the second host answers queries about the primary.
+    bool second_answers = false;
 
 private:
+    boost::asio::awaitable<std::optional<milliseconds>> answer_age(instance_entry primary) {
+        const auto reply = second->report_primary(primary.id);
+        co_return reply.alive&& second_answers ? std::optional{reply.age} : std::nullopt;
+    }
+
     boost::asio::awaitable<std::size_t> announce(std::size_t silent_hosts, std::uint64_t fence) {
         if (silent_hosts == 0) {
             second->on_failover_begun(fence);
@@ -391,3 +402,16 @@
     CHECK(fixture.promotions.orders.empty());
     CHECK_FALSE(fixture.first->primary_is_dead(steady_clock::now()));
 }
+
+// A host that is itself cut off or slow must not replace a primary that serves the other hosts.
+TEST_CASE("a primary that answers another host is not replaced") {
+    partitioned_fixture fixture;
+    fixture.second_answers = true;
+    const auto failover = fixture.start_failover(0);
+    for (int i = 0; i < 15; ++i) {
+        CHECK(fixture.second_host_uses_primary());
+        fixture.run_for(milliseconds{100});
+    }
+    failover->stop();
+    CHECK(fixture.promotions.orders.empty());
+}
--- a/libs/gateway/test/lease_messages_test.cpp
+++ b/libs/gateway/test/lease_messages_test.cpp
@@ -50,6 +50,14 @@
         RC_ASSERT(std::holds_alternative<failover_confirmed>(transmit(failover_confirmed{})));
         const failover_recorded recorded{group_id{text}, number};
         RC_ASSERT(std::get<failover_recorded>(transmit(recorded)) == recorded);
+        const primary_query about{group_id{text}, instance_id{text + "i"}};
+        RC_ASSERT(std::get<primary_query>(transmit(about)) == about);
+        const primary_reply heard{flag, milliseconds{13}};
+        RC_ASSERT(std::get<primary_reply>(transmit(heard)) == heard);
+        const positions_query several{{{group_id{text}, customer_id{text + "c"}}, {}}};
+        RC_ASSERT(std::get<positions_query>(transmit(several)) == several);
+        const positions_reply known{{{group_id{text}, reported}}};
+        RC_ASSERT(std::get<positions_reply>(transmit(known)) == known);
         const row_query rows{text, number};
         RC_ASSERT(std::get<row_query>(transmit(rows)) == rows);
         const row_reply answer{
--- a/libs/gateway/test/placement_test.cpp
+++ b/libs/gateway/test/placement_test.cpp
@@ -108,8 +108,10 @@
 TEST_CASE("all hosts choose the same pool owner, in the instance's domain if possible") {
     const failure_domain_id north{"north"};
     const failure_domain_id south{"south"};
-    std::vector<pool_owner_candidate> candidates{
-        {host_id{"a"}, south}, {host_id{"b"}, north}, {host_id{"c"}, north}, {host_id{"d"}, south}};
+    std::vector<pool_owner_candidate> candidates{{host_id{"a"}, south, 200},
+                                                 {host_id{"b"}, north, 20},
+                                                 {host_id{"c"}, north, 20},
+                                                 {host_id{"d"}, south, 200}};
     std::set<host_id> owners;
     for (int i = 0; i < 50; ++i) {
         const instance_id instance{"instance-" + std::to_string(i)};
@@ -123,3 +125,23 @@
     CHECK(owners == std::set<host_id>{host_id{"b"}, host_id{"c"}});
     CHECK_FALSE(choose_pool_owner(instance_id{"i"}, north, {}));
 }
+
+// On the grown lsf-lager site, hosts with 0.12 of a core and 10 Mbit/s owned most pools. After a
+// partition they answered too late, and their statements were refused for 8 s.
+TEST_CASE("pools are owned by the hosts with the fastest links of the instance's domain") {
+    const failure_domain_id north{"north"};
+    std::vector<pool_owner_candidate> candidates;
+    for (int i = 0; i < 45; ++i) {
+        candidates.push_back({host_id{"small-" + std::to_string(i)}, north, 20});
+    }
+    for (int i = 0; i < 3; ++i) {
+        candidates.push_back({host_id{"large-" + std::to_string(i)}, north, 200});
+    }
+    candidates.push_back({host_id{"elsewhere"}, failure_domain_id{"south"}, 1000});
+    std::set<host_id> owners;
+    for (int i = 0; i < 60; ++i) {
+        owners.insert(
+            *choose_pool_owner(instance_id{"instance-" + std::to_string(i)}, north, candidates));
+    }
+    CHECK(owners == std::set<host_id>{host_id{"large-0"}, host_id{"large-1"}, host_id{"large-2"}});
+}
--- a/libs/gateway/test/report_relay_test.cpp
+++ b/libs/gateway/test/report_relay_test.cpp
@@ -119,25 +119,27 @@
 private:
     struct message {
         host_id sender;
-        report_relay::delivery delivery;
+        host_id recipient;
+        peer::usage_reports reports;
     };
 
     void post(const host_id& sender, std::vector<report_relay::delivery> deliveries) {
         for (auto& item : deliveries) {
-            ++sent_[sender];
-            messages_.push_back({sender, std::move(item)});
+            for (const auto& recipient : item.recipients) {
+                ++sent_[sender];
+                messages_.push_back({sender, recipient, item.message});
+            }
         }
     }
 
     void deliver() {
-        for (const auto& [sender, delivery] : std::exchange(messages_, {})) {
-            if (stopped_.contains(delivery.recipient)) {
+        for (const auto& [sender, recipient, message] : std::exchange(messages_, {})) {
+            if (stopped_.contains(recipient)) {
                 continue;
             }
-            for (const auto& item : delivery.message.reports) {
-                if (item.host != delivery.recipient &&
-                    heard_[delivery.recipient].insert(item.host).second) {
-                    relays_.at(delivery.recipient)->enqueue(sender, item, start);
+            for (const auto& item : message.reports) {
+                if (item.host != recipient && heard_[recipient].insert(item.host).second) {
+                    relays_.at(recipient)->enqueue(sender, item, start);
                 }
             }
         }
--- a/libs/limits/include/masticgrade/limits/usage_limiter.hpp
+++ b/libs/limits/include/masticgrade/limits/usage_limiter.hpp
@@ -78,9 +78,9 @@
 /// burst, for the proportion of operations that are within the rate. A sudden overload can exceed
 /// the limit by at most the operations of one round, which are deducted from later tokens.
 ///
-/// Processing a report takes time proportional to the customers in it. Admitting an operation
-/// checks the liveness of each peer but does not add up the peers' usage, because the sums over all
-/// peers are maintained per customer.
+/// Processing a report takes time proportional to the customers in it, and admitting an operation
+/// takes constant time: the sums over all peers are maintained per customer, and the liveness of
+/// the peers is checked only when one of them may have changed.
 ///
 /// Thread safety: none. Does not read the clock; `now` must not decrease between calls.
 class usage_limiter {
@@ -137,6 +137,8 @@
     using rate_history = std::deque<std::pair<boot_time, double>>;
 
     struct peer_usage {
+        /// The peer's uptime in the last report that contained the customer.
+        milliseconds reported_at{0};
         std::uint64_t admitted = 0;
         double rate = 0;
         double demand = 0;
@@ -191,8 +193,12 @@
         mutable std::uint64_t reserved_fraction_version = 0;
     };
 
-    /// Updates the liveness of all peers and removes those silent for longer than `peer_expiry`.
+    /// Updates the liveness of all peers and removes those silent for longer than `peer_expiry`, if
+    /// any of them may have changed.
     void update_peer_states(boot_time now);
+    void set_state(peer_state& peer, liveness state);
+    /// The earliest time at which the peer's liveness can change.
+    [[nodiscard]] static boot_time next_change(const peer_state& peer);
     void refill(const customer_id& customer, customer_bucket& bucket, boot_time now);
     void update_own_rate(customer_bucket& bucket, boot_time now) const;
     /// Fraction of the customer's limit that is reserved for silent peers.
@@ -206,7 +212,8 @@
     void clear_usage(peer_state& peer, boot_time now);
     void apply_usage(peer_state& peer, const customer_usage& item, bool has_baseline,
                      boot_time now);
-    void remove_idle_usage(peer_state& peer, const usage_report& report, boot_time now);
+    /// Removes the customers that the peer's last report did not contain.
+    void remove_idle_usage(peer_state& peer, boot_time now);
     void start_round_if_reported(boot_time now);
     void start_round(boot_time now);
     /// Decides randomly whether to admit an operation beyond this host's fraction.
@@ -220,6 +227,11 @@
     [[nodiscard]] static liveness liveness_of(const peer_state& peer, boot_time now);
 
     boot_time started_;
+    /// No peer changes its liveness before this time, unless it reports.
+    boot_time next_state_change_;
+    std::size_t live_peers_ = 0;
+    /// Live peers that have reported in the current round.
+    std::size_t peers_in_round_ = 0;
     std::unordered_map<customer_id, customer_bucket> buckets_;
     std::map<host_id, peer_state> peers_;
     /// Processes that have reported that they are shutting down.
--- a/libs/limits/src/usage_limiter.cpp
+++ b/libs/limits/src/usage_limiter.cpp
@@ -61,7 +61,28 @@
     return peer.never_heard || silence > silence_timeout ? liveness::silent : liveness::live;
 }
 
+boot_time usage_limiter::next_change(const peer_state& peer) {
+    const auto limit = peer.state == liveness::live ? silence_timeout : peer_expiry;
+    return peer.last_heard + limit;
+}
+
+void usage_limiter::set_state(peer_state& peer, liveness state) {
+    if (peer.state == liveness::live) {
+        --live_peers_;
+        peers_in_round_ -= peer.reported_in_round ? 1 : 0;
+    }
+    peer.state = state;
+    if (state == liveness::live) {
+        ++live_peers_;
+        peers_in_round_ += peer.reported_in_round ? 1 : 0;
+    }
+}
+
 void usage_limiter::update_peer_states(boot_time now) {
+    if (now <= next_state_change_) {
+        return;
+    }
+    next_state_change_ = boot_time::max();
     for (auto entry = peers_.begin(); entry != peers_.end();) {
         auto& peer = entry->second;
         const auto state = liveness_of(peer, now);
@@ -69,10 +90,15 @@
             if (peer.state == liveness::live) {
                 include_rates(peer, false, now);
             }
-            peer.state = state;
+            set_state(peer, state);
             ++peer_states_version_;
         }
-        entry = state == liveness::lost ? peers_.erase(entry) : std::next(entry);
+        if (state == liveness::lost) {
+            entry = peers_.erase(entry);
+        } else {
+            next_state_change_ = std::min(next_state_change_, next_change(peer));
+            ++entry;
+        }
     }
 }
 
@@ -130,7 +156,7 @@
     ++bucket.requested;
     update_peer_states(now);
     refill(customer, bucket, now);
-    if (live_peer_count(now) == 0 && now - bucket.round_started >= standalone_round_length) {
+    if (live_peers_ == 0 && now - bucket.round_started >= standalone_round_length) {
         start_round(now);
     }
     const double allowance = round_allowance(bucket, silent_fraction(customer, bucket, now), now);
@@ -188,18 +214,22 @@
     peer.uptime = report.uptime;
     peer.last_heard = is_new ? last_heard : std::max(peer.last_heard, last_heard);
     peer.never_heard = false;
+    // The counters include the peer in its old state until set_state.
+    peers_in_round_ += peer.state == liveness::live && !peer.reported_in_round ? 1 : 0;
     peer.reported_in_round = true;
     peer.accepts_leases = report.accepts_leases;
-    peer.state = liveness::live;
+    set_state(peer, liveness::live);
+    next_state_change_ = std::min(next_state_change_, next_change(peer));
     if (is_new || !was_live) {
         ++peer_states_version_;
     }
     for (const auto& item : report.usage) {
         apply_usage(peer, item, has_baseline, now);
     }
-    remove_idle_usage(peer, report, now);
+    remove_idle_usage(peer, now);
     if (report.leaving) {
         clear_usage(peer, now);
+        set_state(peer, liveness::lost);
         departed_[reporter] = incarnation;
         peers_.erase(found);
         ++peer_states_version_;
@@ -219,6 +249,7 @@
                                 boot_time now) {
     auto [entry, added] = peer.usage.try_emplace(item.customer);
     auto& known = entry->second;
+    known.reported_at = peer.uptime;
     const auto found = buckets_.find(item.customer);
     if (found == buckets_.end()) {
         known.admitted = item.admitted;
@@ -246,13 +277,9 @@
     record_rate(known.rates, now, item.rate);
 }
 
-void usage_limiter::remove_idle_usage(peer_state& peer, const usage_report& report, boot_time now) {
-    std::set<std::string_view> reported;
-    for (const auto& item : report.usage) {
-        reported.insert(item.customer.str());
-    }
+void usage_limiter::remove_idle_usage(peer_state& peer, boot_time now) {
     for (auto entry = peer.usage.begin(); entry != peer.usage.end();) {
-        if (reported.contains(entry->first.str())) {
+        if (entry->second.reported_at == peer.uptime) {
             ++entry;
             continue;
         }
@@ -270,15 +297,8 @@
 }
 
 void usage_limiter::start_round_if_reported(boot_time now) {
-    std::size_t live = 0;
-    std::size_t missing = 0;
-    for (const auto& [host, peer] : peers_) {
-        if (peer.state == liveness::live) {
-            ++live;
-            missing += peer.reported_in_round ? 0 : 1;
-        }
-    }
-    if (missing <= live / missing_reports_divisor) {
+    const auto missing = live_peers_ - peers_in_round_;
+    if (missing <= live_peers_ / missing_reports_divisor) {
         start_round(now);
     }
 }
@@ -303,17 +323,18 @@
             auto& peer = peers_[host];
             peer.last_heard = now - silence_timeout - milliseconds{1};
             peer.never_heard = true;
+            next_state_change_ = std::min(next_state_change_, next_change(peer));
             ++peer_states_version_;
         }
     }
 }
 
 void usage_limiter::start_round(boot_time now) {
-    std::size_t hosts = 1;
+    const std::size_t hosts = live_peers_ + 1;
     for (auto& [host, peer] : peers_) {
         peer.reported_in_round = false;
-        hosts += peer.state == liveness::live ? 1 : 0;
     }
+    peers_in_round_ = 0;
     const auto count = static_cast<double>(hosts);
     // In a large fleet, an equal fraction is below one operation and useless to any host.
     const double equal = equal_split_fraction * std::min(1.0, max_idle_hosts / count);
@@ -393,6 +414,9 @@
 }
 
 std::size_t usage_limiter::live_peer_count(boot_time now) const {
+    if (now <= next_state_change_) {
+        return live_peers_;
+    }
     return static_cast<std::size_t>(std::count_if(
         peers_.begin(), peers_.end(),
         [&](const auto& entry) { return liveness_of(entry.second, now) == liveness::live; }));
--- a/libs/peer/include/masticgrade/peer/peer_network.hpp
+++ b/libs/peer/include/masticgrade/peer/peer_network.hpp
@@ -89,6 +89,11 @@
     void send(const endpoint_address& peer, message_body body, time_point deadline,
               std::optional<message_identity> identity = std::nullopt);
 
+    /// Queues a one-way message to several peers and encodes it once. As for `send`, it is dropped
+    /// where it cannot be sent by the deadline.
+    void send_to_all(const std::vector<endpoint_address>& peers, message_body body,
+                     time_point deadline);
+
     [[nodiscard]] network_counters counters() const;
 
     /// Closes all connections and fails pending requests.
--- a/libs/peer/src/peer_network.cpp
+++ b/libs/peer/src/peer_network.cpp
@@ -92,6 +92,14 @@
         get_or_create_channel(peer)->post_one_way(std::move(frame), deadline);
     }
 
+    void send_to_all(const std::vector<endpoint_address>& peers, message_body body,
+                     time_point deadline) {
+        const auto frame = encode_message(request_number{}, false, std::move(body));
+        for (const auto& peer : peers) {
+            get_or_create_channel(peer)->post_one_way(frame, deadline);
+        }
+    }
+
     [[nodiscard]] network_counters counters() const {
         return {counters_->bytes_sent.load(), counters_->bytes_received.load(),
                 counters_->messages_refused.load(), counters_->connections_rejected.load()};
@@ -241,6 +249,11 @@
     impl_->send(peer, std::move(body), deadline, identity);
 }
 
+void peer_network::send_to_all(const std::vector<endpoint_address>& peers, message_body body,
+                               time_point deadline) {
+    impl_->send_to_all(peers, std::move(body), deadline);
+}
+
 network_counters peer_network::counters() const { return impl_->counters(); }
 
 void peer_network::stop() { impl_->stop(); }
