Limits, peer: tests and benchmark of the constant costs

The count of live peers is compared with each peer's liveness under random reports, restarts and departures.

--- a/benchmarks/limits/limits_benchmark.cpp
+++ b/benchmarks/limits/limits_benchmark.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "masticgrade/limits/rate_shares.hpp"
+#include "masticgrade/limits/usage_limiter.hpp"
 #include "masticgrade/request/fair_queue.hpp"
 #include "masticgrade/version/rendezvous.hpp"
 
@@ -133,6 +134,61 @@
     share_owner owner;
 };
 
+/// A limiter that has heard from `peers` other hosts, with eight active customers on each.
+class reporting_fleet {
+public:
+    explicit reporting_fleet(std::int64_t peers) : peers_(peers) {
+        std::map<customer_id, rate_limit> limits;
+        for (const auto& name : first_names(190)) {
+            limits[name] = {1000, 1000};
+        }
+        limiter.configure(limits, now);
+        report_all();
+    }
+
+    void report_all() {
+        now += milliseconds(250);
+        uptime_ += milliseconds(250);
+        for (std::int64_t peer = 0; peer < peers_; ++peer) {
+            usage_report report;
+            report.uptime = uptime_;
+            for (std::int64_t i = 0; i < 8; ++i) {
+                report.usage.push_back({customer_name((peer * 7 + i) % 190), 1, 1, 1});
+            }
+            limiter.on_report(host_name(peer), incarnation_number{1}, report, now);
+        }
+    }
+
+    boot_time now = boot_time{} + seconds(1000);
+    usage_limiter limiter{now};
+
+private:
+    std::int64_t peers_;
+    milliseconds uptime_{0};
+};
+
+void usage_admission(benchmark::State& state) {
+    reporting_fleet fleet{state.range(0)};
+    const auto customer = customer_name(3);
+    for (auto _ : state) {
+        fleet.now += std::chrono::microseconds(1);
+        benchmark::DoNotOptimize(fleet.limiter.admit(customer, fleet.now));
+    }
+}
+BENCHMARK(usage_admission)->Arg(7)->Arg(67)->Arg(294)->Arg(548)->Iterations(200000);
+
+/// One round of reports of all peers.
+void usage_reports_round(benchmark::State& state) {
+    reporting_fleet fleet{state.range(0)};
+    for (auto _ : state) {
+        fleet.report_all();
+    }
+    state.counters["us_per_report"] = benchmark::Counter(
+        static_cast<double>(state.range(0)) * 1e-6,
+        benchmark::Counter::kIsIterationInvariantRate | benchmark::Counter::kInvert);
+}
+BENCHMARK(usage_reports_round)->Arg(7)->Arg(67)->Arg(294)->Arg(548);
+
 }  // namespace
 
 /// Admission of one statement from the local share, for different numbers of customers.
--- a/libs/limits/test/usage_limiter_test.cpp
+++ b/libs/limits/test/usage_limiter_test.cpp
@@ -347,3 +347,47 @@
         RC_ASSERT(static_cast<double>(hosts.max_in_window()) <= hosts.allowed_in_window());
     }));
 }
+
+// The number of live peers is counted when reports arrive, and must match the peers' liveness under
+// any order of reports, silences, restarts and departures.
+TEST_CASE("the count of live peers matches the liveness of each peer") {
+    CHECK(rc::check([] {
+        constexpr std::size_t peers = 6;
+        usage_limiter limiter{start};
+        limiter.configure({{customer, {100, 100}}}, start);
+        std::vector<milliseconds> uptimes(peers, milliseconds{0});
+        std::vector<std::uint64_t> incarnations(peers, 1);
+        auto now = start;
+        const auto steps = *rc::gen::inRange(1, 80);
+        for (int i = 0; i < steps; ++i) {
+            now += milliseconds{*rc::gen::inRange(0, 1500)};
+            const auto peer = *rc::gen::inRange<std::size_t>(0, peers);
+            switch (*rc::gen::inRange(0, 5)) {
+                case 0:
+                    limiter.expect_peers({name_of(peer)}, now);
+                    break;
+                case 1:
+                    ++incarnations[peer];
+                    uptimes[peer] = milliseconds{0};
+                    break;
+                case 2:
+                    limiter.admit(customer, now);
+                    break;
+                default: {
+                    usage_report report;
+                    report.uptime = uptimes[peer] += milliseconds{1};
+                    report.age = milliseconds{*rc::gen::inRange(0, 300)};
+                    report.leaving = *rc::gen::inRange(0, 10) == 0;
+                    report.usage.push_back({customer, 1, 1, 1});
+                    limiter.on_report(name_of(peer), incarnation_number{incarnations[peer]}, report,
+                                      now);
+                }
+            }
+            std::size_t live = 0;
+            for (std::size_t other = 0; other < peers; ++other) {
+                live += limiter.is_live(name_of(other), now) ? 1 : 0;
+            }
+            RC_ASSERT(limiter.live_peer_count(now) == live);
+        }
+    }));
+}
--- a/libs/peer/test/peer_network_test.cpp
+++ b/libs/peer/test/peer_network_test.cpp
@@ -234,3 +234,32 @@
     server.stop();
     pool.join();
 }
+
+// Relays send the same reports to all hosts of their failure domain.
+TEST_CASE("a message to several peers reaches each of them once") {
+    asio::thread_pool pool{thread_count};
+    std::atomic<int> received_by_first{0};
+    std::atomic<int> received_by_second{0};
+    const auto count_into = [](std::atomic<int>& counter) {
+        return [&counter](envelope message) -> awaitable<std::optional<message_body>> {
+            counter += std::holds_alternative<suspect_report>(message.body) ? 1 : 0;
+            co_return std::nullopt;
+        };
+    };
+    peer_network first{pool.get_executor(), options_for("first"), count_into(received_by_first)};
+    peer_network second{pool.get_executor(), options_for("second"), count_into(received_by_second)};
+    peer_network sender{pool.get_executor(), options_for("sender"), reply_with_requested_version};
+    sender.send_to_all({first.local_address(), second.local_address()},
+                       suspect_report{group_id{"g"}, term_number{1}, true},
+                       deadline_after(seconds{10}));
+    const auto deadline = deadline_after(seconds{10});
+    while ((received_by_first == 0 || received_by_second == 0) && steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(milliseconds{5});
+    }
+    sender.stop();
+    first.stop();
+    second.stop();
+    pool.join();
+    CHECK(received_by_first == 1);
+    CHECK(received_by_second == 1);
+}
