Platform, gateway: one unreadable row or message no longer ends the process

Causes: - json::value::to_number throws boost::system::system_error for a number above the range of int64, which no loop catches. One entry in the directory with such a sequence, start time or slot count, or with a port that is not a number, ended the process on every host; so did a failover row with a negative fence.

--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -7,6 +7,7 @@
 
 #include "masticgrade/base/event_log.hpp"
 #include "masticgrade/base/log.hpp"
+#include "masticgrade/base/scope_guard.hpp"
 
 namespace masticgrade {
 
@@ -402,6 +403,7 @@
 
 asio::awaitable<void> backend_group::refresh_position(customer_id customer) {
     const auto self = shared_from_this();
+    const scope_guard ended{[&] { position_refresh_in_progress_ = false; }};
     constexpr milliseconds refresh_timeout{300};
     const auto deadline = steady_clock::now() + refresh_timeout;
     std::optional<position_proof> proof;
@@ -417,7 +419,6 @@
     } else {
         co_await prove_position(std::move(customer), deadline);
     }
-    position_refresh_in_progress_ = false;
 }
 
 asio::awaitable<void> backend_group::prove_position(customer_id customer, time_point deadline) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -70,6 +70,8 @@
 constexpr milliseconds fast_host_list_interval{1000};
 /// Limit of concurrent calls from one other host, waiting for a connection or running.
 constexpr std::size_t max_concurrent_peer_calls = 2048;
+/// Time until a task that ended with an unexpected error is started again.
+constexpr milliseconds task_restart_delay{100};
 /// The load balancer removes a host after two failed health checks, one second apart.
 constexpr milliseconds balancer_removal_delay{2200};
 
@@ -135,13 +137,13 @@
     }
 
     void start() {
-        spawn(control_loop());
-        spawn(directory_loop());
-        spawn(host_list_loop());
-        spawn(failover_row_loop());
-        spawn(position_loop());
-        spawn(reports_->run(executor_));
-        spawn(tick_loop());
+        spawn("control", [this] { return control_loop(); });
+        spawn("directory", [this] { return directory_loop(); });
+        spawn("host_list", [this] { return host_list_loop(); });
+        spawn("failover_rows", [this] { return failover_row_loop(); });
+        spawn("positions", [this] { return position_loop(); });
+        spawn("reports", [this] { return reports_->run(executor_); });
+        spawn("tick", [this] { return tick_loop(); });
     }
 
     asio::awaitable<void> serve(std::shared_ptr<caller_connection> link) {
@@ -207,14 +209,30 @@
     }
 
 private:
-    void spawn(asio::awaitable<void> task) {
-        asio::co_spawn(executor_, std::move(task), [](const std::exception_ptr& failure) {
-            // Without one of its loops the host would serve stale data. The process ends instead;
-            // its successor starts with current data.
-            if (failure) {
-                std::rethrow_exception(failure);
+    /// Runs a task for as long as the process lives. After an unexpected error it is started again,
+    /// so that one unreadable message or row does not end the work for all callers; what depends on
+    /// the task's data refuses service once the data is too old.
+    void spawn(std::string name, std::function<asio::awaitable<void>()> task) {
+        asio::co_spawn(executor_, run_restarting(std::move(name), std::move(task)), asio::detached);
+    }
+
+    asio::awaitable<void> run_restarting(std::string name,
+                                         std::function<asio::awaitable<void>()> task) {
+        const auto self = shared_from_this();
+        for (;;) {
+            try {
+                co_await task();
+                co_return;
+            } catch (const std::exception& failure) {
+                metrics_.count("masticgrade_task_failures_total",
+                               "Unexpected errors in the tasks of the process.", name);
+                event_line{"task_failed"}
+                    .field("task", name)
+                    .field("reason", failure.what())
+                    .write();
             }
-        });
+            co_await sleep(task_restart_delay);
+        }
     }
 
     asio::awaitable<void> sleep(duration length) {
@@ -283,7 +301,7 @@
                 apply_failover_row(name, *group);
             }
             failovers_[name] = std::make_shared<group_failover>(group, std::move(failover));
-            spawn(failovers_[name]->run());
+            spawn("failover", [failover = failovers_[name]] { return failover->run(); });
         }
         return group;
     }
@@ -308,19 +326,17 @@
         const auto pending = std::make_shared<pending_confirmations>(
             pending_confirmations{hosts.size(), asio::steady_timer{executor_, answer_by}});
         for (const auto& host : hosts) {
-            asio::co_spawn(executor_, leases_->query_primary(host, {group, primary.id}, answer_by),
-                           [pending, best](const std::exception_ptr& failure,
-                                           const std::optional<primary_reply>& reply) {
-                               if (failure) {
-                                   std::rethrow_exception(failure);
-                               }
-                               if (reply && reply->alive && (!*best || reply->age < **best)) {
-                                   *best = reply->age;
-                               }
-                               if (--pending->missing == 0) {
-                                   pending->timer.cancel();
-                               }
-                           });
+            asio::co_spawn(
+                executor_, leases_->query_primary(host, {group, primary.id}, answer_by),
+                [pending, best](const std::exception_ptr& failure,
+                                const std::optional<primary_reply>& reply) {
+                    if (!failure && reply && reply->alive && (!*best || reply->age < **best)) {
+                        *best = reply->age;
+                    }
+                    if (--pending->missing == 0) {
+                        pending->timer.cancel();
+                    }
+                });
         }
         if (pending->missing > 0) {
             boost::system::error_code ignored;
@@ -344,10 +360,8 @@
         for (const auto& host : recipients) {
             asio::co_spawn(executor_, leases_->announce_failover(host, {group, fence}, confirm_by),
                            [pending](const std::exception_ptr& failure, bool confirmed) {
-                               if (failure) {
-                                   std::rethrow_exception(failure);
-                               }
-                               if (confirmed && --pending->missing == 0) {
+                               // A host whose announcement failed has not confirmed.
+                               if (!failure && confirmed && --pending->missing == 0) {
                                    pending->timer.cancel();
                                }
                            });
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -446,6 +446,10 @@
     }
     const auto& message = *wire::GetMessage(bytes.data());
     constexpr std::uint64_t max_uptime_ms = std::uint64_t{1} << 52U;
+    if (message.call() == nullptr) {
+        // The verifier accepts a call type without a call.
+        reject("the message has no call");
+    }
     lease_message result;
     result.sender_uptime = milliseconds{std::min(message.sender_uptime_ms(), max_uptime_ms)};
     switch (message.call_type()) {
--- a/libs/gateway/test/lease_messages_test.cpp
+++ b/libs/gateway/test/lease_messages_test.cpp
@@ -155,3 +155,37 @@
                              start + message_delay_estimator::max_round_trip + milliseconds{1});
     CHECK_FALSE(delays.is_known(sender, incarnation));
 }
+
+// One damaged message from another host must not end the process.
+TEST_CASE("damaged lease messages are decoded or rejected with masticgrade::error") {
+    statement_answer answer;
+    answer.rows = {"row"};
+    answer.position = index_of(4);
+    run_request steps;
+    steps.values = std::map<std::string, std::string>{{"name", "value"}};
+    steps.prepared = prepared_statement{access_kind::write, "shape"};
+    steps.steps = {backend_begin{true, index_of(3)},
+                   backend_statement{statement_id{"s"}, "text", {}}, backend_hold{term_number{2}}};
+    const std::vector<lease_payload> messages{
+        lease_request{},
+        steps,
+        run_reply{lease_failure::none, "", {answer}},
+        row_reply{true, 7, milliseconds{1}, {{"key", fleet_version{2}, "value"}}},
+        positions_reply{{{group_id{"g"}, {instance_id{"i"}, index_of(5), milliseconds{2}}}}},
+        positions_query{{{group_id{"g"}, customer_id{"c"}}}},
+        failover_begun{group_id{"g"}, 3}};
+    CHECK(rc::check([&] {
+        const auto index = *rc::gen::inRange<std::size_t>(0, messages.size());
+        auto bytes = encode_lease_message({milliseconds{5}, messages[index]});
+        const auto changes = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < changes; ++i) {
+            bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+                *rc::gen::arbitrary<std::uint8_t>();
+        }
+        bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+        try {
+            static_cast<void>(decode_lease_message(bytes));
+        } catch (const error&) {
+        }
+    }));
+}
