--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -33,17 +33,18 @@
 
     /// Runs the failover until `done` returns true, for at most 10 s.
     void run_until(const std::function<bool()>& done) {
-        failover_environment environment{context_.get_executor(),
-                                         host_id{"host-1"},
-                                         store,
-                                         promotions,
-                                         connector,
-                                         metrics_,
-                                         [] { return std::vector{host_id{"host-1"}}; },
-                                         [this] { return read_directory(); },
-                                         [this](group_id, instance_entry) { return answer_age(); },
-                                         [this](group_id, std::uint64_t) { return announce(); },
-                                         [](const group_id&, std::uint64_t) {}};
+        failover_environment environment{
+            context_.get_executor(),
+            host_id{"host-1"},
+            store,
+            promotions,
+            connector,
+            metrics_,
+            [] { return std::vector{host_id{"host-1"}}; },
+            [this] { return read_directory(); },
+            [this](const group_id&, const instance_entry&) { return answer_age(); },
+            [this](const group_id&, std::uint64_t) { return announce(); },
+            [](const group_id&, std::uint64_t) {}};
         auto failover = std::make_shared<group_failover>(group, std::move(environment));
         boost::asio::co_spawn(context_, failover->run(), boost::asio::detached);
         const auto deadline = steady_clock::now() + seconds{10};
@@ -203,8 +204,8 @@
                 first->update(settings_, connector.entries(), {});
                 co_return;
             },
-            [this](group_id, instance_entry primary) { return answer_age(std::move(primary)); },
-            [this, silent_hosts](group_id, std::uint64_t fence) {
+            [this](const group_id&, const instance_entry& primary) { return answer_age(primary); },
+            [this, silent_hosts](const group_id&, std::uint64_t fence) {
                 return announce(silent_hosts, fence);
             },
             [](const group_id&, std::uint64_t) {}};
--- a/libs/gateway/test/placement_test.cpp
+++ b/libs/gateway/test/placement_test.cpp
@@ -130,8 +130,10 @@
 // partition they answered too late, and their statements were refused for 8 s.
 TEST_CASE("pools are owned by the hosts with the fastest links of the instance's domain") {
     const failure_domain_id north{"north"};
+    constexpr int small_hosts = 45;
     std::vector<pool_owner_candidate> candidates;
-    for (int i = 0; i < 45; ++i) {
+    candidates.reserve(small_hosts + 4);
+    for (int i = 0; i < small_hosts; ++i) {
         candidates.push_back({host_id{"small-" + std::to_string(i)}, north, 20});
     }
     for (int i = 0; i < 3; ++i) {
--- a/libs/gateway/test/report_relay_test.cpp
+++ b/libs/gateway/test/report_relay_test.cpp
@@ -123,8 +123,8 @@
         peer::usage_reports reports;
     };
 
-    void post(const host_id& sender, std::vector<report_relay::delivery> deliveries) {
-        for (auto& item : deliveries) {
+    void post(const host_id& sender, const std::vector<report_relay::delivery>& deliveries) {
+        for (const auto& item : deliveries) {
             for (const auto& recipient : item.recipients) {
                 ++sent_[sender];
                 messages_.push_back({sender, recipient, item.message});
