--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -27,7 +27,7 @@
 }  // namespace
 
 child_process::child_process(const std::string& program, std::vector<std::string> arguments,
-                             const std::string& error_file) {
+                             const std::string& error_file, standard_output output) {
     arguments.insert(arguments.begin(), program);
     std::vector<char*> pointers;
     pointers.reserve(arguments.size() + 1);
@@ -42,7 +42,7 @@
     }
     pid_ = ::fork();
     if (pid_ == 0) {
-        run_program(pointers, pipe_ends[1], errors);
+        run_program(pointers, output == standard_output::pipe ? pipe_ends[1] : errors, errors);
     }
     ::close(pipe_ends[1]);
     ::close(errors);
--- a/tests/soak/edge_soak.cpp
+++ b/tests/soak/edge_soak.cpp
@@ -87,7 +87,8 @@
         const auto log =
             logs_ + "/host-" + std::to_string(index) + "-" + std::to_string(item.starts++) + ".log";
         item.process = std::make_unique<process_test::child_process>(
-            MG_EDGE, std::vector<std::string>{"--settings", item.settings}, log);
+            MG_EDGE, std::vector<std::string>{"--settings", item.settings}, log,
+            process_test::standard_output::file);
     }
 
     std::string logs_;
