Gateway, limits: usage reports that a fleet of 295 hosts can carry

Ruled out: processor time of the instances and their connection limits (44 refusals).

Change, from 100 hosts on: a host reports a customer until its demand falls below 0.5 operations a second instead of 0.02; each relay serves half of its domain; hosts report every 400 ms instead of 250.

The limit holds in the simulated fleet of 150 hosts at five times the rate (new test). Smaller fleets behave as before.

--- a/libs/gateway/src/pool_owner_selector.cpp
+++ b/libs/gateway/src/pool_owner_selector.cpp
@@ -3,12 +3,16 @@
 #include <algorithm>
 #include <utility>
 
+#include "report_relay.hpp"
+
 namespace masticgrade {
 
 namespace {
 
 /// Hosts from which no report has arrived for longer than this are not selected.
 constexpr milliseconds max_report_age{650};
+/// The same in a large fleet, where hosts report less often.
+constexpr milliseconds large_fleet_max_report_age{850};
 /// Interval at which the hosts that lease connections are collected.
 constexpr milliseconds candidates_lifetime{100};
 
@@ -42,7 +46,9 @@
 }
 
 void pool_owner_selector::refresh_candidates(time_point now) {
-    const auto since = boot_clock::now() - max_report_age;
+    const auto since = boot_clock::now() - (hosts_.others().size() >= report_relay::large_fleet
+                                                ? large_fleet_max_report_age
+                                                : max_report_age);
     std::vector<pool_owner_candidate> candidates;
     if (accepts_leases_()) {
         candidates.push_back(self_);
--- a/libs/gateway/src/report_exchange.cpp
+++ b/libs/gateway/src/report_exchange.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr milliseconds report_interval{250};
+/// The same in a large fleet. With the time on two relays it stays below the time after which a
+/// host counts as silent.
+constexpr milliseconds large_fleet_report_interval{400};
 /// Reports of other hosts are collected for this long and forwarded in one message.
 constexpr milliseconds relay_interval{100};
 /// A report that is not sent within this time is dropped, since newer ones supersede it.
@@ -37,7 +40,9 @@
         const auto now = steady_clock::now();
         if (now >= report_at) {
             send(false);
-            report_at = now + report_interval;
+            report_at = now + (hosts_.others().size() >= report_relay::large_fleet
+                                   ? large_fleet_report_interval
+                                   : report_interval);
         }
         if (now >= relay_at) {
             update_relays();
--- a/libs/gateway/src/report_relay.cpp
+++ b/libs/gateway/src/report_relay.cpp
@@ -58,13 +58,17 @@
     peer_relays_.clear();
     domain_members_ = domain_hosts_;
     is_relay_ = false;
-    for (const auto& host : choose_relays(own.live)) {
+    const auto relays = choose_relays(own.live);
+    for (const auto& host : relays) {
         is_relay_ = is_relay_ || host == self_;
         if (host != self_) {
             peer_relays_.insert(host);
             domain_members_.erase(host);
         }
     }
+    if (others.size() >= large_fleet && is_relay_) {
+        divide_members(relays);
+    }
     if (own.live.size() < relays_per_domain) {
         // No other host is known to be live, so any of them may be a relay.
         peer_relays_ = domain_hosts_;
@@ -87,6 +91,13 @@
     rows_ = choose_row_access(own.live, std::move(first_relays));
 }
 
+void report_relay::divide_members(const std::vector<host_id>& relays) {
+    std::erase_if(domain_members_, [&](const host_id& member) {
+        const auto hash = XXH3_64bits(member.str().data(), member.str().size());
+        return relays[hash % relays.size()] != self_;
+    });
+}
+
 bool report_relay::hosts_changed(const std::map<host_id, registered_host>& others,
                                  const std::function<bool(const host_id&)>& is_live) {
     std::vector<bool> live;
--- a/libs/gateway/src/report_relay.hpp
+++ b/libs/gateway/src/report_relay.hpp
@@ -50,6 +50,10 @@
 class report_relay {
 public:
     static constexpr std::size_t relays_per_domain = 2;
+    /// From this number of other hosts on, each relay serves half of its domain: a relay's messages
+    /// grow with the square of the hosts, and used its whole link at 295 hosts. When a relay fails,
+    /// its half misses reports until the other relay notices.
+    static constexpr std::size_t large_fleet = 100;
     /// Hosts of a failure domain that read the store when the relays have no recent rows. The store
     /// may refuse some hosts and serve the others.
     static constexpr std::size_t readers_per_domain = 4;
@@ -91,6 +95,8 @@
     /// Whether the hosts or their liveness differ from the last call.
     bool hosts_changed(const std::map<host_id, registered_host>& others,
                        const std::function<bool(const host_id&)>& is_live);
+    /// Removes the hosts that the other relay of the domain serves.
+    void divide_members(const std::vector<host_id>& relays);
     [[nodiscard]] row_access choose_row_access(std::vector<relay_candidate> domain_hosts,
                                                std::vector<relay_candidate> first_relays) const;
 
--- a/libs/gateway/test/report_relay_test.cpp
+++ b/libs/gateway/test/report_relay_test.cpp
@@ -187,6 +187,21 @@
     CHECK(fleet.most_sent() < 120);
 }
 
+// At 295 hosts both relays sent all reports to all hosts of their domain and used their whole
+// links.
+TEST_CASE("in a large fleet each host of a domain is served by one relay") {
+    relay_fleet fleet{6, 49};
+    fleet.exchange();
+    CHECK(fleet.all_heard());
+    const auto with_both = fleet.all_sent();
+    fleet.stop(host_id{"host-1-0"});
+    fleet.exchange();
+    CHECK(fleet.all_heard());
+    // Each host sends to two relays; a relay sends its own report, those of its domain and all new
+    // ones to half of 47 hosts and to 10 relays elsewhere.
+    CHECK(with_both < 6 * 47 * 2 + 12 * (4 * 24 + 3 * 11));
+}
+
 // Calls to the store are limited and cost more than messages between hosts.
 TEST_CASE("one host reads the store for the fleet, and another one after its failure") {
     relay_fleet fleet{6, 49};
--- a/libs/limits/src/usage_limiter.cpp
+++ b/libs/limits/src/usage_limiter.cpp
@@ -43,6 +43,11 @@
 constexpr seconds history_length{8};
 /// Operations per second below which a customer is idle on a host.
 constexpr double idle_limit = 0.02;
+/// The same in a fleet of more than `large_fleet` hosts, where most customers have a few operations
+/// a minute on each host: a host reports an operation for about half a second, not for four. Its
+/// reports shrink to a sixth, which keeps relays and small hosts within their bandwidth.
+constexpr double large_fleet_idle_limit = 0.5;
+constexpr std::size_t large_fleet = 100;
 
 /// The idle rate of one host in a fleet of `hosts`.
 double idle_rate_among(double hosts) { return idle_rate * std::min(1.0, max_idle_hosts / hosts); }
@@ -399,9 +404,10 @@
     result.uptime = std::chrono::duration_cast<milliseconds>(now - started_);
     result.leaving = leaving;
     result.accepts_leases = accepts_leases;
+    const double idle_below = live_peers_ >= large_fleet ? large_fleet_idle_limit : idle_limit;
     for (auto& [customer, bucket] : buckets_) {
         update_own_rate(bucket, now);
-        if (bucket.own_demand < idle_limit && bucket.requested == bucket.counted_requested) {
+        if (bucket.own_demand < idle_below && bucket.requested == bucket.counted_requested) {
             bucket.own_rate = bucket.own_demand = 0;
             bucket.admitted = bucket.counted_admitted = 0;
             bucket.own_rates.clear();
--- a/libs/limits/test/usage_limiter_test.cpp
+++ b/libs/limits/test/usage_limiter_test.cpp
@@ -265,6 +265,24 @@
     }
 }
 
+// From 100 hosts on, a host reports a customer only for about half a second after an operation.
+TEST_CASE("short reports keep the limit in a fleet of 150 hosts, and admit what is within it") {
+    constexpr std::size_t count = 150;
+    const std::vector<double> moderate(count, 16.0 / count);
+    const std::vector<double> heavy(count, 5.0 * 26 / count);
+    fleet hosts{count, {26, 42}, relayed_report_delay};
+    hosts.run(seconds{8}, moderate);
+    hosts.reset_counts();
+    hosts.run(seconds{8}, moderate);
+    CHECK(hosts.refused() * 100 <= hosts.offered());
+    hosts.run(seconds{8}, heavy);
+    CHECK(static_cast<double>(hosts.max_in_window()) <= hosts.allowed_in_window());
+    hosts.reset_counts();
+    hosts.run(seconds{8}, heavy);
+    CHECK(static_cast<double>(hosts.max_in_window()) <= hosts.allowed_in_window());
+    CHECK(hosts.offered() - hosts.refused() >= 8 * 26 * 9 / 10);
+}
+
 // Guards against counting a report twice that arrives over two paths, and against an older report
 // replacing a newer one.
 TEST_CASE("a duplicate or outdated report has no effect") {
