Gateway, platform: read and log the era of the store

The logs could not tell whether hosts read the rows written after the restore, since a line is written only when the decoded configuration changes.

New lines: store_restored with both eras, operator_rows_read with the era, the newest row version, the digest and whether the rows are decoded.

No decision depends on the era yet.

--- a/libs/base/include/masticgrade/base/types.hpp
+++ b/libs/base/include/masticgrade/base/types.hpp
@@ -65,6 +65,10 @@
 using log_position = strong_number<struct position_tag>;
 /// A commit version of the platform's table service.
 using fleet_version = strong_number<struct fleet_version_tag>;
+/// Number of times that the platform's table service has been restored from a copy. Commits made
+/// after the copy are lost, and their versions are assigned again, so versions of different eras
+/// must not be compared. 0 if the service does not report it.
+using store_era = strong_number<struct store_era_tag>;
 /// Distinguishes successive process starts on the same host.
 using incarnation_number = strong_number<struct incarnation_tag>;
 using request_number = strong_number<struct request_tag>;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -449,7 +449,12 @@
     }
 
     void apply_control(const row_snapshot& snapshot) {
-        if (!decoded_control_.configuration || snapshot.digest != control_digest_) {
+        const bool decode = !decoded_control_.configuration || snapshot.digest != control_digest_;
+        if (decode || snapshot.era != control_era_) {
+            log_operator_rows(snapshot, decode);
+        }
+        control_era_ = snapshot.era;
+        if (decode) {
             decoded_control_ = services_.documents.decode_control(snapshot.rows);
             control_digest_ = snapshot.digest;
         }
@@ -459,6 +464,21 @@
         }
     }
 
+    static void log_operator_rows(const row_snapshot& snapshot, bool decoded) {
+        fleet_version newest;
+        for (const auto& row : snapshot.rows) {
+            newest = std::max(newest, row.version);
+        }
+        event_line{"operator_rows_read"}
+            .field("era", snapshot.era)
+            .field("newest_row_version", newest)
+            .field("rows", snapshot.rows.size())
+            .field("digest", snapshot.digest)
+            .field("decoded", decoded)
+            .field_ms("read_age_ms", boot_clock::now() - snapshot.read_at)
+            .write();
+    }
+
     void log_store_state(bool& reachable, bool now_reachable, std::string_view reason) {
         if (reachable == now_reachable) {
             return;
@@ -701,6 +721,7 @@
     shared_rows rows_;
     /// Digest of the operators' rows that were decoded last.
     std::uint64_t control_digest_ = 0;
+    store_era control_era_;
     control_snapshot decoded_control_;
     boot_time directory_read_at_;
     /// The failover rows of all groups, as read last.
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -206,9 +206,10 @@
             rows.push_back(wire::CreateTableRow(out, key, row.version.value(), value));
         }
         const auto list = out.CreateVector(rows);
-        return {
-            wire::Call::RowsTold,
-            wire::CreateRowsTold(out, call.known, call.digest, time_field(call.age), list).Union()};
+        return {wire::Call::RowsTold,
+                wire::CreateRowsTold(out, call.known, call.digest, time_field(call.age), list,
+                                     call.era.value())
+                    .Union()};
     }
     std::pair<wire::Call, Offset<void>> operator()(const failover_begun& call) const {
         const auto group = out.CreateString(call.group.str());
@@ -396,7 +397,8 @@
 }
 
 lease_payload read(const wire::RowsTold& call) {
-    row_reply result{call.known(), call.digest(), time_of(call.age_ms()), {}};
+    row_reply result{
+        call.known(), call.digest(), time_of(call.age_ms()), {}, store_era{call.era()}};
     if (call.rows() != nullptr) {
         for (const auto* row : *call.rows()) {
             result.rows.push_back(
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -151,6 +151,8 @@
     milliseconds age{0};
     /// Empty if the querying host already has the same rows.
     std::vector<table_row> rows;
+    /// Era of the store in which the rows were read.
+    store_era era = {};
 };
 
 /// The sender has acquired the lock of a group's failover. The recipient stops using the group's
--- a/libs/gateway/src/shared_rows.cpp
+++ b/libs/gateway/src/shared_rows.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "masticgrade/base/error.hpp"
+#include "masticgrade/base/event_log.hpp"
 
 namespace masticgrade {
 
@@ -66,13 +67,16 @@
     auto& latest = known_[prefix].snapshot;
     if (reply->digest == query.digest && latest.digest == query.digest) {
         latest.read_at = std::max(latest.read_at, asked_at - reply->age);
+        latest.era = std::max(latest.era, reply->era);
+        note_era(reply->era, prefix);
         co_return latest;
     }
-    row_snapshot snapshot{std::move(reply->rows), reply->digest, asked_at - reply->age};
+    row_snapshot snapshot{std::move(reply->rows), reply->digest, asked_at - reply->age, reply->era};
     if (digest_rows(snapshot.rows) != snapshot.digest) {
         // The reply omits rows that matched the query, but this host has replaced them since.
         co_return std::nullopt;
     }
+    note_era(snapshot.era, prefix);
     if (snapshot.read_at > latest.read_at) {
         latest = snapshot;
     }
@@ -89,8 +93,9 @@
         known_[prefix].read_failed = true;
         throw;
     }
-    row_snapshot snapshot{std::move(scanned.rows), 0, asked_at};
+    row_snapshot snapshot{std::move(scanned.rows), 0, asked_at, scanned.era};
     snapshot.digest = digest_rows(snapshot.rows);
+    note_era(snapshot.era, prefix);
     auto& known = known_[prefix];
     known.read_failed = false;
     if (snapshot.read_at > known.snapshot.read_at) {
@@ -99,6 +104,20 @@
     co_return snapshot;
 }
 
+void shared_rows::note_era(store_era era, const std::string& prefix) {
+    if (era <= newest_era_) {
+        return;
+    }
+    if (newest_era_ != store_era{}) {
+        event_line{"store_restored"}
+            .field("era", era)
+            .field("previous_era", newest_era_)
+            .field("rows", prefix)
+            .write();
+    }
+    newest_era_ = era;
+}
+
 row_reply shared_rows::answer(const row_query& query, boot_time now) const {
     const auto found = known_.find(query.prefix);
     if (found == known_.end() || found->second.read_failed ||
@@ -106,7 +125,8 @@
         return {};
     }
     const auto& latest = found->second.snapshot;
-    row_reply reply{true, latest.digest, std::chrono::ceil<milliseconds>(now - latest.read_at), {}};
+    row_reply reply{
+        true, latest.digest, std::chrono::ceil<milliseconds>(now - latest.read_at), {}, latest.era};
     if (latest.digest != query.digest) {
         reply.rows = latest.rows;
     }
--- a/libs/gateway/src/shared_rows.hpp
+++ b/libs/gateway/src/shared_rows.hpp
@@ -23,6 +23,8 @@
     std::uint64_t digest = 0;
     /// Taken before the request to the store was sent.
     boot_time read_at;
+    /// Era of the store in which the rows were read.
+    store_era era;
 };
 
 /// Digest of the keys and versions of rows. Thread safety: reentrant.
@@ -68,10 +70,15 @@
                                                                        std::string prefix,
                                                                        time_point deadline);
 
+    /// Logs the first read after the store was restored from a copy.
+    void note_era(store_era era, const std::string& prefix);
+
     table_service& store_;
     std::function<row_access()> access_;
     host_query query_host_;
     std::map<std::string, known_rows> known_;
+    /// The newest era in which this host or one that it queried has read the store.
+    store_era newest_era_;
 };
 
 }  // namespace masticgrade
--- a/libs/gateway/test/lease_messages_test.cpp
+++ b/libs/gateway/test/lease_messages_test.cpp
@@ -60,8 +60,11 @@
         RC_ASSERT(std::get<positions_reply>(transmit(known)) == known);
         const row_query rows{text, number};
         RC_ASSERT(std::get<row_query>(transmit(rows)) == rows);
-        const row_reply answer{
-            flag, number, milliseconds{12}, {{text, fleet_version{number}, text + "v"}}};
+        const row_reply answer{flag,
+                               number,
+                               milliseconds{12},
+                               {{text, fleet_version{number}, text + "v"}},
+                               store_era{number}};
         const auto arrived = std::get<row_reply>(transmit(answer));
         RC_ASSERT(arrived.known == flag);
         RC_ASSERT(arrived.digest == number);
@@ -70,6 +73,7 @@
         RC_ASSERT(arrived.rows.front().key == text);
         RC_ASSERT(arrived.rows.front().version == fleet_version{number});
         RC_ASSERT(arrived.rows.front().value == text + "v");
+        RC_ASSERT(arrived.era == store_era{number});
     }));
 }
 
--- a/libs/net/include/masticgrade/net/table_service.hpp
+++ b/libs/net/include/masticgrade/net/table_service.hpp
@@ -12,6 +12,7 @@
 struct scan_result {
     fleet_version version;
     std::vector<table_row> rows;
+    store_era era = {};
 };
 
 struct commit_result {
@@ -20,6 +21,8 @@
     fleet_version version;
     /// Rows whose condition failed, with their current versions.
     std::vector<row_condition> conflicts;
+    /// The era in which the commit was made or refused.
+    store_era era = {};
 };
 
 /// An entry of the platform's host list, which may lag behind the actual state.
