Gateway: identify rows read from the store by their content

Cause: hosts, and the hosts that pass rows on, took rows with the same keys and row versions for unchanged. After a restore versions are assigned again, and the first configuration written afterwards has the version that a lost one had. Evidence: operator_rows_read shows row version 17 and the same digest in era 1 and era 2, with decoded=false in era 2. Ruled out: the feed of changes, which is not used, and the comparison of configuration versions, which is not reached.

Change: the digest covers the values. It is computed where rows are compared: after a read of the store and for rows received from another host, so all rows, also those of instances, hosts and failovers, are compared by content.

Tests, both seen failing before: shared_rows_test, "rows whose version was assigned again after a restore count as changed"; edge_run_store_restored, two real processes against the stand-ins (60 s without a refusal before).

--- a/libs/gateway/src/shared_rows.cpp
+++ b/libs/gateway/src/shared_rows.cpp
@@ -1,5 +1,6 @@
 #include "shared_rows.hpp"
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -23,11 +24,14 @@
 }  // namespace
 
 std::uint64_t digest_rows(const std::vector<table_row>& rows) {
-    std::string names;
+    // The version alone doesn't identify a row's value: a store that was restored from a copy
+    // assigns versions again.
+    std::string contents;
     for (const auto& row : rows) {
-        names += row.key + '\n' + std::to_string(row.version.value()) + '\n';
+        contents += fmt::format("{}\n{}\n{}\n", row.key, row.version, row.value.size());
+        contents += row.value;
     }
-    return XXH3_64bits(names.data(), names.size());
+    return XXH3_64bits(contents.data(), contents.size());
 }
 
 shared_rows::shared_rows(table_service& store, std::function<row_access()> access, host_query query)
--- a/libs/gateway/src/shared_rows.hpp
+++ b/libs/gateway/src/shared_rows.hpp
@@ -19,7 +19,7 @@
 /// Rows of the store and the time at which they were known to be current.
 struct row_snapshot {
     std::vector<table_row> rows;
-    /// Digest of the keys and versions of the rows.
+    /// Digest of the keys, versions and values of the rows.
     std::uint64_t digest = 0;
     /// Taken before the request to the store was sent.
     boot_time read_at;
@@ -27,7 +27,7 @@
     store_era era;
 };
 
-/// Digest of the keys and versions of rows. Thread safety: reentrant.
+/// Digest of the keys, versions and values of rows. Thread safety: reentrant.
 std::uint64_t digest_rows(const std::vector<table_row>& rows);
 
 /// Reads rows of the store, either from the store itself or from hosts that have just read them.
--- a/libs/gateway/test/shared_rows_test.cpp
+++ b/libs/gateway/test/shared_rows_test.cpp
@@ -32,6 +32,8 @@
         }
         scan_result result;
         result.rows = rows_at(version);
+        result.rows.front().value += suffix;
+        result.era = era;
         co_return result;
     }
     asio::awaitable<commit_result> commit(table_commit /*change*/,
@@ -45,6 +47,9 @@
     int reads = 0;
     bool is_down = false;
     std::uint64_t version = 1;
+    /// Appended to the rows' values.
+    std::string suffix;
+    store_era era{1};
 };
 
 /// A reader, with the answers that the queried hosts give, in order.
@@ -187,3 +192,30 @@
     REQUIRE(relay.read());
     CHECK(relay.rows.answer({prefix, 0}, boot_clock::now()).known);
 }
+
+// A withdrawn key remained in use: the store was restored from a copy, and the rows written
+// afterwards had the versions of the rows that were lost.
+TEST_CASE("rows whose version was assigned again after a restore count as changed") {
+    reader relay;
+    relay.relays.clear();
+    REQUIRE(relay.read());
+    const auto before = relay.rows.answer({prefix, 0}, boot_clock::now());
+    relay.store.suffix = " written again";
+    relay.store.era = store_era{2};
+    const auto read = relay.read();
+    REQUIRE(read);
+    CHECK(read->digest != before.digest);
+    CHECK(read->era == store_era{2});
+
+    const auto after = relay.rows.answer({prefix, before.digest}, boot_clock::now());
+    REQUIRE(after.rows.size() == 1);
+    reader member;
+    member.answers.push_back(before);
+    REQUIRE(member.read());
+    member.answers.push_back(after);
+    const auto relayed = member.read();
+    REQUIRE(relayed);
+    CHECK(relayed->rows.front().value == relay.store.suffix.insert(0, "value 1"));
+    CHECK(relayed->era == store_era{2});
+    CHECK(member.store.reads == 0);
+}
--- a/tests/edge/edge_run_test.cpp
+++ b/tests/edge/edge_run_test.cpp
@@ -166,6 +166,29 @@
     CHECK(other.start("db-primary", "another-key") == "READY I -");
 }
 
+// A key withdrawn while the store was restored from a copy remained in use: the new configuration
+// row had the version of the one that was lost.
+TEST_CASE("store_restored: a key withdrawn during a restore of the store is refused") {
+    edge_fleet fleet{"store_restored"};
+    fleet.world.copy_store();
+    fleet.world.configure({key, "another-key"});
+    for (const auto port : fleet.ports) {
+        CHECK(wait_until([&] {
+            line_client other{port};
+            return other.start("db-primary", "another-key") == "READY I -";
+        }));
+    }
+    fleet.world.restore_store({"another-key"});
+    for (const auto port : fleet.ports) {
+        CHECK(wait_until([&] {
+            line_client late{port};
+            return late.start("db-primary", key).rfind("ERROR UNAUTH", 0) == 0;
+        }));
+        line_client other{port};
+        CHECK(other.start("db-primary", "another-key") == "READY I -");
+    }
+}
+
 // Guards against a planned stop that cuts a statement.
 TEST_CASE("planned_stop: no statement is cut, and the process ends by itself") {
     edge_fleet fleet{"planned_stop"};
--- a/tests/edge/platform_world.cpp
+++ b/tests/edge/platform_world.cpp
@@ -156,37 +156,51 @@
 }
 
 void platform_world::configure(const std::vector<std::string>& keys) {
+    run_in_world([&] { write_configuration(keys); });
+}
+
+void platform_world::copy_store() {
+    run_in_world([&] { rows_.copy(); });
+}
+
+void platform_world::restore_store(const std::vector<std::string>& keys) {
     run_in_world([&] {
-        json::array routes;
-        for (const auto* type : {"primary", "bounded", "read_own"}) {
-            routes.push_back(json::object{{"name", type},
-                                          {"database", std::string{"db-"} + type},
-                                          {"type", type},
-                                          {"service", service},
-                                          {"timeout-ms", 3000},
-                                          {"target-latency-ms", 500},
-                                          {"max-staleness-ms", 2500},
-                                          {"priority", 1},
-                                          {"public", false}});
-        }
-        json::array key_texts;
-        for (const auto& key : keys) {
-            key_texts.emplace_back(key);
-        }
-        const json::object customer{{"name", "parish"},
-                                    {"api-keys", key_texts},
-                                    {"rate-per-s", unlimited_rate},
-                                    {"burst", unlimited_rate}};
-        const json::object document{
-            {"version", ++configuration_version_},
-            {"routes", routes},
-            {"services", json::array{json::object{{"name", service}, {"max-connections", 20}}}},
-            {"limits", json::object{{"tx-idle-ms", 3000}}},
-            {"tenants", json::array{customer}}};
-        rows_.put("op", "config", json::serialize(document));
+        rows_.restore();
+        write_configuration(keys);
+        publish_entries();
     });
 }
 
+void platform_world::write_configuration(const std::vector<std::string>& keys) {
+    json::array routes;
+    for (const auto* type : {"primary", "bounded", "read_own"}) {
+        routes.push_back(json::object{{"name", type},
+                                      {"database", std::string{"db-"} + type},
+                                      {"type", type},
+                                      {"service", service},
+                                      {"timeout-ms", 3000},
+                                      {"target-latency-ms", 500},
+                                      {"max-staleness-ms", 2500},
+                                      {"priority", 1},
+                                      {"public", false}});
+    }
+    json::array key_texts;
+    for (const auto& key : keys) {
+        key_texts.emplace_back(key);
+    }
+    const json::object customer{{"name", "parish"},
+                                {"api-keys", key_texts},
+                                {"rate-per-s", unlimited_rate},
+                                {"burst", unlimited_rate}};
+    const json::object document{
+        {"version", ++configuration_version_},
+        {"routes", routes},
+        {"services", json::array{json::object{{"name", service}, {"max-connections", 20}}}},
+        {"limits", json::object{{"tx-idle-ms", 3000}}},
+        {"tenants", json::array{customer}}};
+    rows_.put("op", "config", json::serialize(document));
+}
+
 void platform_world::kill_instance(const std::string& name) {
     run_in_world([&] {
         auto& server = *servers_.at(name);
--- a/tests/edge/platform_world.hpp
+++ b/tests/edge/platform_world.hpp
@@ -29,6 +29,11 @@
 
     /// Writes the operators' configuration with these keys of the customer "parish".
     void configure(const std::vector<std::string>& keys);
+    /// Keeps a copy of the store.
+    void copy_store();
+    /// Restores the store from its copy; the operators write their configuration, with these keys,
+    /// and the instances their entries before any host reads the store.
+    void restore_store(const std::vector<std::string>& keys);
     /// Ends an instance at once, with its connections and its entry.
     void kill_instance(const std::string& name);
     /// The next change of rows takes effect and is not answered.
@@ -47,6 +52,7 @@
     boost::asio::awaitable<http_response> answer_http(http_request request);
     boost::asio::awaitable<http_response> promote(const std::string& body);
     void publish_entries();
+    void write_configuration(const std::vector<std::string>& keys);
     boost::asio::awaitable<void> accept(instance_server& server);
     boost::asio::awaitable<void> serve(instance_server& server,
                                        std::shared_ptr<boost::asio::ip::tcp::socket> socket);
--- a/tests/edge/store_rows.cpp
+++ b/tests/edge/store_rows.cpp
@@ -66,13 +66,25 @@
 }
 
 http_response store_rows::answer(const http_request& request) {
+    auto response = make_json_response({}, 404);
     if (request.target.rfind("/rows-get", 0) == 0) {
-        return read(request.target);
+        response = read(request.target);
+    } else if (request.target == "/rows-tx") {
+        response = change(request.body);
     }
-    if (request.target == "/rows-tx") {
-        return change(request.body);
-    }
-    return make_json_response({}, 404);
+    response.headers.add("Store-Era", std::to_string(era_));
+    return response;
+}
+
+void store_rows::copy() {
+    copied_tables_ = tables_;
+    copied_version_ = version_;
+}
+
+void store_rows::restore() {
+    tables_ = copied_tables_;
+    version_ = copied_version_;
+    ++era_;
 }
 
 http_response store_rows::read(const std::string& target) {
--- a/tests/edge/store_rows.hpp
+++ b/tests/edge/store_rows.hpp
@@ -16,6 +16,10 @@
     void remove(const std::string& table, const std::string& key);
     /// Answers a call that reads or changes rows.
     http_response answer(const http_request& request);
+    /// Keeps a copy of all rows and of the version counter.
+    void copy();
+    /// Replaces the rows and the version counter with the copy, and starts a new era.
+    void restore();
     [[nodiscard]] std::uint64_t version() const { return version_; }
 
 private:
@@ -29,6 +33,9 @@
 
     std::map<std::string, std::map<std::string, row>> tables_;
     std::uint64_t version_ = 0;
+    std::uint64_t era_ = 1;
+    std::map<std::string, std::map<std::string, row>> copied_tables_;
+    std::uint64_t copied_version_ = 0;
 };
 
 http_response make_json_response(const boost::json::object& body, unsigned status = 200);
