Gateway: fencing tokens rise across a restore of the store

Cause: the next fencing token is one above the row's, or above the one that the host remembers. A restore erases the row, and a process that started later remembers nothing.

Change: tokens are counted from a base for each era of the store, so a token of a new era is above all of the earlier ones, whatever was lost. Eras rise by one with each restore and are in the answer that the lock's row is read from. In the first era tokens are as before.

Test: failover_test, "fencing tokens are not reused after a restore of the store", seen failing before (1 and 1, expected a higher one).

--- a/libs/gateway/src/failover_row.hpp
+++ b/libs/gateway/src/failover_row.hpp
@@ -16,11 +16,17 @@
     host_id holder;
     /// Version of the row; zero if there is none.
     fleet_version version;
+    /// Era of the store in which the row was read.
+    store_era era;
 
     /// Key prefix of the rows of all groups.
     static const std::string prefix;
 };
 
+/// A fencing token below all those of the given era and above those of the earlier ones, of which a
+/// restore of the store may have erased every record. Precondition: a group has fewer than 2^32
+/// failovers in an era. Thread safety: reentrant.
+std::uint64_t fence_base(store_era era);
 /// Thread safety: reentrant.
 std::string failover_row_key(const group_id& group);
 /// The row's value. Values of the same state differ, so that each write changes the row.
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -332,7 +332,9 @@
     const auto deadline = steady_clock::now() + store_timeout;
     auto key = lock_key();
     const auto rows = co_await environment_.store.scan(std::move(key), {}, deadline);
-    co_return find_failover_row(rows.rows, group_->name()).value_or(failover_row{});
+    auto row = find_failover_row(rows.rows, group_->name()).value_or(failover_row{});
+    row.era = rows.era;
+    co_return row;
 }
 
 asio::awaitable<std::optional<fleet_version>> group_failover::write_row(failover_record record,
@@ -378,14 +380,16 @@
         }
     }
     auto record = observed.record;
-    record.fence = std::max(observed.record.fence, group_->last_failover().fence) + 1;
+    record.fence =
+        std::max({observed.record.fence, group_->last_failover().fence, fence_base(observed.era)}) +
+        1;
     record.open = true;
     const auto valid_until = boot_clock::now() + lock_expiry;
     const auto version = co_await write_row(record, observed.version);
     if (!version) {
         co_return false;
     }
-    lock_ = {record, environment_.self, *version};
+    lock_ = {record, environment_.self, *version, observed.era};
     lock_valid_until_ = valid_until;
     lock_acquired_at_ = boot_clock::now();
     co_return true;
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -18,7 +18,10 @@
 /// Runs the failover of a group without a primary and with the replicas "b" and "c" on one host.
 class failover_fixture {
 public:
-    failover_fixture() {
+    failover_fixture() : failover_fixture(std::make_shared<fake_store>()) {}
+    /// A host that starts with the given store.
+    explicit failover_fixture(std::shared_ptr<fake_store> present_store)
+        : store_(std::move(present_store)), store(*store_) {
         connector.add("b", false).position = 10;
         connector.add("c", false).position = 12;
         group_settings_.name = group_name;
@@ -55,8 +58,12 @@
         context_.run_for(milliseconds{200});
     }
 
+private:
+    std::shared_ptr<fake_store> store_;
+
+public:
     fake_connector connector;
-    fake_store store;
+    fake_store& store;
     fake_promotions promotions{connector};
     std::shared_ptr<backend_group> group;
     std::function<void()> on_directory_read = [] {};
@@ -416,3 +423,22 @@
     failover->stop();
     CHECK(fixture.promotions.orders.empty());
 }
+
+// Two holders promoted with one fencing token: the store had been restored to a copy without the
+// first promotion, and the second holder had started after that.
+TEST_CASE("fencing tokens are not reused after a restore of the store") {
+    const auto store = std::make_shared<fake_store>();
+    store->copy();
+    const auto promote = [&] {
+        failover_fixture fixture{store};
+        fixture.run_until([&] { return fixture.group->primary() == instance_id{"c"}; });
+        REQUIRE(fixture.promotions.orders.size() == 1);
+        return fixture.promotions.orders[0].fence;
+    };
+    const auto first = promote();
+    store->restore();
+    const auto second = promote();
+    CHECK(second > first);
+    store->restore();
+    CHECK(promote() > second);
+}
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -270,6 +270,7 @@
     fail_if_requested();
     scan_result result;
     result.version = fleet_version{version_};
+    result.era = era_;
     for (const auto& [key, row] : rows_) {
         if (key.rfind(prefix, 0) == 0) {
             result.rows.push_back(row);
@@ -281,6 +282,7 @@
 asio::awaitable<commit_result> fake_store::commit(table_commit change, time_point /*deadline*/) {
     fail_if_requested();
     commit_result result;
+    result.era = era_;
     for (const auto& condition : change.conditions) {
         const auto found = rows_.find(condition.key);
         const auto present = found == rows_.end() ? fleet_version{} : found->second.version;
@@ -311,6 +313,17 @@
     }
 }
 
+void fake_store::copy() {
+    copied_rows_ = rows_;
+    copied_version_ = version_;
+}
+
+void fake_store::restore() {
+    rows_ = copied_rows_;
+    version_ = copied_version_;
+    era_ = era_.next();
+}
+
 void fake_store::put(const std::string& key, const std::string& value) {
     rows_[key] = {key, fleet_version{++version_}, value};
 }
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -159,6 +159,11 @@
     void put(const std::string& key, const std::string& value);
     [[nodiscard]] std::string value_of(const std::string& key) const;
 
+    /// Keeps a copy of all rows and of the version counter.
+    void copy();
+    /// Replaces the rows and the version counter with the copy, and starts a new era.
+    void restore();
+
     unsigned answers_to_lose = 0;
     /// Calls that fail without effect.
     unsigned failures = 0;
@@ -168,6 +173,9 @@
 
     std::map<std::string, table_row> rows_;
     std::uint64_t version_ = 0;
+    store_era era_{1};
+    std::map<std::string, table_row> copied_rows_;
+    std::uint64_t copied_version_ = 0;
 };
 
 class fake_promotions final : public promotion_service {
