Gateway: renew the failover lock before each promotion order

A restore of the store erases locks, also one that its holder takes for valid.

Change: the holder renews the lock before each order, whatever its age, and retries until the lock expires when the store does not answer. A conditional write counts only if the store answers it in the era in which the expected version was read, since another row may have received that version.

Test: failover_test, "a holder whose lock was lost by a restore of the store sends no order", with a missing row and with another host's row of the same version; both seen failing before (order with fence 1).

--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -338,9 +338,9 @@
 }
 
 asio::awaitable<std::optional<fleet_version>> group_failover::write_row(failover_record record,
-                                                                        fleet_version expected) {
+                                                                        row_identity expected) {
     table_commit change;
-    change.conditions.push_back({lock_key(), expected});
+    change.conditions.push_back({lock_key(), expected.version});
     change.puts.push_back({lock_key(), encode_failover_row(record, environment_.self)});
     std::optional<commit_result> result;
     try {
@@ -353,12 +353,14 @@
             .write();
     }
     if (result) {
-        co_return result->committed ? std::optional{result->version} : std::nullopt;
+        // In another era the expected version may belong to another row.
+        const bool written = result->committed && result->era == expected.era;
+        co_return written ? std::optional{result->version} : std::nullopt;
     }
     // The commit may have taken effect or may still do so; the row tells.
     const auto after = co_await read_lock();
-    const bool written =
-        after.holder == environment_.self && after.record == record && after.version != expected;
+    const bool written = after.holder == environment_.self && after.record == record &&
+                         after.version != expected.version && after.era == expected.era;
     co_return written ? std::optional{after.version} : std::nullopt;
 }
 
@@ -385,7 +387,7 @@
         1;
     record.open = true;
     const auto valid_until = boot_clock::now() + lock_expiry;
-    const auto version = co_await write_row(record, observed.version);
+    const auto version = co_await write_row(record, {observed.version, observed.era});
     if (!version) {
         co_return false;
     }
@@ -395,22 +397,30 @@
     co_return true;
 }
 
-asio::awaitable<bool> group_failover::keep_lock() {
-    const auto now = boot_clock::now();
-    if (now + promote_call_timeout <= lock_valid_until_) {
-        co_return true;
-    }
-    const auto version = co_await write_row(lock_.record, lock_.version);
-    if (!version) {
-        event_line{"failover_lock_lost"}
-            .field("group", group_->name())
-            .field("fence", lock_.record.fence)
-            .write();
-        co_return false;
+asio::awaitable<bool> group_failover::renew_lock() {
+    for (;;) {
+        const auto now = boot_clock::now();
+        try {
+            const auto version = co_await write_row(lock_.record, {lock_.version, lock_.era});
+            if (!version) {
+                event_line{"failover_lock_lost"}
+                    .field("group", group_->name())
+                    .field("fence", lock_.record.fence)
+                    .field("era", lock_.era)
+                    .write();
+                co_return false;
+            }
+            lock_.version = *version;
+            lock_valid_until_ = now + lock_expiry;
+            co_return true;
+        } catch (const error&) {
+            // `write_row` has logged the failure.
+            if (boot_clock::now() + check_interval >= lock_valid_until_) {
+                throw;
+            }
+        }
+        co_await sleep(check_interval);
     }
-    lock_.version = *version;
-    lock_valid_until_ = now + lock_expiry;
-    co_return true;
 }
 
 bool group_failover::adopt_result(const failover_row& observed, boot_time read_at) {
@@ -425,7 +435,7 @@
     lock_.record.open = false;
     const auto written_at = boot_clock::now();
     // If the row stays open, another host acquires the lock after `lock_expiry`.
-    if (co_await write_row(lock_.record, lock_.version)) {
+    if (co_await write_row(lock_.record, {lock_.version, lock_.era})) {
         group_->on_failover_row(lock_.record, written_at);
         environment_.announce_recorded(group_->name(), lock_.record.fence);
     }
@@ -439,7 +449,7 @@
     while (steady_clock::now() < deadline) {
         const auto written_at = boot_clock::now();
         try {
-            const auto version = co_await write_row(lock_.record, lock_.version);
+            const auto version = co_await write_row(lock_.record, {lock_.version, lock_.era});
             if (version) {
                 group_->on_failover_row(lock_.record, written_at);
                 environment_.announce_recorded(group_->name(), lock_.record.fence);
@@ -525,7 +535,7 @@
 
 asio::awaitable<std::optional<term_number>> group_failover::promote(promotion_choice choice) {
     const auto deadline = steady_clock::now() + promote_timeout;
-    while (steady_clock::now() < deadline && co_await keep_lock()) {
+    while (steady_clock::now() < deadline && co_await renew_lock()) {
         const auto outcome = co_await environment_.promotions.promote(
             group_->name(), choice.target, lock_.record.fence,
             steady_clock::now() + promote_call_timeout);
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -71,13 +71,18 @@
     boost::asio::awaitable<failover_row> read_lock();
     /// Acquires the lock unless the row, as read now, shows that the attempt is not needed.
     boost::asio::awaitable<bool> acquire_lock();
-    /// Writes the record to the row if its version is unchanged. Returns the row's new version, or
-    /// nullopt if the write failed or another host has replaced the row.
+    struct row_identity {
+        fleet_version version;
+        store_era era;
+    };
+    /// Writes the record to the row if it is the expected one. Returns the row's new version, or
+    /// nullopt if the write failed, another host has replaced the row, or the store was restored.
     boost::asio::awaitable<std::optional<fleet_version>> write_row(failover_record record,
-                                                                   fleet_version expected);
-    /// Renews the lock if it may expire before a promotion request ends. Returns whether this host
-    /// still holds it.
-    boost::asio::awaitable<bool> keep_lock();
+                                                                   row_identity expected);
+    /// Renews the lock before a promotion request. A restore of the store may have erased it, so
+    /// the time until which it is valid is not sufficient. Returns whether this host still holds
+    /// it. Throws masticgrade::error if the store does not answer before the lock expires.
+    boost::asio::awaitable<bool> renew_lock();
     /// Adopts the result of a promotion that another holder has finished. Returns whether this
     /// changed the primary.
     bool adopt_result(const failover_row& observed, boot_time read_at);
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -442,3 +442,29 @@
     store->restore();
     CHECK(promote() > second);
 }
+
+// The holder of a lock that a restore of the store had erased sent its order, although another host
+// could acquire the lock.
+TEST_CASE("a holder whose lock was lost by a restore of the store sends no order") {
+    failover_fixture fixture;
+    fixture.store.copy();
+    bool restored = false;
+    bool replaced = false;
+    SUBCASE("the lock row is missing") {}
+    SUBCASE("another lock row has the version of the lost one") { replaced = true; }
+    fixture.on_directory_read = [&] {
+        if (std::exchange(restored, true)) {
+            return;
+        }
+        fixture.store.restore();
+        if (replaced) {
+            fixture.store.put(lock_row,
+                              R"({"fence":4294967297,"holder":"host-2","open":true,"mark":"1"})");
+        }
+    };
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE(restored);
+    for (const auto& order : fixture.promotions.orders) {
+        CHECK(order.fence > fence_base(store_era{2}));
+    }
+}
