Gateway: write failover outcomes again that a restore of the store has lost

Cause, one of the class "state of the store that is remembered": hosts that knew of a promotion ignored the older row after the restore for good, so their evidence of leadership expired and no primary was used until the next failover. Hosts started later took the replaced primary for the current one. A holder whose lock was erased while its order ran recorded nothing.

Change: leadership_evidence takes the era of each read. An older row in a new era is reported as lost and does not extend the evidence; the failover then acquires the lock, keeps the known target and term, and closes the row with a new fencing token. An attempt that is known to have ended does not block the lock for its expiry. A promotion whose lock was erased is recorded under a new token unless another attempt has begun. New lines: failover_row_lost and failover_row_regained, and row_lost in failover_abandoned.

Tests, seen failing with the change disabled: leadership_evidence_test, "a record that a restore of the store has lost is reported ..."; failover_test, "a promotion that a restore of the store has lost is recorded again" and "a promotion during which the store is restored is recorded".

--- a/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -40,8 +40,9 @@
     static constexpr milliseconds expiry_wait{3300};
 
     /// Applies the group's failover row, empty if there is none, from a read that was sent at
-    /// `read_at`. Returns whether a newer promotion has become known.
-    bool on_row(const std::optional<failover_record>& row, boot_time read_at);
+    /// `read_at` and answered in the store's era `era`. Returns whether a newer promotion has
+    /// become known.
+    bool on_row(const std::optional<failover_record>& row, boot_time read_at, store_era era = {});
     /// Another host has acquired the lock with this fencing token. No primary may be used until the
     /// outcome of that failover is known.
     void revoke(std::uint64_t fence, boot_time now);
@@ -60,6 +61,10 @@
     /// Whether the last read of the failover row is too old to use any primary.
     [[nodiscard]] bool is_expired(boot_time now) const;
 
+    /// Whether the store was restored to a copy without the newest record known here. Until the
+    /// record is written again, the row proves nothing.
+    [[nodiscard]] bool is_lost() const { return is_lost_; }
+
     [[nodiscard]] const failover_record& record() const { return record_; }
     /// The time of the last read; empty if there was none.
     [[nodiscard]] std::optional<boot_time> read_at() const { return read_at_; }
@@ -70,6 +75,9 @@
 
     failover_record record_;
     std::optional<boot_time> read_at_;
+    /// Era of the last read.
+    store_era era_;
+    bool is_lost_ = false;
     std::uint64_t revoked_fence_ = 0;
     boot_time revoked_at_;
 };
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -216,8 +216,10 @@
     [[nodiscard]] bool owns_primary_pool() const;
 
     // ---- Evidence of leadership ----
-    /// Applies the group's failover row, empty if there is none, from a read sent at `read_at`.
-    void on_failover_row(const std::optional<failover_record>& row, boot_time read_at);
+    /// Applies the group's failover row, empty if there is none, from a read sent at `read_at` and
+    /// answered in the store's era `era`.
+    void on_failover_row(const std::optional<failover_record>& row, boot_time read_at,
+                         store_era era = {});
     /// Stops using the primary, since another host has acquired the failover lock with this fence.
     void on_failover_begun(std::uint64_t fence);
     /// Whether the instance may be used as the primary now.
@@ -228,6 +230,8 @@
     }
     /// The outcome of the group's failovers that this host knows.
     [[nodiscard]] const failover_record& last_failover() const { return leadership_.record(); }
+    /// Whether a restore of the store has lost that outcome.
+    [[nodiscard]] bool last_failover_is_lost() const { return leadership_.is_lost(); }
 
     // ---- Used by group_failover ----
     [[nodiscard]] const group_id& name() const { return name_; }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -540,7 +540,7 @@
     void apply_failover_row(const group_id& name, backend_group& group) {
         const auto row = find_failover_row(failover_rows_->rows, name);
         group.on_failover_row(row ? std::optional{row->record} : std::nullopt,
-                              failover_rows_->read_at);
+                              failover_rows_->read_at, failover_rows_->era);
     }
 
     /// Reads the failover rows, not older than the last announcement of a change.
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -57,13 +57,17 @@
     if (group_->entries().size() < 2) {
         return failover_kind::none;
     }
-    if (group_->primary_is_dead(now) || group_->last_failover().open) {
+    if (group_->primary_is_dead(now) || row_needs_closing()) {
         return failover_kind::unplanned;
     }
     const auto primary = group_->primary();
     return primary && group_->is_draining(*primary) ? failover_kind::planned : failover_kind::none;
 }
 
+bool group_failover::row_needs_closing() const {
+    return group_->last_failover().open || group_->last_failover_is_lost();
+}
+
 asio::awaitable<void> group_failover::run() {
     const auto self = shared_from_this();
     while (!stopping_) {
@@ -101,7 +105,7 @@
     const auto replaced = group_->primary();
     const bool has_primary = co_await find_primary();
     if (has_primary && kind == failover_kind::unplanned) {
-        if (group_->last_failover().open) {
+        if (row_needs_closing()) {
             co_await close_abandoned_row();
         }
         co_return;
@@ -163,6 +167,7 @@
         .field("group", group_->name())
         .field("primary", *primary)
         .field("fence", lock_.record.fence)
+        .field("row_lost", group_->last_failover_is_lost())
         .write();
     held_replicas_.clear();
     const auto entries = group_->entries();
@@ -371,7 +376,10 @@
     if (adopt_result(observed, read_at) || required_failover(now) == failover_kind::none) {
         co_return false;
     }
-    const bool held_by_other = observed.record.open && observed.holder != environment_.self;
+    const auto& known = group_->last_failover();
+    const bool known_to_have_ended = !known.open && known.fence >= observed.record.fence;
+    const bool held_by_other =
+        observed.record.open && observed.holder != environment_.self && !known_to_have_ended;
     if (held_by_other) {
         if (foreign_version_ != observed.version) {
             foreign_version_ = observed.version;
@@ -381,10 +389,9 @@
             co_return false;
         }
     }
-    auto record = observed.record;
-    record.fence =
-        std::max({observed.record.fence, group_->last_failover().fence, fence_base(observed.era)}) +
-        1;
+    // A restore of the store may have replaced the newest record.
+    auto record = known.fence > observed.record.fence ? known : observed.record;
+    record.fence = std::max(record.fence, fence_base(observed.era)) + 1;
     record.open = true;
     const auto valid_until = boot_clock::now() + lock_expiry;
     const auto version = co_await write_row(record, {observed.version, observed.era});
@@ -426,7 +433,7 @@
 bool group_failover::adopt_result(const failover_row& observed, boot_time read_at) {
     const auto previous = group_->primary();
     if (observed.version != fleet_version{}) {
-        group_->on_failover_row(observed.record, read_at);
+        group_->on_failover_row(observed.record, read_at, observed.era);
     }
     return group_->primary() != previous;
 }
@@ -436,7 +443,7 @@
     const auto written_at = boot_clock::now();
     // If the row stays open, another host acquires the lock after `lock_expiry`.
     if (co_await write_row(lock_.record, {lock_.version, lock_.era})) {
-        group_->on_failover_row(lock_.record, written_at);
+        group_->on_failover_row(lock_.record, written_at, lock_.era);
         environment_.announce_recorded(group_->name(), lock_.record.fence);
     }
 }
@@ -451,12 +458,17 @@
         try {
             const auto version = co_await write_row(lock_.record, {lock_.version, lock_.era});
             if (version) {
-                group_->on_failover_row(lock_.record, written_at);
+                group_->on_failover_row(lock_.record, written_at, lock_.era);
                 environment_.announce_recorded(group_->name(), lock_.record.fence);
                 co_return;
             }
             const auto row = co_await read_lock();
-            if (row.version != lock_.version) {
+            if (row.era != lock_.era && !row.record.open) {
+                // A restore of the store has erased the lock, and nobody has acquired it since.
+                lock_.version = row.version;
+                lock_.era = row.era;
+                lock_.record.fence = std::max(row.record.fence, fence_base(row.era)) + 1;
+            } else if (row.version != lock_.version || row.era != lock_.era) {
                 co_return;
             }
         } catch (const error& failure) {
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -66,7 +66,10 @@
     enum class failover_kind { none, planned, unplanned };
     [[nodiscard]] failover_kind required_failover(time_point now) const;
     boost::asio::awaitable<void> run_failover(failover_kind kind);
-    /// Closes the row of an attempt whose holder is gone, while the group has a primary.
+    /// Whether the row shows an attempt in progress, or lacks the newest outcome known here.
+    [[nodiscard]] bool row_needs_closing() const;
+    /// Writes the outcome to the row of an attempt whose holder is gone, or to a row that a restore
+    /// of the store has set back, while the group has a primary.
     boost::asio::awaitable<void> close_abandoned_row();
     boost::asio::awaitable<failover_row> read_lock();
     /// Acquires the lock unless the row, as read now, shows that the attempt is not needed.
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -133,9 +133,20 @@
     return leadership_.allows(claimant_of(instance), promoted_instance_is_listed(), now);
 }
 
-void backend_group::on_failover_row(const std::optional<failover_record>& row, boot_time read_at) {
-    const bool is_new_promotion = leadership_.on_row(row, read_at);
+void backend_group::on_failover_row(const std::optional<failover_record>& row, boot_time read_at,
+                                    store_era era) {
+    const bool was_lost = leadership_.is_lost();
+    const bool is_new_promotion = leadership_.on_row(row, read_at, era);
     const auto& record = leadership_.record();
+    if (leadership_.is_lost() != was_lost) {
+        event_line{was_lost ? "failover_row_regained" : "failover_row_lost"}
+            .field("group", name_)
+            .field("era", era)
+            .field("fence", row ? row->fence : 0)
+            .field("known_fence", record.fence)
+            .field("target", record.target)
+            .write();
+    }
     if (is_new_promotion && instances_.contains(record.target)) {
         set_primary(record.target, record.term, "failover_row");
     } else if (is_new_promotion) {
--- a/libs/gateway/src/leadership_evidence.cpp
+++ b/libs/gateway/src/leadership_evidence.cpp
@@ -4,14 +4,23 @@
 
 namespace masticgrade {
 
-bool leadership_evidence::on_row(const std::optional<failover_record>& row, boot_time read_at) {
+bool leadership_evidence::on_row(const std::optional<failover_record>& row, boot_time read_at,
+                                 store_era era) {
+    if (era < era_) {
+        return false;
+    }
     const auto found = row.value_or(failover_record{});
     // Reads of different hosts overlap, so a read that was sent later may return an older row.
     const bool is_older = found.fence < record_.fence ||
                           (found.fence == record_.fence && found.open && !record_.open && read_at_);
+    if (era > era_) {
+        is_lost_ = is_older;
+        era_ = era;
+    }
     if (is_older || (read_at_ && read_at < *read_at_)) {
         return false;
     }
+    is_lost_ = false;
     if (read_at >= revoked_at_) {
         // The lock was acquired before this read, so the row shows it or its outcome.
         revoked_fence_ = std::min(revoked_fence_, found.fence);
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -468,3 +468,53 @@
         CHECK(order.fence > fence_base(store_era{2}));
     }
 }
+
+// A group that had been failed over remained without a usable primary after a restore of the store
+// to a copy from before the promotion.
+TEST_CASE("a promotion that a restore of the store has lost is recorded again") {
+    failover_fixture fixture;
+    std::string holder;
+    SUBCASE("the copy has no row") {}
+    SUBCASE("the copy has the lock of the attempt") { holder = "host-2"; }
+    if (!holder.empty()) {
+        fixture.store.put(lock_row,
+                          R"({"fence":1,"holder":"host-2","target":"","open":true,"mark":"1"})");
+    }
+    fixture.store.copy();
+    fixture.store.put(lock_row,
+                      R"({"fence":1,"holder":"host-2","target":"c","term":1,"open":false})");
+    fixture.connector.at("c").is_primary = true;
+    fixture.group->on_failover_row(failover_record{1, false, instance_id{"c"}, term_number{1}},
+                                   boot_clock::now(), store_era{1});
+    fixture.store.restore();
+    const auto row =
+        holder.empty() ? std::optional<failover_record>{} : failover_record{1, true, {}, {}};
+    fixture.group->on_failover_row(row, boot_clock::now(), store_era{2});
+    REQUIRE(fixture.group->last_failover_is_lost());
+    const auto started = steady_clock::now();
+    fixture.run_until([&] { return !fixture.group->last_failover_is_lost(); });
+    // The lock of an attempt that is known to have ended need not expire.
+    CHECK(steady_clock::now() - started < seconds{5});
+    CHECK(fixture.promotions.orders.empty());
+    const auto value = fixture.store.value_of(lock_row);
+    CHECK(value.find("\"open\":false") != std::string::npos);
+    CHECK(value.find("\"target\":\"c\"") != std::string::npos);
+    CHECK(fixture.group->last_failover().fence > fence_base(store_era{2}));
+    CHECK(fixture.group->may_lead(instance_id{"c"}, boot_clock::now()));
+}
+
+// Hosts that started later took the replaced primary for the current one.
+TEST_CASE("a promotion during which the store is restored is recorded") {
+    failover_fixture fixture;
+    fixture.store.copy();
+    fixture.promotions.on_promote = [&] { fixture.store.restore(); };
+    fixture.run_until([&] {
+        return !fixture.store.value_of(lock_row).empty() && fixture.group->primary().has_value() &&
+               !fixture.group->last_failover().target.empty();
+    });
+    CHECK(fixture.promotions.orders.size() == 1);
+    const auto value = fixture.store.value_of(lock_row);
+    CHECK(value.find("\"target\":\"c\"") != std::string::npos);
+    CHECK(value.find("\"open\":false") != std::string::npos);
+    CHECK(fixture.group->last_failover().fence > fence_base(store_era{2}));
+}
--- a/libs/gateway/test/leadership_evidence_test.cpp
+++ b/libs/gateway/test/leadership_evidence_test.cpp
@@ -80,6 +80,29 @@
     CHECK(evidence.read_at() == start);
 }
 
+// After a restore of the store, hosts that remembered a promotion ignored the older row for good
+// and used no primary until the next failover.
+TEST_CASE("a record that a restore of the store has lost is reported until it is written again") {
+    const store_era first{1};
+    const store_era second{2};
+    leadership_evidence evidence;
+    evidence.on_row(closed(4, new_primary, 2), start, first);
+    CHECK_FALSE(evidence.on_row(closed(3, old_primary, 1), start + milliseconds{10}, first));
+    CHECK_FALSE(evidence.is_lost());
+    CHECK_FALSE(evidence.on_row(closed(3, old_primary, 1), start + seconds{1}, second));
+    CHECK(evidence.is_lost());
+    CHECK_FALSE(allows(evidence, old_primary, start + seconds{1}));
+    CHECK(allows(evidence, new_primary, start + seconds{1}));
+    // The older row does not extend the evidence.
+    CHECK_FALSE(allows(evidence, new_primary, start + leadership_evidence::lifetime));
+    // A read of the earlier era that arrives late.
+    CHECK_FALSE(evidence.on_row(closed(4, new_primary, 2), start + seconds{2}, first));
+    CHECK(evidence.is_lost());
+    evidence.on_row(closed(5, new_primary, 2), start + seconds{4}, second);
+    CHECK_FALSE(evidence.is_lost());
+    CHECK(allows(evidence, new_primary, start + seconds{4}));
+}
+
 // The log of an instance that is shut down moves to a new instance, without a promotion.
 TEST_CASE("an instance that took over the promoted instance's log may lead") {
     leadership_evidence evidence;
