Gateway: keep hosts whose registration a restore of the store has lost

A host that registered shortly before a restore lost its row. The others dropped it at their next read, so a host that promoted did not ask it to stop using the old primary, and took the confirmations of the rest for all. The host itself took its registration for valid until a list up to 15 s old, read every 10 s, showed otherwise.

Change: a known host without a row stays known while reports of it arrive; rows are never removed by the project, so a missing row is a lost one. Rows that another host has read before the last known restore are rejected, and a late answer of the store likewise. Replies of an older release carry no era and are accepted as before.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -645,7 +645,14 @@
         } else {
             snapshot = co_await rows_.read_store(std::move(prefix), deadline);
         }
+        const auto era = snapshot.era;
         co_await hosts_.update(std::move(snapshot.rows), deadline);
+        registered_era_ = era;
+    }
+
+    /// Whether this host's row was seen since the last known restore of the store.
+    bool is_registration_current() const {
+        return hosts_.is_registered() && registered_era_ >= rows_.newest_era();
     }
 
     asio::awaitable<void> host_list_loop() {
@@ -664,7 +671,7 @@
             const auto read_at = steady_clock::now();
             host_list_refresh_requested_ = false;
             while (steady_clock::now() - read_at <
-                   (hosts_.is_registered() && !host_list_refresh_requested_
+                   (is_registration_current() && !host_list_refresh_requested_
                         ? host_list_interval
                         : fast_host_list_interval)) {
                 co_await sleep(tick_interval);
@@ -722,6 +729,8 @@
     /// Digest of the operators' rows that were decoded last.
     std::uint64_t control_digest_ = 0;
     store_era control_era_;
+    /// Era in which the host list was read last.
+    store_era registered_era_;
     control_snapshot decoded_control_;
     boot_time directory_read_at_;
     /// The failover rows of all groups, as read last.
--- a/libs/gateway/src/host_registry.cpp
+++ b/libs/gateway/src/host_registry.cpp
@@ -58,6 +58,14 @@
             others.emplace(host, decode(row.value));
         }
     }
+    // Rows are never removed, so a missing one was lost by a restore of the store. Its host writes
+    // it again.
+    for (const auto& [host, registration] : others_) {
+        const auto heard = last_heard_.find(host);
+        if (heard != last_heard_.end() && now - heard->second < silent_host_lifetime) {
+            others.emplace(host, registration);
+        }
+    }
     if (others != others_) {
         event_line{"hosts_changed"}.field("others", others.size()).write();
     }
--- a/libs/gateway/src/host_registry.hpp
+++ b/libs/gateway/src/host_registry.hpp
@@ -29,6 +29,7 @@
     static const std::string rows;
 
     /// Applies the rows that were read, and writes this host's row if it is missing or differs.
+    /// Hosts without a row stay known for as long as they are heard of.
     /// Throws masticgrade::error.
     boost::asio::awaitable<void> update(std::vector<table_row> host_rows, time_point deadline);
     void mark_alive(const host_id& host);
--- a/libs/gateway/src/shared_rows.cpp
+++ b/libs/gateway/src/shared_rows.cpp
@@ -43,7 +43,7 @@
     const auto access = access_();
     for (const auto& host : access.sources) {
         auto reply = co_await read_from_host(host, prefix, deadline);
-        if (reply && reply->read_at >= oldest_allowed) {
+        if (reply && reply->read_at >= oldest_allowed && !is_outdated(reply->era)) {
             known_[prefix].read_failed = false;
             co_return std::move(*reply);
         }
@@ -97,6 +97,10 @@
         known_[prefix].read_failed = true;
         throw;
     }
+    if (is_outdated(scanned.era)) {
+        known_[prefix].read_failed = true;
+        throw error("read rows", "store", "the rows are from before a restore of the store");
+    }
     row_snapshot snapshot{std::move(scanned.rows), 0, asked_at, scanned.era};
     snapshot.digest = digest_rows(snapshot.rows);
     note_era(snapshot.era, prefix);
@@ -108,6 +112,10 @@
     co_return snapshot;
 }
 
+bool shared_rows::is_outdated(store_era era) const {
+    return era != store_era{} && era < newest_era_;
+}
+
 void shared_rows::note_era(store_era era, const std::string& prefix) {
     if (era <= newest_era_) {
         return;
--- a/libs/gateway/src/shared_rows.hpp
+++ b/libs/gateway/src/shared_rows.hpp
@@ -55,6 +55,8 @@
     boost::asio::awaitable<row_snapshot> read_store(std::string prefix, time_point deadline);
     /// Answers the query of another host from the rows that this host has read.
     [[nodiscard]] row_reply answer(const row_query& query, boot_time now) const;
+    /// The newest era in which this host, or one that it has queried, has read the store.
+    [[nodiscard]] store_era newest_era() const { return newest_era_; }
 
 private:
     struct known_rows {
@@ -70,6 +72,8 @@
                                                                        std::string prefix,
                                                                        time_point deadline);
 
+    /// Whether rows of this era were read before the last known restore of the store.
+    [[nodiscard]] bool is_outdated(store_era era) const;
     /// Logs the first read after the store was restored from a copy.
     void note_era(store_era era, const std::string& prefix);
 
@@ -77,7 +81,6 @@
     std::function<row_access()> access_;
     host_query query_host_;
     std::map<std::string, known_rows> known_;
-    /// The newest era in which this host or one that it queried has read the store.
     store_era newest_era_;
 };
 
--- a/libs/gateway/test/shared_rows_test.cpp
+++ b/libs/gateway/test/shared_rows_test.cpp
@@ -219,3 +219,24 @@
     CHECK(relayed->era == store_era{2});
     CHECK(member.store.reads == 0);
 }
+
+// A host believed that it was registered until another host's list, up to 15 s old, showed that a
+// restore of the store had lost its row.
+TEST_CASE("rows that another host has read before a restore of the store are rejected") {
+    reader host;
+    host.relays.resize(1);
+    auto reply = reply_at(7, milliseconds{1});
+    reply.era = store_era{1};
+    host.answers.push_back(reply);
+    REQUIRE(host.read());
+    host.store.era = store_era{2};
+    host.answers.push_back(std::nullopt);
+    REQUIRE(host.read());
+    CHECK(host.rows.newest_era() == store_era{2});
+    CHECK(host.store.reads == 1);
+    host.answers.push_back(reply);
+    const auto snapshot = host.read();
+    REQUIRE(snapshot);
+    CHECK(snapshot->era == store_era{2});
+    CHECK(host.store.reads == 2);
+}
