Gateway: ignore entries of instances that a restore of the store has set back

An instance that had said that it is shutting down, or that had left, has a ready entry in the copy that the store is restored from. Hosts took it for new and sent work there until the instance had written its entry again.

--- a/libs/gateway/include/masticgrade/gateway/topology.hpp
+++ b/libs/gateway/include/masticgrade/gateway/topology.hpp
@@ -82,6 +82,8 @@
     milliseconds warmup_remaining{0};
     /// Start time by the instance's own clock; distinguishes successive processes.
     std::int64_t start_time = 0;
+    /// Increases with each write of the entry by the same process.
+    std::int64_t sequence = 0;
 
     friend bool operator==(const instance_entry&, const instance_entry&) = default;
 };
--- a/libs/gateway/test/control_state_test.cpp
+++ b/libs/gateway/test/control_state_test.cpp
@@ -74,3 +74,45 @@
     directory.apply({entry("a"), entry("b")}, start + seconds{13});
     CHECK(directory.entries_of(group_id{"ledger"}).size() == 2);
 }
+
+// After a restore of the store, an instance that was shutting down received new work again until it
+// had written its entry anew.
+TEST_CASE("an entry that a restore of the store has set back is ignored") {
+    instance_directory directory;
+    auto ready = entry("a");
+    ready.start_time = 5;
+    ready.sequence = 7;
+    auto leaving = ready;
+    leaving.sequence = 9;
+    leaving.leaving = true;
+    directory.apply({leaving}, start);
+    directory.apply({ready}, start + seconds{1});
+    REQUIRE(directory.entries_of(group_id{"ledger"}).size() == 1);
+    CHECK(directory.entries_of(group_id{"ledger"}).front().leaving);
+    // A new process of the same instance counts from the start.
+    auto restarted = ready;
+    restarted.start_time = 6;
+    restarted.sequence = 1;
+    directory.apply({restarted}, start + seconds{2});
+    CHECK_FALSE(directory.entries_of(group_id{"ledger"}).front().leaving);
+}
+
+// Guards against new work for an instance that has left, when the store comes back from a copy.
+TEST_CASE("an entry that was removed is ignored if a restore brings back an older one") {
+    instance_directory directory;
+    auto ready = entry("a");
+    ready.sequence = 7;
+    auto leaving = ready;
+    leaving.sequence = 9;
+    leaving.leaving = true;
+    directory.apply({leaving}, start);
+    directory.apply({}, start + seconds{1});
+    directory.apply({}, start + seconds{4});
+    REQUIRE(directory.entries_of(group_id{"ledger"}).empty());
+    directory.apply({ready}, start + seconds{5});
+    CHECK(directory.entries_of(group_id{"ledger"}).empty());
+    // An instance that is running writes its entry again.
+    ready.sequence = 10;
+    directory.apply({ready}, start + seconds{6});
+    CHECK(directory.entries_of(group_id{"ledger"}).size() == 1);
+}
