Gateway: apply a configuration version that was assigned again

Hosts took equal versions for equal configurations and kept the one in force.

Change: control_state compares a digest of the document besides the version.

Test: control_state_test, "a configuration with the same version and other contents is applied", seen failing before.

--- a/libs/gateway/include/masticgrade/gateway/topology.hpp
+++ b/libs/gateway/include/masticgrade/gateway/topology.hpp
@@ -53,6 +53,8 @@
 /// One version of the operators' configuration, decoded and indexed. Immutable once published.
 struct gateway_configuration {
     std::uint64_t version = 0;
+    /// Digest of the document that was decoded.
+    std::uint64_t digest = 0;
     std::map<std::string, database_route> routes;
     std::map<group_id, group_settings> groups;
     std::map<customer_id, rate_limit> limits;
--- a/libs/gateway/src/control_state.cpp
+++ b/libs/gateway/src/control_state.cpp
@@ -21,6 +21,7 @@
     }
     const bool changed = !configuration_ ||
                          configuration_->version != snapshot.configuration->version ||
+                         configuration_->digest != snapshot.configuration->digest ||
                          evacuated_ != snapshot.evacuated;
     proven_at_ = sent_at;
     if (!changed) {
@@ -30,6 +31,7 @@
     evacuated_ = snapshot.evacuated;
     event_line{"configuration_applied"}
         .field("version", configuration_->version)
+        .field("digest", configuration_->digest)
         .field("databases", configuration_->routes.size())
         .field("customers", configuration_->limits.size())
         .field("evacuated_domains", evacuated_.size())
--- a/libs/gateway/src/control_state.hpp
+++ b/libs/gateway/src/control_state.hpp
@@ -22,7 +22,8 @@
     /// Maximum proof age for reporting readiness to the load balancer.
     static constexpr milliseconds readiness_max_age{2600};
 
-    /// Applies a snapshot that was requested at `sent_at`. Snapshots of older versions are ignored.
+    /// Applies a snapshot that was requested at `sent_at`. Snapshots of older versions are ignored;
+    /// the same version with other contents is applied.
     /// Returns whether the state changed.
     bool apply(const control_snapshot& snapshot, boot_time sent_at);
 
--- a/libs/gateway/test/control_state_test.cpp
+++ b/libs/gateway/test/control_state_test.cpp
@@ -36,6 +36,20 @@
     CHECK(control.proof_age(start + seconds{4}) == seconds{0});
 }
 
+// After a restore of the store, operators may assign a configuration version again.
+TEST_CASE("a configuration with the same version and other contents is applied") {
+    control_state control;
+    CHECK(control.apply(make_snapshot(7), start));
+    auto configuration = std::make_shared<gateway_configuration>();
+    configuration->version = 7;
+    configuration->digest = 1;
+    CHECK(control.apply({configuration, {}}, start + seconds{1}));
+    CHECK(control.configuration() == configuration);
+    // A relayed copy that was read earlier.
+    CHECK_FALSE(control.apply(make_snapshot(7), start + milliseconds{500}));
+    CHECK(control.configuration() == configuration);
+}
+
 // A host that has lost the store must stop accepting a revoked key.
 TEST_CASE("a proof of currency expires") {
     control_state control;
