--- /dev/null
+++ b/review/standins/platform.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "database.hpp"
+#include "ledger.hpp"
+#include "socket_io.hpp"
+
+namespace review {
+
+struct tenant {
+    std::string name;
+    std::string key;
+};
+
+/// The platform's store and its promotion call. The instances of the database write their entries
+/// at each heartbeat. Thread safety: any thread.
+class platform {
+public:
+    platform(ledger& notes, database& instances);
+    platform(const platform&) = delete;
+    platform& operator=(const platform&) = delete;
+    ~platform();
+
+    [[nodiscard]] std::uint16_t port() const { return acceptor_.port(); }
+    /// Writes the operator's configuration: the databases `db-primary`, `db-bounded` and
+    /// `db-read_own` for these tenants.
+    void configure(const std::vector<tenant>& tenants);
+    /// The next `count` promotion calls get no answer and are carried out after `delay`.
+    void delay_promotions(unsigned count, milliseconds delay);
+    /// Promotion calls that arrived.
+    std::size_t promotion_calls();
+    /// The value of one of the system's own rows, or an empty text.
+    std::string row(const std::string& table, const std::string& key);
+    void put(const std::string& table, const std::string& key, const std::string& value);
+
+private:
+    struct stored_row {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+    using row_key = std::pair<std::string, std::string>;
+    struct http_answer {
+        unsigned status = 200;
+        std::string body = "{}";
+        bool is_lost = false;
+    };
+
+    void accept_loop();
+    void serve(stream_socket socket);
+    http_answer answer(const std::string& method, const std::string& target,
+                       const std::map<std::string, std::string>& headers, const std::string& body);
+    http_answer get_rows(const std::string& target);
+    http_answer change_rows(const std::string& body);
+    http_answer promote(const std::map<std::string, std::string>& headers, const std::string& body);
+    void write_entries();
+    void put_locked(const std::string& table, const std::string& key, const std::string& value);
+    void start_thread(std::thread thread);
+
+    ledger& notes_;
+    database& instances_;
+    listener acceptor_;
+    std::mutex mutex_;
+    std::map<row_key, stored_row> rows_;
+    std::uint64_t version_ = 0;
+    std::uint64_t configuration_version_ = 0;
+    std::uint64_t sequence_ = 0;
+    std::map<std::string, steady::time_point> last_heartbeat_;
+    unsigned delayed_promotions_ = 0;
+    milliseconds promotion_delay_{0};
+    std::size_t promotion_calls_ = 0;
+    std::set<const stream_socket*> sockets_;
+    std::atomic<bool> stopping_{false};
+    std::list<std::thread> threads_;
+    std::mutex threads_mutex_;
+};
+
+}  // namespace review
