--- a/review/standins/client.cpp
+++ b/review/standins/client.cpp
@@ -10,6 +10,8 @@
 
 constexpr int connect_timeout_ms = 1000;
 constexpr int start_timeout_ms = 2000;
+/// The `max-staleness-ms` of the stand-in's routes.
+constexpr milliseconds route_staleness{1500};
 
 bool is_promise(const std::string& code) {
     constexpr std::array promises{"BUSY",     "ABORTED",   "LAGGING",
@@ -31,11 +33,51 @@
         end_attempt();
     }
     in_transaction_ = false;
+    values_.clear();
+    prepared_.clear();
     socket_.close();
 }
 
+bool client::is_write(const std::string& text) const {
+    if (text.rfind("EXECUTE ", 0) == 0) {
+        const auto known = prepared_.find(text.substr(8, text.find(' ', 8) - 8));
+        return known != prepared_.end() && known->second.rfind("WRITE", 0) == 0;
+    }
+    return text.rfind("WRITE ", 0) == 0;
+}
+
+void client::expect(const std::string& id, const std::string& text) {
+    ledger::expectation expected;
+    expected.values = values_;
+    if (text.rfind("EXECUTE ", 0) == 0) {
+        const auto known = prepared_.find(text.substr(8, text.find(' ', 8) - 8));
+        expected.prepared = known == prepared_.end() ? std::string{} : known->second;
+    }
+    expected.first_byte = in_transaction_ ? transaction_began_ : steady::now();
+    if (database_ != "db-primary") {
+        expected.max_staleness = route_staleness;
+    }
+    expected.session = session_;
+    expected.sees_own_commits = database_ == "db-read_own";
+    notes_.expect(id, expected);
+}
+
+void client::apply_context(const std::string& text) {
+    const auto space = text.find(' ', text.find(' ') + 1);
+    const auto name = text.substr(text.find(' ') + 1, space - text.find(' ') - 1);
+    if (text.rfind("SET ", 0) == 0) {
+        values_[name] = text.substr(space + 1);
+    } else if (text.rfind("PREPARE ", 0) == 0) {
+        prepared_[name] = text.substr(space + 1);
+    } else if (text.rfind("DEALLOC ", 0) == 0) {
+        prepared_.erase(name);
+    }
+}
+
 bool client::start(std::uint16_t port, const std::string& database, const std::string& key) {
     disconnect();
+    database_ = database;
+    ++session_;
     socket_ = stream_socket::connect(port, connect_timeout_ms);
     if (!socket_.is_open() || !socket_.write_all("START " + database + " " + key + "\r\n")) {
         return false;
@@ -48,13 +90,15 @@
     ++sent_;
     const auto id = last_id();
     notes_.on_sent(name_, id, text);
-    const bool writes = text.rfind("WRITE ", 0) == 0;
-    if (text == "BEGIN") {
+    const bool writes = is_write(text);
+    expect(id, text);
+    if (text == "BEGIN" || text == "BEGIN READ") {
         in_transaction_ = true;
-        attempt_ = ledger::attempt{name_, {}, false, false, false};
+        transaction_began_ = steady::now();
+        attempt_ = ledger::attempt{name_, session_, {}, false, false, false};
     } else if (writes) {
         if (!in_transaction_) {
-            attempt_ = ledger::attempt{name_, {}, true, false, false};
+            attempt_ = ledger::attempt{name_, session_, {}, true, false, false};
         }
         attempt_->writes.push_back(id);
     } else if (text == "COMMIT" && attempt_) {
@@ -92,8 +136,11 @@
     }
     notes_.write(name_ + " gets " + id + " " + answer.code + " " + answer.signature + rows +
                  (answer.connection_ended ? " connection ended" : "") + " state " + answer.state);
-    const bool runs =
-        text == "COMMIT" || text.rfind("WRITE ", 0) == 0 || text.rfind("READ ", 0) == 0;
+    if (answer.done()) {
+        apply_context(text);
+    }
+    const bool runs = text == "COMMIT" || text.rfind("WRITE ", 0) == 0 ||
+                      text.rfind("READ ", 0) == 0 || text.rfind("EXECUTE ", 0) == 0;
     if (runs && answer.done() && answer.signature != "sig." + id) {
         notes_.report("MIXED",
                       "statement " + id + " got a success with signature " + answer.signature);
--- a/review/standins/client.hpp
+++ b/review/standins/client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -41,13 +42,22 @@
 private:
     void on_answer(const std::string& id, const std::string& text, const client_answer& answer);
     void end_attempt();
+    void expect(const std::string& id, const std::string& text);
+    void apply_context(const std::string& text);
+    [[nodiscard]] bool is_write(const std::string& text) const;
 
     ledger& notes_;
     std::string name_;
     stream_socket socket_;
     unsigned sent_ = 0;
+    unsigned session_ = 0;
     bool in_transaction_ = false;
     std::optional<ledger::attempt> attempt_;
+    std::string database_;
+    std::map<std::string, std::string> values_;
+    /// Kind and shape of each prepared name.
+    std::map<std::string, std::string> prepared_;
+    steady::time_point transaction_began_;
 };
 
 }  // namespace review
--- a/review/standins/database.cpp
+++ b/review/standins/database.cpp
@@ -163,6 +163,11 @@
     notes_.write("instance " + id + " starts again");
 }
 
+void database::lose_answers(unsigned count) {
+    const std::lock_guard lock{mutex_};
+    lost_answers_ = count;
+}
+
 void database::set_draining(const std::string& id, bool draining) {
     const std::lock_guard lock{mutex_};
     find(id)->is_draining = draining;
@@ -190,6 +195,13 @@
     for (const auto& server : instances_) {
         term = std::max(term, server->term);
     }
+    std::set<std::string> kept;
+    for (const auto& item : target->log) {
+        kept.insert(item.write_ids.begin(), item.write_ids.end());
+    }
+    lock.unlock();
+    notes_.check_promotion(id, kept);
+    lock.lock();
     for (const auto& server : instances_) {
         server->is_primary = server.get() == target;
         server->held = 0;
@@ -379,6 +391,9 @@
         ++open_transactions_;
         state.is_read_only = text == "READ";
         state.term = server.term;
+        state.owner.clear();
+        state.write_ids.clear();
+        state.data.clear();
         return result;
     }
     if (word == "ROLLBACK") {
@@ -403,12 +418,18 @@
         lock.unlock();
         notes_.on_run(id, whole, state.tenant);
         notes_.write("instance " + server.id + " connection " + std::to_string(state.number) +
-                     " of " + state.tenant + " runs " + id + " " + whole);
+                     " of " + state.tenant + " runs " + id + " " + whole +
+                     (at_least ? " at least " + at_least->text() : std::string{}));
         lock.lock();
         result = run_statement(server, state, id, word, text, lock);
         if (!result.error.empty()) {
             state.has_failed = state.is_open;
         }
+        if (lost_answers_ > 0) {
+            --lost_answers_;
+            result.drops_connection = true;
+            notes_.write("the answer to " + id + " is lost");
+        }
         const auto hook = hook_;
         lock.unlock();
         if (hook) {
@@ -454,6 +475,14 @@
         }
         writes = known->second.first == "WRITE";
         item = rest;
+        lock.unlock();
+        const auto wanted = notes_.expected(id);
+        const auto actual = known->second.first + " " + known->second.second;
+        if (wanted && wanted->prepared != actual) {
+            notes_.report("PINNED", "statement " + id + " executes \"" + actual +
+                                        "\", its client prepared \"" + wanted->prepared + "\"");
+        }
+        lock.lock();
     }
     const bool lost_lead =
         state.is_open && !state.is_read_only && (!server.is_primary || state.term != server.term);
@@ -466,6 +495,7 @@
         result.error = "BUSY";
         return result;
     }
+    check_session(state, id, word, lock);
     work(server, settings_.work, lock);
     result.signature = "sig." + id;
     if (word == "COMMIT") {
@@ -494,6 +524,15 @@
         return result;
     }
     const auto visible = applied(server);
+    std::set<std::string> visible_writes;
+    for (const auto& entry : server.log) {
+        if (entry.position <= visible) {
+            visible_writes.insert(entry.write_ids.begin(), entry.write_ids.end());
+        }
+    }
+    lock.unlock();
+    notes_.check_read(id, visible_writes);
+    lock.lock();
     std::string value = "none";
     for (const auto& entry : server.log) {
         for (const auto& [name, data] : entry.data) {
@@ -512,6 +551,17 @@
     return result;
 }
 
+void database::check_session(const session& state, const std::string& id, const std::string& word,
+                             std::unique_lock<std::mutex>& lock) {
+    lock.unlock();
+    const auto wanted = notes_.expected(id);
+    if (wanted && wanted->values != state.values) {
+        notes_.report("PINNED", word + " " + id + " runs with other session values on connection " +
+                                    std::to_string(state.number));
+    }
+    lock.lock();
+}
+
 database::answer database::commit_writes(instance& server, session& state,
                                          std::unique_lock<std::mutex>& lock) {
     answer result;
--- a/review/standins/database.hpp
+++ b/review/standins/database.hpp
@@ -72,6 +72,8 @@
     /// Kills the instance; `restart` starts it again with its log.
     void crash(const std::string& id);
     void restart(const std::string& id);
+    /// The next statements run, and their connections end without an answer.
+    void lose_answers(unsigned count);
     void set_draining(const std::string& id, bool draining);
     /// Called with the statement's id after it ran and before its answer is sent.
     void on_ran(std::function<void(const std::string& id)> hook);
@@ -123,6 +125,8 @@
     answer run_statement(instance& server, session& state, const std::string& id,
                          const std::string& word, std::string rest,
                          std::unique_lock<std::mutex>& lock);
+    void check_session(const session& state, const std::string& id, const std::string& word,
+                       std::unique_lock<std::mutex>& lock);
     answer run_order(instance& server, const std::string& word, const std::string& argument) const;
     answer commit_writes(instance& server, session& state, std::unique_lock<std::mutex>& lock);
     void work(instance& server, milliseconds duration, std::unique_lock<std::mutex>& lock);
@@ -141,6 +145,7 @@
     std::uint64_t highest_fence_ = 0;
     int last_connection_ = 0;
     std::size_t open_transactions_ = 0;
+    unsigned lost_answers_ = 0;
     std::function<void(const std::string& id)> hook_;
     std::atomic<bool> stopping_{false};
     std::list<std::thread> threads_;
--- a/review/standins/ledger.cpp
+++ b/review/standins/ledger.cpp
@@ -78,6 +78,61 @@
 void ledger::on_attempt_ended(const attempt& ended) {
     const std::lock_guard lock{mutex_};
     attempts_.push_back(ended);
+    if (ended.acknowledged && !ended.writes.empty()) {
+        acknowledged_.push_back({ended.client, ended.session, ended.writes.front(), steady::now()});
+    }
+}
+
+void ledger::expect(const std::string& id, const expectation& expected) {
+    const std::lock_guard lock{mutex_};
+    expectations_[id] = expected;
+}
+
+std::optional<ledger::expectation> ledger::expected(const std::string& id) {
+    const std::lock_guard lock{mutex_};
+    const auto found = expectations_.find(id);
+    return found == expectations_.end() ? std::nullopt : std::optional{found->second};
+}
+
+void ledger::check_read(const std::string& id, const std::set<std::string>& visible_writes) {
+    const auto wanted = expected(id);
+    if (!wanted) {
+        return;
+    }
+    std::vector<std::string> missing;
+    {
+        const std::lock_guard lock{mutex_};
+        for (const auto& item : acknowledged_) {
+            const bool own = wanted->sees_own_commits && item.client == client_of(id) &&
+                             item.session == wanted->session;
+            const auto limit = wanted->first_byte - (own ? milliseconds{0} : wanted->max_staleness);
+            if (item.at < limit && !visible_writes.contains(item.first_write)) {
+                missing.push_back(item.first_write);
+            }
+        }
+    }
+    if (!missing.empty()) {
+        report("STALE", "read " + id + " runs on a log without " + std::to_string(missing.size()) +
+                            " acknowledged commits, the first " + missing.front());
+    }
+}
+
+void ledger::check_promotion(const std::string& instance, const std::set<std::string>& writes) {
+    std::vector<std::string> missing;
+    {
+        const std::lock_guard lock{mutex_};
+        std::erase_if(acknowledged_, [&](const auto& item) {
+            const bool is_lost = !writes.contains(item.first_write);
+            if (is_lost) {
+                missing.push_back(item.first_write);
+            }
+            return is_lost;
+        });
+    }
+    for (const auto& id : missing) {
+        report("LOST",
+               "the log of " + instance + ", which is promoted, lacks acknowledged write " + id);
+    }
 }
 
 void ledger::on_run(const std::string& id, const std::string& text, const std::string& tenant) {
--- a/review/standins/ledger.hpp
+++ b/review/standins/ledger.hpp
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <map>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,7 @@
     /// One try of an operation: its writes take effect together or not at all.
     struct attempt {
         std::string client;
+        unsigned session = 0;
         /// Ids of the writes whose execution succeeded, or whose outcome is unknown.
         std::vector<std::string> writes;
         bool commit_sent = false;
@@ -43,6 +46,26 @@
     void on_sent(const std::string& client, const std::string& id, const std::string& text);
     void on_attempt_ended(const attempt& ended);
 
+    /// What must hold where the statement `id` runs.
+    struct expectation {
+        std::map<std::string, std::string> values;
+        /// Kind and shape of the prepared statement that it executes, or empty.
+        std::string prepared;
+        /// First byte of the statement, or of its transaction.
+        steady::time_point first_byte;
+        /// Reads may lack commits that were acknowledged within this time.
+        milliseconds max_staleness{0};
+        /// The session sees its own commits.
+        bool sees_own_commits = false;
+        unsigned session = 0;
+    };
+    void expect(const std::string& id, const expectation& expected);
+    std::optional<expectation> expected(const std::string& id);
+    /// Compares a read's log with the commits that were acknowledged before it.
+    void check_read(const std::string& id, const std::set<std::string>& visible_writes);
+    /// Compares the log of the instance that is promoted with the acknowledged commits.
+    void check_promotion(const std::string& instance, const std::set<std::string>& writes);
+
     /// Called by an instance for each statement with an id: checks its client, text and tenant.
     void on_run(const std::string& id, const std::string& text, const std::string& tenant);
     /// Compares the writes in the log of the primary, by id, with what the clients were told.
@@ -62,6 +85,14 @@
     std::map<std::string, std::string> tenants_;
     std::map<std::string, std::string> sent_;
     std::vector<attempt> attempts_;
+    struct acknowledged_commit {
+        std::string client;
+        unsigned session = 0;
+        std::string first_write;
+        steady::time_point at;
+    };
+    std::vector<acknowledged_commit> acknowledged_;
+    std::map<std::string, expectation> expectations_;
 };
 
 }  // namespace review
--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -96,6 +96,9 @@
             std::this_thread::sleep_for(heartbeat_poll);
             // A change of the role is reported immediately.
             const auto primary = instances_.primary();
+            if (down_) {
+                continue;
+            }
             if (steady::now() >= next || primary != known_primary) {
                 known_primary = primary;
                 next = steady::now() + heartbeat;
@@ -217,6 +220,11 @@
     promotion_delay_ = delay;
 }
 
+void platform::set_down(bool down) {
+    down_ = down;
+    notes_.write(down ? "the store is down" : "the store is back");
+}
+
 std::size_t platform::promotion_calls() {
     const std::lock_guard lock{mutex_};
     return promotion_calls_;
@@ -282,6 +290,9 @@
 platform::http_answer platform::answer(const std::string& method, const std::string& target,
                                        const std::map<std::string, std::string>& headers,
                                        const std::string& body) {
+    if (down_ && target != "/promote") {
+        return {503, "{}", false};
+    }
     if (method == "GET" && target.rfind("/rows-get?", 0) == 0) {
         return get_rows(target);
     }
--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -36,6 +36,8 @@
     void configure(const std::vector<tenant>& tenants);
     /// The next `count` promotion calls get no answer and are carried out after `delay`.
     void delay_promotions(unsigned count, milliseconds delay);
+    /// While it is down, the store answers all calls with 503 and the instances cannot write.
+    void set_down(bool down);
     /// Promotion calls that arrived.
     std::size_t promotion_calls();
     /// The value of one of the system's own rows, or an empty text.
@@ -79,6 +81,7 @@
     std::size_t promotion_calls_ = 0;
     std::set<const stream_socket*> sockets_;
     std::atomic<bool> stopping_{false};
+    std::atomic<bool> down_{false};
     std::list<std::thread> threads_;
     std::mutex threads_mutex_;
 };
