--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -67,7 +67,7 @@
     ledger notes{record};
     database instances{notes, {}};
     platform world{notes, instances};
-    world.configure({{"parish", "key-parish"}, {"harbour", "key-harbour"}});
+    world.configure({{"parish", {"key-parish"}}, {"harbour", {"key-harbour"}}});
     fleet hosts{notes, program, world.port()};
     hosts.add_deployment();
     for (std::size_t host = 0; host < hosts.size(); ++host) {
--- a/review/standins/client.cpp
+++ b/review/standins/client.cpp
@@ -105,6 +105,7 @@
         attempt_->commit_sent = true;
     }
     client_answer result;
+    bool timed_out = false;
     if (socket_.is_open() && socket_.write_all("QUERY " + id + " " + text + "\r\n")) {
         while (auto line = socket_.read_line(timeout_ms)) {
             if (line->rfind("DATAROW ", 0) == 0) {
@@ -121,10 +122,15 @@
         }
         if (result.state.empty()) {
             result.code = "NONE";
+            // An answer that came later would be taken for that of the next statement.
+            timed_out = !socket_.has_ended();
         }
     }
-    result.connection_ended = !socket_.is_open() || socket_.has_ended();
+    result.connection_ended = !socket_.is_open() || socket_.has_ended() || timed_out;
     on_answer(id, text, result);
+    if (timed_out) {
+        socket_.close();
+    }
     return result;
 }
 
--- a/review/standins/database.cpp
+++ b/review/standins/database.cpp
@@ -168,6 +168,17 @@
     lost_answers_ = count;
 }
 
+void database::cut_answers(unsigned count) {
+    const std::lock_guard lock{mutex_};
+    cut_answers_ = count;
+}
+
+void database::delay_statements(unsigned count, milliseconds delay) {
+    const std::lock_guard lock{mutex_};
+    delayed_statements_ = count;
+    statement_delay_ = delay;
+}
+
 void database::set_draining(const std::string& id, bool draining) {
     const std::lock_guard lock{mutex_};
     find(id)->is_draining = draining;
@@ -323,6 +334,10 @@
             position = applied(server).text();
         }
         reply += std::string{"READY "} + phase + " " + position + "\r\n";
+        if (result.is_cut) {
+            socket.write_all(reply.substr(0, reply.size() / 2));
+            break;
+        }
         if (!socket.write_all(reply)) {
             break;
         }
@@ -430,6 +445,11 @@
             result.drops_connection = true;
             notes_.write("the answer to " + id + " is lost");
         }
+        if (cut_answers_ > 0) {
+            --cut_answers_;
+            result.is_cut = true;
+            notes_.write("the answer to " + id + " is cut off");
+        }
         const auto hook = hook_;
         lock.unlock();
         if (hook) {
@@ -496,7 +516,13 @@
         return result;
     }
     check_session(state, id, word, lock);
-    work(server, settings_.work, lock);
+    auto duration = settings_.work;
+    if (delayed_statements_ > 0) {
+        --delayed_statements_;
+        duration += statement_delay_;
+        notes_.write(id + " takes longer");
+    }
+    work(server, duration, lock);
     result.signature = "sig." + id;
     if (word == "COMMIT") {
         if (!state.write_ids.empty()) {
--- a/review/standins/database.hpp
+++ b/review/standins/database.hpp
@@ -74,6 +74,10 @@
     void restart(const std::string& id);
     /// The next statements run, and their connections end without an answer.
     void lose_answers(unsigned count);
+    /// The answers of the next statements are cut off in the middle.
+    void cut_answers(unsigned count);
+    /// The next statements take this much longer.
+    void delay_statements(unsigned count, milliseconds delay);
     void set_draining(const std::string& id, bool draining);
     /// Called with the statement's id after it ran and before its answer is sent.
     void on_ran(std::function<void(const std::string& id)> hook);
@@ -117,6 +121,7 @@
         std::string signature = "-";
         std::string error;
         bool drops_connection = false;
+        bool is_cut = false;
     };
 
     void accept_loop(instance& server);
@@ -146,6 +151,9 @@
     int last_connection_ = 0;
     std::size_t open_transactions_ = 0;
     unsigned lost_answers_ = 0;
+    unsigned cut_answers_ = 0;
+    unsigned delayed_statements_ = 0;
+    milliseconds statement_delay_{0};
     std::function<void(const std::string& id)> hook_;
     std::atomic<bool> stopping_{false};
     std::list<std::thread> threads_;
--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -193,8 +193,12 @@
     }
     json::array holders;
     for (const auto& item : tenants) {
+        json::array keys;
+        for (const auto& key : item.keys) {
+            keys.emplace_back(key);
+        }
         holders.push_back(json::object{{"name", item.name},
-                                       {"api-keys", json::array{item.key}},
+                                       {"api-keys", keys},
                                        {"priority", 1},
                                        {"rate-per-s", unlimited_rate},
                                        {"burst", unlimited_rate}});
@@ -225,6 +229,14 @@
     notes_.write(down ? "the store is down" : "the store is back");
 }
 
+void platform::lose_changes(unsigned count, milliseconds delay) {
+    const std::lock_guard lock{mutex_};
+    lost_changes_ = count;
+    change_delay_ = delay;
+}
+
+void platform::slow_down(milliseconds delay) { slow_ms_ = static_cast<int>(delay.count()); }
+
 std::size_t platform::promotion_calls() {
     const std::lock_guard lock{mutex_};
     return promotion_calls_;
@@ -293,12 +305,33 @@
     if (down_ && target != "/promote") {
         return {503, "{}", false};
     }
+    if (target != "/promote") {
+        std::this_thread::sleep_for(milliseconds{slow_ms_});
+    }
     if (method == "GET" && target.rfind("/rows-get?", 0) == 0) {
         return get_rows(target);
     }
     if (method == "POST" && target == "/rows-tx") {
         std::this_thread::sleep_for(transaction_time);
-        return change_rows(body);
+        milliseconds delay{-1};
+        {
+            const std::lock_guard lock{mutex_};
+            if (lost_changes_ > 0) {
+                --lost_changes_;
+                delay = change_delay_;
+            }
+        }
+        if (delay.count() < 0) {
+            return change_rows(body);
+        }
+        notes_.write("store: the answer to a change is lost");
+        start_thread(std::thread{[this, body, delay] {
+            std::this_thread::sleep_for(delay);
+            if (!stopping_) {
+                change_rows(body);
+            }
+        }});
+        return {200, "{}", true};
     }
     if (method == "POST" && target == "/promote") {
         return promote(headers, body);
--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -18,7 +18,7 @@
 
 struct tenant {
     std::string name;
-    std::string key;
+    std::vector<std::string> keys;
 };
 
 /// The platform's store and its promotion call. The instances of the database write their entries
@@ -38,6 +38,11 @@
     void delay_promotions(unsigned count, milliseconds delay);
     /// While it is down, the store answers all calls with 503 and the instances cannot write.
     void set_down(bool down);
+    /// The next `count` changes of rows get no answer and are carried out after `delay`, if their
+    /// conditions still hold.
+    void lose_changes(unsigned count, milliseconds delay);
+    /// All answers of the store take this much longer.
+    void slow_down(milliseconds delay);
     /// Promotion calls that arrived.
     std::size_t promotion_calls();
     /// The value of one of the system's own rows, or an empty text.
@@ -79,6 +84,9 @@
     unsigned delayed_promotions_ = 0;
     milliseconds promotion_delay_{0};
     std::size_t promotion_calls_ = 0;
+    unsigned lost_changes_ = 0;
+    milliseconds change_delay_{0};
+    std::atomic<int> slow_ms_{0};
     std::set<const stream_socket*> sockets_;
     std::atomic<bool> stopping_{false};
     std::atomic<bool> down_{false};
