--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -66,7 +66,7 @@
 int run_case(const std::string& program, const std::string& record, bool trouble) {
     ledger notes{record};
     database instances{notes, {}};
-    platform world{notes, instances};
+    platform world{notes, {&instances}};
     world.configure({{"parish", {"key-parish"}}, {"harbour", {"key-harbour"}}});
     fleet hosts{notes, program, world.port()};
     hosts.add_deployment();
@@ -117,7 +117,7 @@
     }
     constexpr milliseconds rest{500};
     pause(rest);
-    notes.check_log(instances.logged_writes());
+    notes.check_log("ledger", instances.logged_writes());
     std::cout << notes.violations() << " violations\n";
     return notes.violations() > 0 ? 1 : 0;
 }
--- a/review/standins/database.hpp
+++ b/review/standins/database.hpp
@@ -30,6 +30,8 @@
 
 struct database_settings {
     std::string service = "ledger";
+    /// The instances are called by this prefix and a letter.
+    std::string id_prefix = "i-";
     /// Zones of the three instances.
     std::vector<std::string> zones{"orebro", "vasteras", "karlstad"};
     unsigned slots = 3;
@@ -69,6 +71,8 @@
     std::size_t open_transactions();
     [[nodiscard]] const database_settings& settings() const { return settings_; }
 
+    /// How late replicas apply from now on.
+    void set_apply_lag(milliseconds lag);
     /// Kills the instance; `restart` starts it again with its log.
     void crash(const std::string& id);
     void restart(const std::string& id);
--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -25,7 +25,7 @@
 /// at each heartbeat. Thread safety: any thread.
 class platform {
 public:
-    platform(ledger& notes, database& instances);
+    platform(ledger& notes, std::vector<database*> databases);
     platform(const platform&) = delete;
     platform& operator=(const platform&) = delete;
     ~platform();
@@ -34,6 +34,8 @@
     /// Writes the operator's configuration: the databases `db-primary`, `db-bounded` and
     /// `db-read_own` for these tenants.
     void configure(const std::vector<tenant>& tenants);
+    /// The same, with all routes to this service.
+    void configure(const std::vector<tenant>& tenants, const std::string& service);
     /// The next `count` promotion calls get no answer and are carried out after `delay`.
     void delay_promotions(unsigned count, milliseconds delay);
     /// While it is down, the store answers all calls with 503 and the instances cannot write.
@@ -69,11 +71,12 @@
     http_answer change_rows(const std::string& body);
     http_answer promote(const std::map<std::string, std::string>& headers, const std::string& body);
     void write_entries();
+    database* find_database(const std::string& service);
     void put_locked(const std::string& table, const std::string& key, const std::string& value);
     void start_thread(std::thread thread);
 
     ledger& notes_;
-    database& instances_;
+    std::vector<database*> databases_;
     listener acceptor_;
     std::mutex mutex_;
     std::map<row_key, stored_row> rows_;
