--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,11 +1,8 @@
-// Routes move to another service and back while replicas are behind. A session that wrote to both
-// reads its own write to the first one.
+// Two of three instances are down, and the third lacks acknowledged commits. The host that promotes
+// has served readers only, so it does not know of those commits.
 #include <atomic>
 #include <cstdlib>
 #include <iostream>
-#include <memory>
-#include <mutex>
-#include <set>
 #include <thread>
 
 #include "../standins/client.hpp"
@@ -18,119 +15,90 @@
 namespace {
 
 constexpr milliseconds ready_limit{20000};
-/// How late replicas apply: 54 times their mean of 60 ms, as on the site's calm day.
-constexpr milliseconds replica_lag{54 * 60};
-constexpr milliseconds apply_limit{3000};
-constexpr unsigned rounds = 5;
-constexpr unsigned commits_before = 20;
-constexpr unsigned session_count = 6;
-constexpr unsigned other_readers = 8;
-constexpr milliseconds reader_pause{5};
-constexpr unsigned reads_in_round = 6;
+constexpr milliseconds settling_time{3000};
+constexpr milliseconds read_interval{50};
+constexpr unsigned writes = 10;
 
-/// The statements that ran, by service.
-class runs {
-public:
-    void watch(database& instances) {
-        instances.on_ran([this, service = instances.settings().service](const std::string& id) {
-            const std::lock_guard lock{mutex_};
-            ran_[service].insert(id);
-        });
-    }
-    bool contains(const std::string& service, const std::string& id) {
-        const std::lock_guard lock{mutex_};
-        return ran_[service].contains(id);
-    }
+/// Times from the moment at which replica i-b receives nothing more.
+constexpr milliseconds replica_lost_at{500};
+constexpr milliseconds primary_down_at{3000};
+constexpr milliseconds receives_again_at{6500};
+constexpr milliseconds replica_back_at{7500};
+constexpr milliseconds primary_back_at{10000};
+constexpr milliseconds end_at{16000};
 
-private:
-    std::mutex mutex_;
-    std::map<std::string, std::set<std::string>> ran_;
-};
+/// Reads through one host, and opens a new session after an error.
+void read_until(const std::atomic<bool>& stopping, ledger& notes, const fleet& hosts,
+                std::size_t host) {
+    client reader{notes, "reader" + std::to_string(host), "parish"};
+    bool is_open = false;
+    while (!stopping) {
+        is_open = is_open || reader.start(hosts.port(host), "db-primary", "key-parish");
+        is_open = is_open && reader.query("READ pole-1").done();
+        pause(read_interval);
+    }
+}
 
 int run_case(const std::string& program, const std::string& record, bool trouble) {
     ledger notes{record};
-    database first{notes, {}};
-    database_settings other;
-    other.service = "roster";
-    other.id_prefix = "j-";
-    database second{notes, other};
-    runs ran;
-    ran.watch(first);
-    ran.watch(second);
-    platform world{notes, {&first, &second}};
-    const std::vector<tenant> tenants{{"parish", {"key-parish"}}};
-    world.configure(tenants, "ledger");
+    database instances{notes, {}};
+    platform world{notes, {&instances}};
+    world.configure({{"parish", {"key-parish"}}});
     fleet hosts{notes, program, world.port()};
     hosts.add_deployment();
-    const std::size_t host = hosts.size() - 1;
-    client caller{notes, "caller", "parish"};
-    std::vector<std::unique_ptr<client>> writers;
-    const bool serves = wait_until(ready_limit, [&] {
-        return hosts.is_ready(host) &&
-               caller.start(hosts.port(host), "db-read_own", "key-parish") &&
-               caller.query("READ pole-0").done();
-    });
-    if (!serves) {
-        return 2;
-    }
-    const auto reads_from = [&](const std::string& service) {
-        return wait_until(apply_limit, [&] {
-            return caller.query("READ pole-0").done() && ran.contains(service, caller.last_id());
-        });
-    };
-    // The logs of the two services have different lengths.
-    for (unsigned i = 0; i < commits_before; ++i) {
-        caller.query("WRITE pole-2 before-" + std::to_string(i));
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        if (!wait_until(ready_limit, [&] { return hosts.is_ready(host); })) {
+            return 2;
+        }
     }
-    // Other sessions keep all instances in use.
+    const std::size_t writing_host = hosts.size() - 1;
     std::atomic<bool> stopping{false};
     std::vector<std::thread> readers;
-    for (unsigned i = 0; i < other_readers; ++i) {
-        readers.emplace_back([&, i] {
-            client reader{notes, "reader" + std::to_string(i), "parish"};
-            while (!stopping) {
-                if (!reader.query("READ pole-0").done()) {
-                    reader.start(hosts.port(host), "db-read_own", "key-parish");
-                }
-                pause(reader_pause);
-            }
-        });
+    for (std::size_t host = 0; host < writing_host; ++host) {
+        readers.emplace_back([&, host] { read_until(stopping, notes, hosts, host); });
     }
-    for (unsigned i = 0; i < session_count; ++i) {
-        auto& writer = *writers.emplace_back(
-            std::make_unique<client>(notes, "writer" + std::to_string(i), "parish"));
-        writer.start(hosts.port(host), "db-read_own", "key-parish");
-    }
-    const auto write_all = [&](const std::string& data) {
-        for (const auto& writer : writers) {
-            writer->query("WRITE pole-1 " + data);
+    pause(settling_time);
+    client writer{notes, "writer", "parish"};
+    unsigned written = 0;
+    const auto write_some = [&] {
+        unsigned done = 0;
+        for (unsigned i = 0; i < writes; ++i) {
+            done += writer.query("WRITE pole-1 number-" + std::to_string(++written)).done() ? 1 : 0;
         }
+        return done == writes;
     };
-    for (unsigned round = 0; round < rounds; ++round) {
-        first.set_apply_lag(replica_lag);
-        write_all("round-" + std::to_string(round));
-        if (trouble) {
-            world.configure(tenants, "roster");
-            reads_from("roster");
-            write_all("elsewhere-" + std::to_string(round));
-            world.configure(tenants, "ledger");
-            reads_from("ledger");
-        }
-        for (unsigned i = 0; i < reads_in_round; ++i) {
-            for (const auto& writer : writers) {
-                writer->query("READ pole-1");
-            }
-        }
-        first.set_apply_lag(milliseconds{60});
-        pause(replica_lag);
+    bool can_run =
+        writer.start(hosts.port(writing_host), "db-primary", "key-parish") && write_some();
+    const auto began = steady::now();
+    const auto wait_for = [&](milliseconds moment) {
+        std::this_thread::sleep_until(began + moment);
+    };
+    if (trouble) {
+        instances.set_deaf("i-b", true);
     }
+    can_run = can_run && write_some();
+    if (trouble) {
+        wait_for(replica_lost_at);
+        instances.crash("i-c");
+        wait_for(primary_down_at);
+        instances.crash("i-a");
+        wait_for(receives_again_at);
+        instances.set_deaf("i-b", false);
+        wait_for(replica_back_at);
+        instances.restart("i-c");
+        wait_for(primary_back_at);
+        instances.restart("i-a");
+    }
+    wait_for(end_at);
     stopping = true;
     for (auto& reader : readers) {
         reader.join();
     }
-    notes.check_log("ledger", first.logged_writes());
-    notes.check_log("roster", second.logged_writes());
-    std::cout << notes.violations() << " violations\n";
+    std::cout << world.promotion_calls() << " promotion calls, primary " << instances.primary()
+              << ", " << notes.violations() << " violations\n";
+    if (!can_run) {
+        return 2;
+    }
     return notes.violations() > 0 ? 1 : 0;
 }
 
--- a/review/standins/database.cpp
+++ b/review/standins/database.cpp
@@ -144,6 +144,19 @@
     hook_ = std::move(hook);
 }
 
+void database::set_mute(const std::string& id, bool mute) {
+    const std::lock_guard lock{mutex_};
+    find(id)->is_mute = mute;
+    slot_free_.notify_all();
+    notes_.write("instance " + id + (mute ? " is mute" : " can send again"));
+}
+
+void database::set_deaf(const std::string& id, bool deaf) {
+    const std::lock_guard lock{mutex_};
+    find(id)->is_deaf = deaf;
+    notes_.write("replica " + id + (deaf ? " receives nothing" : " receives again"));
+}
+
 void database::set_apply_lag(milliseconds lag) {
     const std::lock_guard lock{mutex_};
     settings_.apply_lag = lag;
@@ -155,6 +168,7 @@
     const std::lock_guard lock{mutex_};
     auto* server = find(id);
     server->is_up = false;
+    server->acceptor.stop();
     for (const auto* socket : server->sockets) {
         socket->shut_down();
     }
@@ -167,6 +181,7 @@
     server->is_up = true;
     server->held = 0;
     server->born = unix_ms();
+    slot_free_.notify_all();
     notes_.write("instance " + id + " starts again");
 }
 
@@ -269,7 +284,7 @@
         return;
     }
     for (const auto& server : instances_) {
-        if (server.get() != from && server->is_up && server->held == 0 &&
+        if (server.get() != from && server->is_up && server->held == 0 && !server->is_deaf &&
             (server->log.size() != from->log.size() || received(*server) != received(*from) ||
              server->term != from->term)) {
             copy_log(*from, *server);
@@ -280,13 +295,20 @@
 void database::accept_loop(instance& server) {
     while (!stopping_) {
         auto socket = server.acceptor.accept();
-        if (!socket.is_open() || stopping_) {
-            return;
+        if (socket.is_open() && !stopping_) {
+            const std::lock_guard lock{threads_mutex_};
+            threads_.emplace_back([this, &server, socket = std::move(socket)]() mutable {
+                serve(server, std::move(socket));
+            });
+            continue;
+        }
+        // The instance crashed: its port refuses connections until it starts again.
+        server.acceptor.close();
+        std::unique_lock lock{mutex_};
+        slot_free_.wait(lock, [&] { return stopping_ || server.is_up; });
+        if (!stopping_) {
+            server.acceptor.open();
         }
-        const std::lock_guard lock{threads_mutex_};
-        threads_.emplace_back([this, &server, socket = std::move(socket)]() mutable {
-            serve(server, std::move(socket));
-        });
     }
 }
 
@@ -337,8 +359,9 @@
         const char* phase = !state.is_open ? "I" : state.has_failed ? "E" : "T";
         std::string position;
         {
-            const std::lock_guard lock{mutex_};
+            std::unique_lock lock{mutex_};
             position = applied(server).text();
+            slot_free_.wait(lock, [&] { return stopping_ || !server.is_mute; });
         }
         reply += std::string{"READY "} + phase + " " + position + "\r\n";
         if (result.is_cut) {
--- a/review/standins/database.hpp
+++ b/review/standins/database.hpp
@@ -71,6 +71,10 @@
     std::size_t open_transactions();
     [[nodiscard]] const database_settings& settings() const { return settings_; }
 
+    /// While the instance is mute, what it sends is held up; what it receives arrives.
+    void set_mute(const std::string& id, bool mute);
+    /// A deaf replica receives nothing.
+    void set_deaf(const std::string& id, bool deaf);
     /// How late replicas apply from now on.
     void set_apply_lag(milliseconds lag);
     /// Kills the instance; `restart` starts it again with its log.
@@ -99,6 +103,8 @@
         bool is_up = true;
         bool is_primary = false;
         bool is_draining = false;
+        bool is_mute = false;
+        bool is_deaf = false;
         std::uint64_t term = 1;
         std::uint64_t held = 0;
         std::int64_t born = 0;
--- a/review/standins/socket_io.cpp
+++ b/review/standins/socket_io.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cerrno>
+#include <random>
 #include <stdexcept>
 #include <utility>
 
@@ -145,20 +146,27 @@
     }
 }
 
-listener::listener() : descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    auto address = loopback(0);
+listener::listener() { open(); }
+
+void listener::open() {
+    descriptor_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    auto address = loopback(port_);
     socklen_t size = sizeof address;
     constexpr int backlog = 1024;
     if (descriptor_ < 0 ||
         ::bind(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
         ::listen(descriptor_, backlog) != 0 ||
         ::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-        throw std::runtime_error("no free loopback port");
+        throw std::runtime_error("cannot listen on a loopback port");
     }
     port_ = ntohs(address.sin_port);
 }
 
-listener::~listener() { ::close(descriptor_); }
+void listener::close() { ::close(std::exchange(descriptor_, -1)); }
+
+listener::~listener() { close(); }
 
 stream_socket listener::accept() const {
     const int accepted = ::accept4(descriptor_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
@@ -170,6 +178,21 @@
 
 void listener::stop() const { ::shutdown(descriptor_, SHUT_RDWR); }
 
-std::uint16_t free_port() { return listener{}.port(); }
+std::uint16_t free_port() {
+    // Below the range of the ports that outgoing connections get.
+    constexpr unsigned first = 20000;
+    constexpr unsigned last = 32000;
+    static std::mt19937 random{std::random_device{}()};
+    std::uniform_int_distribution<unsigned> draw{first, last};
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(draw(random));
+        const stream_socket probe{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+        const auto address = loopback(port);
+        if (::bind(probe.descriptor(), reinterpret_cast<const sockaddr*>(&address),
+                   sizeof address) == 0) {
+            return port;
+        }
+    }
+}
 
 }  // namespace review
--- a/review/standins/socket_io.hpp
+++ b/review/standins/socket_io.hpp
@@ -21,6 +21,7 @@
     static stream_socket connect(std::uint16_t port, int timeout_ms);
 
     [[nodiscard]] bool is_open() const { return descriptor_ >= 0; }
+    [[nodiscard]] int descriptor() const { return descriptor_; }
     /// Returns the next line without its end, or nothing when the connection ends or the time is
     /// up.
     std::optional<std::string> read_line(int timeout_ms = -1);
@@ -53,6 +54,10 @@
     /// Waits for a connection. Returns a closed socket after `stop`.
     stream_socket accept() const;
     void stop() const;
+    /// Refuses connections until `open`.
+    void close();
+    /// Listens on the same port again.
+    void open();
 
 private:
     int descriptor_ = -1;
