--- a/review/standins/socket_io.cpp
+++ b/review/standins/socket_io.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cerrno>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -183,13 +184,15 @@
     constexpr unsigned first = 20000;
     constexpr unsigned last = 32000;
     static std::mt19937 random{std::random_device{}()};
+    static std::set<std::uint16_t> given;
     std::uniform_int_distribution<unsigned> draw{first, last};
     for (;;) {
         const auto port = static_cast<std::uint16_t>(draw(random));
         const stream_socket probe{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
         const auto address = loopback(port);
         if (::bind(probe.descriptor(), reinterpret_cast<const sockaddr*>(&address),
-                   sizeof address) == 0) {
+                   sizeof address) == 0 &&
+            given.insert(port).second) {
             return port;
         }
     }
