--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,12 +1,11 @@
-// Routes move to another service and back while replicas are behind. A session that wrote to both
-// reads its own write to the first one.
+// A primary is replaced while one replica receives nothing. Later both up-to-date instances are
+// down, and that replica is promoted, although every host has seen newer commits acknowledged.
 #include <atomic>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
-#include <mutex>
-#include <set>
 #include <thread>
+#include <vector>
 
 #include "../standins/client.hpp"
 #include "../standins/database.hpp"
@@ -18,119 +17,137 @@
 namespace {
 
 constexpr milliseconds ready_limit{20000};
-/// How late replicas apply: 54 times their mean of 60 ms, as on the site's calm day.
-constexpr milliseconds replica_lag{54 * 60};
-constexpr milliseconds apply_limit{3000};
-constexpr unsigned rounds = 5;
-constexpr unsigned commits_before = 20;
-constexpr unsigned session_count = 6;
-constexpr unsigned other_readers = 8;
-constexpr milliseconds reader_pause{5};
-constexpr unsigned reads_in_round = 6;
+constexpr milliseconds settling_time{3000};
+constexpr unsigned writes_per_host = 3;
+/// `evacuate-ms` of the deployment.
+constexpr milliseconds evacuation_limit{5000};
 
-/// The statements that ran, by service.
-class runs {
+/// Length of the time in which replica i-b receives nothing, and of the crashes.
+constexpr milliseconds deaf_time{6500};
+constexpr milliseconds down_time{7000};
+constexpr milliseconds between_crashes{2500};
+constexpr milliseconds recovery_time{5000};
+constexpr milliseconds read_interval{50};
+
+/// Reads through one host, and opens a new session after an error.
+void read_until(const std::atomic<bool>& stopping, ledger& notes, const fleet& hosts,
+                std::size_t host) {
+    client reader{notes, "reader" + std::to_string(host), "parish"};
+    bool is_open = false;
+    while (!stopping) {
+        is_open = is_open || reader.start(hosts.port(host), "db-primary", "key-parish");
+        is_open = is_open && reader.query("READ pole-1").done();
+        pause(read_interval);
+    }
+}
+
+/// One writing caller for each host.
+class writers {
 public:
-    void watch(database& instances) {
-        instances.on_ran([this, service = instances.settings().service](const std::string& id) {
-            const std::lock_guard lock{mutex_};
-            ran_[service].insert(id);
-        });
+    writers(ledger& notes, const fleet& hosts) : hosts_(hosts) {
+        for (std::size_t host = 0; host < hosts.size(); ++host) {
+            callers_.push_back(
+                std::make_unique<client>(notes, "writer" + std::to_string(host), "parish"));
+        }
     }
-    bool contains(const std::string& service, const std::string& id) {
-        const std::lock_guard lock{mutex_};
-        return ran_[service].contains(id);
+    /// Starts new sessions. Returns whether all were opened.
+    bool start() {
+        bool opened = true;
+        for (std::size_t host = 0; host < callers_.size(); ++host) {
+            opened = callers_[host]->start(hosts_.port(host), "db-primary", "key-parish") && opened;
+        }
+        return opened;
+    }
+    /// Returns whether all writes were acknowledged.
+    bool write_all() {
+        bool acknowledged = true;
+        for (unsigned i = 0; i < writes_per_host; ++i) {
+            for (const auto& caller : callers_) {
+                const auto number = std::to_string(++written_);
+                acknowledged = caller->query("WRITE pole-1 number-" + number).done() && acknowledged;
+            }
+        }
+        return acknowledged;
     }
 
 private:
-    std::mutex mutex_;
-    std::map<std::string, std::set<std::string>> ran_;
+    const fleet& hosts_;
+    std::vector<std::unique_ptr<client>> callers_;
+    unsigned written_ = 0;
+};
+
+/// Sets a flag at the end of its scope.
+struct scope_end {
+    std::atomic<bool>& flag;
+    ~scope_end() { flag = true; }
 };
 
 int run_case(const std::string& program, const std::string& record, bool trouble) {
     ledger notes{record};
-    database first{notes, {}};
-    database_settings other;
-    other.service = "roster";
-    other.id_prefix = "j-";
-    database second{notes, other};
-    runs ran;
-    ran.watch(first);
-    ran.watch(second);
-    platform world{notes, {&first, &second}};
-    const std::vector<tenant> tenants{{"parish", {"key-parish"}}};
-    world.configure(tenants, "ledger");
+    database instances{notes, {}};
+    platform world{notes, {&instances}};
+    world.configure({{"parish", {"key-parish"}}});
     fleet hosts{notes, program, world.port()};
     hosts.add_deployment();
-    const std::size_t host = hosts.size() - 1;
-    client caller{notes, "caller", "parish"};
-    std::vector<std::unique_ptr<client>> writers;
-    const bool serves = wait_until(ready_limit, [&] {
-        return hosts.is_ready(host) &&
-               caller.start(hosts.port(host), "db-read_own", "key-parish") &&
-               caller.query("READ pole-0").done();
-    });
-    if (!serves) {
-        return 2;
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        if (!wait_until(ready_limit, [&] { return hosts.is_ready(host); })) {
+            return 2;
+        }
     }
-    const auto reads_from = [&](const std::string& service) {
-        return wait_until(apply_limit, [&] {
-            return caller.query("READ pole-0").done() && ran.contains(service, caller.last_id());
-        });
-    };
-    // The logs of the two services have different lengths.
-    for (unsigned i = 0; i < commits_before; ++i) {
-        caller.query("WRITE pole-2 before-" + std::to_string(i));
+    pause(settling_time);
+    writers callers{notes, hosts};
+    if (!callers.start() || !callers.write_all()) {
+        return 2;
     }
-    // Other sessions keep all instances in use.
     std::atomic<bool> stopping{false};
-    std::vector<std::thread> readers;
-    for (unsigned i = 0; i < other_readers; ++i) {
-        readers.emplace_back([&, i] {
-            client reader{notes, "reader" + std::to_string(i), "parish"};
-            while (!stopping) {
-                if (!reader.query("READ pole-0").done()) {
-                    reader.start(hosts.port(host), "db-read_own", "key-parish");
-                }
-                pause(reader_pause);
-            }
-        });
+    std::vector<std::jthread> readers;
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        readers.emplace_back([&, host] { read_until(stopping, notes, hosts, host); });
     }
-    for (unsigned i = 0; i < session_count; ++i) {
-        auto& writer = *writers.emplace_back(
-            std::make_unique<client>(notes, "writer" + std::to_string(i), "parish"));
-        writer.start(hosts.port(host), "db-read_own", "key-parish");
+    const scope_end stop_readers{stopping};
+    const auto deaf_since = steady::now();
+    if (trouble) {
+        instances.set_deaf("i-b", true);
     }
-    const auto write_all = [&](const std::string& data) {
-        for (const auto& writer : writers) {
-            writer->query("WRITE pole-1 " + data);
-        }
-    };
-    for (unsigned round = 0; round < rounds; ++round) {
-        first.set_apply_lag(replica_lag);
-        write_all("round-" + std::to_string(round));
-        if (trouble) {
-            world.configure(tenants, "roster");
-            reads_from("roster");
-            write_all("elsewhere-" + std::to_string(round));
-            world.configure(tenants, "ledger");
-            reads_from("ledger");
-        }
-        for (unsigned i = 0; i < reads_in_round; ++i) {
-            for (const auto& writer : writers) {
-                writer->query("READ pole-1");
-            }
-        }
-        first.set_apply_lag(milliseconds{60});
-        pause(replica_lag);
+    if (!callers.write_all()) {
+        return 2;
     }
-    stopping = true;
-    for (auto& reader : readers) {
-        reader.join();
+    notes.write("the operator evacuates orebro, the zone of the primary");
+    world.put("op", "evacuate/orebro", "{}");
+    if (!wait_until(evacuation_limit, [&] { return instances.primary() != "i-a"; })) {
+        std::cout << "the primary was not replaced\n";
+        return 2;
+    }
+    // The hosts use the new primary as soon as they know the outcome.
+    if (!wait_until(evacuation_limit, [&] { return callers.start() && callers.write_all(); })) {
+        std::cout << "the new primary is not used\n";
+        return 2;
+    }
+    const auto new_primary = instances.primary();
+    bool fits = true;
+    if (trouble) {
+        instances.crash("i-a");
+        const auto first_crash = steady::now();
+        pause(between_crashes);
+        instances.crash(new_primary);
+        const auto second_crash = steady::now();
+        fits = new_primary == "i-c" && second_crash < deaf_since + deaf_time;
+        std::this_thread::sleep_until(deaf_since + deaf_time);
+        instances.set_deaf("i-b", false);
+        std::this_thread::sleep_until(first_crash + down_time);
+        instances.restart("i-a");
+        std::this_thread::sleep_until(second_crash + down_time);
+        instances.restart(new_primary);
+    }
+    pause(recovery_time);
+    const bool serves = callers.start() && callers.write_all();
+    notes.check_log("ledger", instances.logged_writes());
+    std::cout << world.promotion_calls() << " promotion calls, primary " << instances.primary()
+              << (serves ? ", serves" : ", does not serve") << ", " << notes.violations()
+              << " violations\n";
+    if (!fits) {
+        return 2;
     }
-    notes.check_log("ledger", first.logged_writes());
-    notes.check_log("roster", second.logged_writes());
-    std::cout << notes.violations() << " violations\n";
     return notes.violations() > 0 ? 1 : 0;
 }
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -13,7 +13,7 @@
   objects+=("$object")
 done
 wait
-for source in [1-4]/case.cpp; do
+for source in [1-5]/case.cpp; do
   [ -e "$source" ] || continue
   g++ "${flags[@]}" "$source" "${objects[@]}" -o "build/case-$(dirname "$source")" &
 done
