--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,12 +1,14 @@
-// Routes move to another service and back while replicas are behind. A session that wrote to both
-// reads its own write to the first one.
+// A promotion call gets no answer, its sender loses power, and another host closes the failover in
+// favour of the old primary, which is back. The call is carried out after that.
 #include <atomic>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
-#include <mutex>
-#include <set>
+#include <optional>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "../standins/client.hpp"
 #include "../standins/database.hpp"
@@ -18,119 +20,132 @@
 namespace {
 
 constexpr milliseconds ready_limit{20000};
-/// How late replicas apply: 54 times their mean of 60 ms, as on the site's calm day.
-constexpr milliseconds replica_lag{54 * 60};
-constexpr milliseconds apply_limit{3000};
-constexpr unsigned rounds = 5;
-constexpr unsigned commits_before = 20;
-constexpr unsigned session_count = 6;
-constexpr unsigned other_readers = 8;
-constexpr milliseconds reader_pause{5};
-constexpr unsigned reads_in_round = 6;
+constexpr milliseconds settling_time{3000};
+constexpr milliseconds call_interval{50};
+constexpr unsigned probes_of_pools = 12;
+/// How long the primary is dark, and the host that has called without power.
+constexpr milliseconds primary_dark{3000};
+constexpr milliseconds host_dark{3500};
+/// Unanswered calls and orders are carried out 2 to 12 s later.
+constexpr milliseconds call_delay{10000};
+constexpr milliseconds order_delay{12000};
+constexpr milliseconds promotion_limit{4000};
+constexpr milliseconds kill_delay{100};
+constexpr milliseconds end_at{16000};
 
-/// The statements that ran, by service.
-class runs {
-public:
-    void watch(database& instances) {
-        instances.on_ran([this, service = instances.settings().service](const std::string& id) {
-            const std::lock_guard lock{mutex_};
-            ran_[service].insert(id);
-        });
+/// Writes through one host, and opens a new session after an error.
+void write_until(const std::atomic<bool>& stopping, ledger& notes, const fleet& hosts,
+                 std::size_t host) {
+    client writer{notes, "writer" + std::to_string(host), "parish"};
+    bool is_open = false;
+    unsigned written = 0;
+    while (!stopping) {
+        is_open = is_open || writer.start(hosts.port(host), "db-primary", "key-parish");
+        is_open = is_open && writer.query("WRITE pole-1 number-" + std::to_string(++written)).done();
+        pause(call_interval);
     }
-    bool contains(const std::string& service, const std::string& id) {
-        const std::lock_guard lock{mutex_};
-        return ran_[service].contains(id);
+}
+
+/// Finds the host that owns the pool of connections to the primary: transactions that stay open
+/// through other hosts need a connection each, which the owner opens.
+std::optional<std::size_t> find_pool_owner(ledger& notes, const fleet& hosts) {
+    const std::string counter = "masticgrade_backend_connections_opened_total";
+    std::vector<std::unique_ptr<client>> callers;
+    for (unsigned attempt = 0; attempt < probes_of_pools; ++attempt) {
+        const auto through = hosts.size() - 1 - attempt % hosts.size();
+        std::vector<double> before;
+        for (std::size_t host = 0; host < hosts.size(); ++host) {
+            before.push_back(hosts.metric(host, counter));
+        }
+        auto& caller = *callers.emplace_back(
+            std::make_unique<client>(notes, "finder" + std::to_string(attempt), "parish"));
+        if (caller.start(hosts.port(through), "db-primary", "key-parish")) {
+            caller.query("BEGIN");
+            caller.query("READ pole-0");
+        }
+        for (std::size_t host = 0; host < hosts.size(); ++host) {
+            if (host != through && hosts.metric(host, counter) > before[host]) {
+                return host;
+            }
+        }
+        constexpr milliseconds attempt_interval{800};
+        pause(attempt_interval);
     }
+    return std::nullopt;
+}
 
-private:
-    std::mutex mutex_;
-    std::map<std::string, std::set<std::string>> ran_;
-};
+/// The host that holds the failover lock, by the fleet's row in the store.
+std::size_t find_holder(platform& world, const fleet& hosts) {
+    const auto row = world.row("failover", "ledger");
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        if (row.find("\"" + hosts.name(host) + "\"") != std::string::npos) {
+            return host;
+        }
+    }
+    return hosts.size();
+}
 
 int run_case(const std::string& program, const std::string& record, bool trouble) {
     ledger notes{record};
-    database first{notes, {}};
-    database_settings other;
-    other.service = "roster";
-    other.id_prefix = "j-";
-    database second{notes, other};
-    runs ran;
-    ran.watch(first);
-    ran.watch(second);
-    platform world{notes, {&first, &second}};
-    const std::vector<tenant> tenants{{"parish", {"key-parish"}}};
-    world.configure(tenants, "ledger");
+    database instances{notes, {}};
+    platform world{notes, {&instances}};
+    world.configure({{"parish", {"key-parish"}}});
     fleet hosts{notes, program, world.port()};
     hosts.add_deployment();
-    const std::size_t host = hosts.size() - 1;
-    client caller{notes, "caller", "parish"};
-    std::vector<std::unique_ptr<client>> writers;
-    const bool serves = wait_until(ready_limit, [&] {
-        return hosts.is_ready(host) &&
-               caller.start(hosts.port(host), "db-read_own", "key-parish") &&
-               caller.query("READ pole-0").done();
-    });
-    if (!serves) {
-        return 2;
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        if (!wait_until(ready_limit, [&] { return hosts.is_ready(host); })) {
+            return 2;
+        }
     }
-    const auto reads_from = [&](const std::string& service) {
-        return wait_until(apply_limit, [&] {
-            return caller.query("READ pole-0").done() && ran.contains(service, caller.last_id());
-        });
-    };
-    // The logs of the two services have different lengths.
-    for (unsigned i = 0; i < commits_before; ++i) {
-        caller.query("WRITE pole-2 before-" + std::to_string(i));
+    pause(settling_time);
+    const auto owner = find_pool_owner(notes, hosts);
+    if (!owner) {
+        std::cout << "the owner of the primary's pool was not found\n";
+        return 2;
     }
-    // Other sessions keep all instances in use.
     std::atomic<bool> stopping{false};
-    std::vector<std::thread> readers;
-    for (unsigned i = 0; i < other_readers; ++i) {
-        readers.emplace_back([&, i] {
-            client reader{notes, "reader" + std::to_string(i), "parish"};
-            while (!stopping) {
-                if (!reader.query("READ pole-0").done()) {
-                    reader.start(hosts.port(host), "db-read_own", "key-parish");
-                }
-                pause(reader_pause);
-            }
-        });
-    }
-    for (unsigned i = 0; i < session_count; ++i) {
-        auto& writer = *writers.emplace_back(
-            std::make_unique<client>(notes, "writer" + std::to_string(i), "parish"));
-        writer.start(hosts.port(host), "db-read_own", "key-parish");
-    }
-    const auto write_all = [&](const std::string& data) {
-        for (const auto& writer : writers) {
-            writer->query("WRITE pole-1 " + data);
-        }
+    std::vector<std::thread> writers;
+    const auto write_through = [&](std::size_t host) {
+        writers.emplace_back([&, host] { write_until(stopping, notes, hosts, host); });
     };
-    for (unsigned round = 0; round < rounds; ++round) {
-        first.set_apply_lag(replica_lag);
-        write_all("round-" + std::to_string(round));
-        if (trouble) {
-            world.configure(tenants, "roster");
-            reads_from("roster");
-            write_all("elsewhere-" + std::to_string(round));
-            world.configure(tenants, "ledger");
-            reads_from("ledger");
-        }
-        for (unsigned i = 0; i < reads_in_round; ++i) {
-            for (const auto& writer : writers) {
-                writer->query("READ pole-1");
+    write_through(*owner);
+    pause(settling_time);
+    const auto began = steady::now();
+    bool can_run = true;
+    if (trouble) {
+        world.delay_promotions(1, call_delay);
+        // Of two replicas with the same log, the hosts choose the first.
+        instances.delay_order("i-b", "RESUME", order_delay);
+        instances.crash("i-a");
+        can_run = wait_until(promotion_limit, [&] { return world.promotion_calls() > 0; });
+        const auto holder = find_holder(world, hosts);
+        can_run = can_run && holder == *owner;
+        if (can_run) {
+            pause(kill_delay);
+            hosts.signal(holder, SIGKILL);
+            const auto killed_at = steady::now();
+            for (std::size_t host = 0; host < hosts.size(); ++host) {
+                if (host != *owner) {
+                    write_through(host);
+                }
             }
+            std::this_thread::sleep_until(began + primary_dark);
+            instances.restart("i-a");
+            std::this_thread::sleep_until(killed_at + host_dark);
+            hosts.start(holder);
         }
-        first.set_apply_lag(milliseconds{60});
-        pause(replica_lag);
     }
+    std::this_thread::sleep_until(began + end_at);
     stopping = true;
-    for (auto& reader : readers) {
-        reader.join();
+    for (auto& writer : writers) {
+        writer.join();
+    }
+    notes.check_log("ledger", instances.logged_writes());
+    std::cout << world.promotion_calls() << " promotion calls, primary " << instances.primary()
+              << ", " << notes.violations() << " violations\n";
+    if (!can_run) {
+        return 2;
     }
-    notes.check_log("ledger", first.logged_writes());
-    notes.check_log("roster", second.logged_writes());
-    std::cout << notes.violations() << " violations\n";
     return notes.violations() > 0 ? 1 : 0;
 }
 
--- a/review/standins/database.cpp
+++ b/review/standins/database.cpp
@@ -206,6 +206,13 @@
     find(id)->is_draining = draining;
 }
 
+void database::delay_order(const std::string& id, const std::string& word, milliseconds delay) {
+    const std::lock_guard lock{mutex_};
+    auto* server = find(id);
+    server->delayed_order = word;
+    server->order_delay = delay;
+}
+
 unsigned database::promote(const std::string& id, std::uint64_t fence) {
     std::unique_lock lock{mutex_};
     auto* target = find(id);
@@ -425,7 +432,15 @@
         return result;
     }
     if (word == "STATUS" || word == "PAUSE" || word == "RESUME" || word == "STEPDOWN") {
-        return run_order(server, word, text);
+        const bool is_delayed = word == server.delayed_order;
+        if (is_delayed) {
+            server.delayed_order.clear();
+            notes_.write("instance " + server.id + " leaves " + word + " unanswered");
+            slot_free_.wait_for(lock, server.order_delay, [&] { return stopping_.load(); });
+        }
+        result = run_order(server, word, text);
+        result.drops_connection = is_delayed;
+        return result;
     }
     if (word == "BEGIN") {
         if (text != "READ" && !server.is_primary) {
--- a/review/standins/database.hpp
+++ b/review/standins/database.hpp
@@ -87,6 +87,8 @@
     /// The next statements take this much longer.
     void delay_statements(unsigned count, milliseconds delay);
     void set_draining(const std::string& id, bool draining);
+    /// The next order of this kind to the instance gets no answer and is carried out after `delay`.
+    void delay_order(const std::string& id, const std::string& word, milliseconds delay);
     /// Called with the statement's id after it ran and before its answer is sent.
     void on_ran(std::function<void(const std::string& id)> hook);
 
@@ -105,6 +107,8 @@
         bool is_draining = false;
         bool is_mute = false;
         bool is_deaf = false;
+        std::string delayed_order;
+        milliseconds order_delay{0};
         std::uint64_t term = 1;
         std::uint64_t held = 0;
         std::int64_t born = 0;
