--- a/review/standins/socket_io.cpp
+++ b/review/standins/socket_io.cpp
@@ -121,6 +121,12 @@
     return bytes;
 }
 
+bool stream_socket::is_closed_by_peer() const {
+    char byte = 0;
+    const auto size = ::recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 bool stream_socket::write_all(const std::string& bytes) const {
     std::size_t sent = 0;
     while (sent < bytes.size()) {
--- a/review/standins/socket_io.hpp
+++ b/review/standins/socket_io.hpp
@@ -33,6 +33,8 @@
     void close();
     /// Whether the connection ended; the time of a read was up otherwise.
     [[nodiscard]] bool has_ended() const { return ended_; }
+    /// Whether the peer has closed the connection, as far as is known without waiting.
+    [[nodiscard]] bool is_closed_by_peer() const;
 
 private:
     bool fill(int timeout_ms);
