--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -64,7 +64,8 @@
         for (unsigned i = 0; i < writes_per_host; ++i) {
             for (const auto& caller : callers_) {
                 const auto number = std::to_string(++written_);
-                acknowledged = caller->query("WRITE pole-1 number-" + number).done() && acknowledged;
+                acknowledged =
+                    caller->query("WRITE pole-1 number-" + number).done() && acknowledged;
             }
         }
         return acknowledged;
@@ -77,9 +78,15 @@
 };
 
 /// Sets a flag at the end of its scope.
-struct scope_end {
-    std::atomic<bool>& flag;
-    ~scope_end() { flag = true; }
+class scope_end {
+public:
+    explicit scope_end(std::atomic<bool>& flag) : flag_(flag) {}
+    scope_end(const scope_end&) = delete;
+    scope_end& operator=(const scope_end&) = delete;
+    ~scope_end() { flag_ = true; }
+
+private:
+    std::atomic<bool>& flag_;
 };
 
 int run_case(const std::string& program, const std::string& record, bool trouble) {
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -41,7 +41,8 @@
     unsigned written = 0;
     while (!stopping) {
         is_open = is_open || writer.start(hosts.port(host), "db-primary", "key-parish");
-        is_open = is_open && writer.query("WRITE pole-1 number-" + std::to_string(++written)).done();
+        is_open =
+            is_open && writer.query("WRITE pole-1 number-" + std::to_string(++written)).done();
         pause(call_interval);
     }
 }
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -206,7 +206,8 @@
         while (!is_open && !world.stopping) {
             open();
         }
-        const bool writes = keeps_session && (number + sent * 7) % 100 < writes_percent;
+        const bool writes =
+            keeps_session && (number + std::size_t{7} * sent) % 100 < writes_percent;
         const auto began = steady::now();
         const auto answer = caller.query(writes ? "WRITE pole-1 " + std::to_string(sent)
                                                 : std::string{"READ pole-1"});
@@ -220,8 +221,8 @@
     }
 }
 
-/// Stops the nodes in turn and starts each again when it has ended. Started from the main thread, as
-/// a process ends with the thread that started it.
+/// Stops the nodes in turn and starts each again when it has ended. Started from the main thread,
+/// as a process ends with the thread that started it.
 void stop_in_turn(fleet& hosts, stop_judge& judge, const std::vector<std::size_t>& nodes) {
     const auto began = steady::now();
     std::size_t signalled = 0;
--- a/review/standins/client.hpp
+++ b/review/standins/client.hpp
@@ -36,7 +36,9 @@
     client_answer query(const std::string& text, int timeout_ms = 5000);
     void disconnect();
     /// Whether the host has closed the idle session.
-    [[nodiscard]] bool has_ended() const { return !socket_.is_open() || socket_.is_closed_by_peer(); }
+    [[nodiscard]] bool has_ended() const {
+        return !socket_.is_open() || socket_.is_closed_by_peer();
+    }
     [[nodiscard]] const std::string& name() const { return name_; }
     /// Id of the statement sent last.
     [[nodiscard]] std::string last_id() const { return name_ + "-" + std::to_string(sent_); }
