Gateway: leases belong to the process that granted them and the one that holds them

Cause: lease ids were counted from 1 in each process and looked up by number alone. A borrower is not told of the restart while its transaction is idle, so its next call carried an id that the new process had given to somebody else.

Change: an id contains the incarnation number of the granting process, and only the process that a lease was granted to may use or release it. An unknown lease is refused before anything runs; the instance has already rolled back, so the caller's ABORTED is true. The messages between hosts are unchanged.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -125,7 +125,8 @@
             [this] { return is_ready(); },
             [this](const row_query& query) { return rows_.answer(query, boot_clock::now()); },
             [this] { return uptime(); },
-            [this] { refresh_failovers(); }};
+            [this] { refresh_failovers(); },
+            incarnation_};
         leases_ = std::make_shared<lease_service>(std::move(leases));
         reports_ = std::make_unique<report_exchange>(
             reporting_host{settings_.host, incarnation_, settings_.failure_domain,
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -244,9 +244,9 @@
         co_return peer::message_body{make_message(pong{})};
     }
     if (const auto* closing = std::get_if<lease_release>(&request.call)) {
-        const auto found = leases_.find(closing->lease);
-        if (found != leases_.end() && !found->second.busy) {
-            leases_.erase(found);
+        const auto* lease = find_lease(closing->lease, message);
+        if (lease != nullptr && !lease->busy) {
+            leases_.erase(closing->lease);
         }
         co_return std::nullopt;
     }
@@ -263,7 +263,7 @@
         if (late) {
             reply = run_reply{lease_failure::late, "the request was under way for too long", {}};
         } else {
-            reply = co_await run_on_lease(std::move(*steps));
+            reply = co_await run_on_lease(message, std::move(*steps));
         }
     } else if (auto* query = std::get_if<position_query>(&request.call)) {
         reply = co_await answer_position_query(std::move(*query));
@@ -306,7 +306,7 @@
     }
     auto result = co_await group->acquire(std::move(request));
     if (auto* connection = std::get_if<connection_lease>(&result)) {
-        const lease_id number{++last_lease_};
+        const auto number = next_lease_id();
         auto& lease = leases_[number];
         lease.holder = message.sender;
         lease.incarnation = message.incarnation;
@@ -460,16 +460,53 @@
     }
 }
 
-asio::awaitable<run_reply> lease_service::run_on_lease(run_request call) {
+lease_id lease_service::next_lease_id() {
+    constexpr unsigned bits_per_process = 32;
+    return lease_id{(environment_.incarnation.value() << bits_per_process) + ++granted_leases_};
+}
+
+lease_service::granted_lease* lease_service::find_lease(lease_id lease,
+                                                        const peer::envelope& message) {
+    const auto found = leases_.find(lease);
+    if (found == leases_.end()) {
+        return nullptr;
+    }
+    auto& granted = found->second;
+    if (granted.holder != message.sender || granted.incarnation != message.incarnation) {
+        event_line{"lease_not_held"}
+            .field("sender", message.sender)
+            .field("borrower", granted.holder)
+            .field("instance", granted.connection->instance())
+            .write();
+        return nullptr;
+    }
+    return &granted;
+}
+
+std::vector<lease_id> lease_service::active_lease_ids() const {
+    std::vector<lease_id> result;
+    for (const auto& [id, lease] : leases_) {
+        result.push_back(id);
+    }
+    return result;
+}
+
+asio::awaitable<run_reply> lease_service::run_on_lease(const peer::envelope& message,
+                                                       run_request call) {
     const auto number = call.lease;
-    const auto found = leases_.find(number);
+    auto* const found = find_lease(number, message);
     run_reply result;
-    if (found == leases_.end() || found->second.busy || call.steps.empty()) {
+    if (found == nullptr || found->busy || call.steps.empty()) {
         result.failure = lease_failure::not_served;
         result.reason = "the lease has ended";
+        event_line{"lease_call_refused"}
+            .field("sender", message.sender)
+            .field("lease", number)
+            .field("known", found != nullptr)
+            .write();
         co_return result;
     }
-    auto& lease = found->second;
+    auto& lease = *found;
     lease.busy = true;
     if (call.values) {
         lease.context.values = std::move(*call.values);
--- a/libs/gateway/src/lease_service.hpp
+++ b/libs/gateway/src/lease_service.hpp
@@ -28,6 +28,8 @@
     std::function<milliseconds()> uptime;
     /// Reads the failover rows again, since another host has changed one.
     std::function<void()> refresh_failovers;
+    /// Differs from that of every earlier process of this host.
+    incarnation_number incarnation;
 };
 
 struct group_position_proof {
@@ -86,6 +88,7 @@
     /// Ends leases whose holder is gone. Call at least once a second.
     void tick(time_point now);
     [[nodiscard]] std::size_t active_leases() const { return leases_.size(); }
+    [[nodiscard]] std::vector<lease_id> active_lease_ids() const;
 
     // ---- Used by leased connections ----
     boost::asio::awaitable<run_reply> run(const host_id& owner, run_request steps,
@@ -103,7 +106,12 @@
     };
 
     boost::asio::awaitable<lease_reply> grant(const peer::envelope& message, lease_request call);
-    boost::asio::awaitable<run_reply> run_on_lease(run_request call);
+    boost::asio::awaitable<run_reply> run_on_lease(const peer::envelope& message, run_request call);
+    /// An id that no other process of this host has granted. Borrowers are not told when a pool
+    /// owner restarts, so their next call may carry an id of the earlier process.
+    lease_id next_lease_id();
+    /// The lease, if the process that sent the message holds it.
+    granted_lease* find_lease(lease_id lease, const peer::envelope& message);
     boost::asio::awaitable<position_reply> answer_position_query(position_query call);
     positions_reply answer_positions_query(const positions_query& call);
     /// Measures the offset between the clocks of the sender and this host.
@@ -115,7 +123,7 @@
     lease_environment environment_;
     message_delay_estimator delays_;
     std::map<lease_id, granted_lease> leases_;
-    std::uint64_t last_lease_ = 0;
+    std::uint64_t granted_leases_ = 0;
     std::map<host_id, time_point> unusable_until_;
     std::map<host_id, incarnation_number> measuring_;
     /// The last reported process of each host.
