Gateway: a promotion needs all logs that may hold acknowledged commits but one

Cause: a promoting host counted the listed replicas only, and checked for lost instances against commits that it had itself seen acknowledged. A host that has just started, or serves readers only, knows of none, and nothing recorded which instances may hold acknowledged commits.

Change: the failover row records the log holders. The registry removes a lost one only after another replica has received what the primary held after the loss, or when it has started again at its address. A replica is promoted only while fewer than two logs are unknown, or with all of the log of a primary that has stepped down. Reading and writing the row and sending orders moved from group_failover to failover_row_store and instance_orders, since the registry needs them too.

--- a/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 
 #include "masticgrade/base/time.hpp"
@@ -18,6 +19,9 @@
     instance_id target;
     /// The term in which `target` leads; zero if unknown.
     term_number term;
+    /// The instances that may hold acknowledged commits which no other instance holds, and their
+    /// addresses. Empty if not recorded yet.
+    std::map<instance_id, endpoint_address> log_holders = {};
 
     friend bool operator==(const failover_record&, const failover_record&) = default;
 };
--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -35,6 +35,23 @@
 std::optional<promotion_choice> choose_promotion_target(
     const std::vector<promotion_candidate>& replicas, term_number term);
 
+/// The logs that are not held while a replica is chosen.
+struct unheld_logs {
+    /// Number of instances, among them the old primary, that may hold acknowledged commits and
+    /// whose logs are unknown.
+    std::size_t unknown = 0;
+    /// The end of the old primary's log, if it has confirmed that it no longer leads.
+    std::optional<log_index> former_primary;
+    /// The end of the longest held log that cannot be promoted, if any.
+    std::optional<log_index> longest_unlisted;
+};
+
+/// Whether a log that ends at `position`, the longest of the held replicas' logs, contains every
+/// acknowledged commit. An acknowledged commit is in the log of the primary and of at least one
+/// replica, so one unknown log cannot be the only one that contains it, but two can.
+/// Thread safety: reentrant.
+bool contains_acknowledged_commits(log_index position, const unheld_logs& others);
+
 /// Delay before a host of the given rank starts a failover, so that hosts that detect the same
 /// failure don't all start at once. Zero for rank 0.
 milliseconds takeover_delay(std::size_t rank) noexcept;
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -110,15 +110,17 @@
             continue;
         }
         event_line{"instance_gone"}.field("group", name_).field("instance", item->first).write();
-        lost_instances_[item->first] = now;
+        lost_instances_[item->first] = {now, item->second.entry.address,
+                                        last_failover().log_holders.contains(item->first)};
         auto idle = std::move(item->second.idle);
         item = instances_.erase(item);
         for (auto& connection : idle) {
             connection->close();
         }
     }
-    std::erase_if(lost_instances_,
-                  [&](const auto& entry) { return now - entry.second > lost_instance_lifetime; });
+    std::erase_if(lost_instances_, [&](const auto& entry) {
+        return now - entry.second.lost_at > lost_instance_lifetime;
+    });
 }
 
 std::vector<instance_entry> backend_group::entries() const {
@@ -141,10 +143,40 @@
 
 bool backend_group::has_recently_lost_instance(time_point now) const {
     return std::any_of(lost_instances_.begin(), lost_instances_.end(), [&](const auto& entry) {
-        return now - entry.second <= lost_instance_lifetime;
+        return now - entry.second.lost_at <= lost_instance_lifetime;
     });
 }
 
+bool backend_group::log_holders_are_recorded() const {
+    const auto& recorded = last_failover().log_holders;
+    return std::equal(recorded.begin(), recorded.end(), instances_.begin(), instances_.end(),
+                      [](const auto& holder, const auto& instance) {
+                          return holder.first == instance.first &&
+                                 holder.second == instance.second.entry.address;
+                      });
+}
+
+std::map<instance_id, endpoint_address> backend_group::log_holders(time_point now) const {
+    auto result = last_failover().log_holders;
+    for (const auto& [id, lost] : lost_instances_) {
+        if (!lost.recorded && now - lost.lost_at <= lost_instance_lifetime) {
+            result.emplace(id, lost.address);
+        }
+    }
+    // An instance that starts again at its address has a new id and the same log.
+    std::set<endpoint_address> listed_addresses;
+    for (const auto& [id, instance] : instances_) {
+        listed_addresses.insert(instance.entry.address);
+    }
+    std::erase_if(result, [&](const auto& holder) {
+        return !is_listed(holder.first) && listed_addresses.contains(holder.second);
+    });
+    for (const auto& [id, instance] : instances_) {
+        result[id] = instance.entry.address;
+    }
+    return result;
+}
+
 bool backend_group::is_eligible(const instance_state& instance, const acquire_request& request,
                                 time_point now) const {
     const auto& id = instance.entry.id;
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -246,6 +246,12 @@
     }
     /// Whether the instance's directory entry claims that it is the primary.
     [[nodiscard]] bool claims_primary(const instance_id& instance) const;
+    /// Whether the recorded log holders are the listed instances.
+    [[nodiscard]] bool log_holders_are_recorded() const;
+    /// The recorded log holders, the listed instances, and those that disappeared from the
+    /// directory within the last 20 s before they were recorded; without those whose log another
+    /// instance has taken over.
+    [[nodiscard]] std::map<instance_id, endpoint_address> log_holders(time_point now) const;
     /// Whether an instance of this group has disappeared from the directory within the last 20 s.
     [[nodiscard]] bool has_recently_lost_instance(time_point now) const;
     [[nodiscard]] bool primary_is_dead(time_point now) const;
@@ -365,7 +371,13 @@
     group_settings settings_;
     std::map<instance_id, instance_state> instances_;
     std::uint64_t last_generation_ = 0;
-    std::map<instance_id, time_point> lost_instances_;
+    struct lost_instance {
+        time_point lost_at;
+        endpoint_address address;
+        /// It was among the recorded log holders when it disappeared.
+        bool recorded = false;
+    };
+    std::map<instance_id, lost_instance> lost_instances_;
     std::optional<instance_id> primary_;
     time_point primary_since_{};
     term_number newest_term_;
--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -25,6 +25,27 @@
     return failure ? 0 : number;
 }
 
+json::object encode_log_holders(const std::map<instance_id, endpoint_address>& holders) {
+    json::object result;
+    for (const auto& [id, address] : holders) {
+        result[id.str()] = address.str();
+    }
+    return result;
+}
+
+std::map<instance_id, endpoint_address> decode_log_holders(const json::object& object) {
+    std::map<instance_id, endpoint_address> result;
+    const auto* holders = object.if_contains("log_holders");
+    if (holders == nullptr || !holders->is_object()) {
+        return result;
+    }
+    for (const auto& [id, address] : holders->as_object()) {
+        const bool is_text = address.is_string();
+        result.emplace(std::string{id}, is_text ? std::string{address.as_string()} : std::string{});
+    }
+    return result;
+}
+
 std::string string_or_empty(const json::object& object, std::string_view name) {
     const auto* value = object.if_contains(name);
     return value != nullptr && value->is_string() ? std::string{value->as_string()} : std::string{};
@@ -48,6 +69,7 @@
                                         {"target", record.target.str()},
                                         {"term", record.term.value()},
                                         {"open", record.open},
+                                        {"log_holders", encode_log_holders(record.log_holders)},
                                         {"mark", random_nonce()}});
 }
 
@@ -70,6 +92,7 @@
     result.record.term = term_number{number_or_zero(object, "term")};
     const auto* open = object.if_contains("open");
     result.record.open = open == nullptr || !open->is_bool() || open->as_bool();
+    result.record.log_holders = decode_log_holders(object);
     result.holder = host_id{string_or_empty(object, "holder")};
     return result;
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -21,6 +21,7 @@
 #include "host_registry.hpp"
 #include "instance_directory.hpp"
 #include "lease_service.hpp"
+#include "log_holder_registry.hpp"
 #include "masticgrade/base/event_log.hpp"
 #include "masticgrade/base/scope_guard.hpp"
 #include "masticgrade/limits/usage_limiter.hpp"
@@ -303,6 +304,11 @@
             }
             failovers_[name] = std::make_shared<group_failover>(group, std::move(failover));
             spawn("failover", [failover = failovers_[name]] { return failover->run(); });
+            log_holders_[name] = std::make_unique<log_holder_registry>(
+                group, log_holder_registry::environment{executor_, services_.store,
+                                                        services_.connector, settings_.host,
+                                                        [this] { return live_host_ids(); }});
+            spawn("log_holders", [registry = log_holders_[name].get()] { return registry->run(); });
         }
         return group;
     }
@@ -748,6 +754,7 @@
     std::unique_ptr<pool_owner_selector> pool_owners_;
     std::map<group_id, std::shared_ptr<backend_group>> groups_;
     std::map<group_id, std::shared_ptr<group_failover>> failovers_;
+    std::map<group_id, std::unique_ptr<log_holder_registry>> log_holders_;
     std::set<std::shared_ptr<caller_session>> sessions_;
     bool directory_refresh_requested_ = false;
     bool host_list_refresh_requested_ = false;
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -1,5 +1,6 @@
 #include "group_failover.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,10 +17,6 @@
 namespace {
 
 constexpr milliseconds check_interval{100};
-constexpr milliseconds request_timeout{500};
-/// Shorter, since a dead primary has already been silent for longer than this.
-constexpr milliseconds dead_primary_request_timeout{150};
-constexpr milliseconds store_timeout{800};
 constexpr milliseconds promote_call_timeout{1500};
 /// A lock whose row has not changed for this long has lost its holder. Longer than a promotion in
 /// which one answer is lost.
@@ -44,9 +41,10 @@
 
 group_failover::group_failover(std::shared_ptr<backend_group> group,
                                failover_environment environment)
-    : group_(std::move(group)), environment_(std::move(environment)) {}
-
-std::string group_failover::lock_key() const { return failover_row_key(group_->name()); }
+    : group_(std::move(group)),
+      environment_(std::move(environment)),
+      rows_(environment_.store, group_->name(), environment_.self),
+      orders_(group_, environment_.connector) {}
 
 asio::awaitable<void> group_failover::sleep(duration length) {
     asio::steady_timer timer{environment_.executor, length};
@@ -190,28 +188,79 @@
     // A replica that started after the hold can still acknowledge commits of a live primary. After
     // the primary has stepped down, the replicas in a fresh directory have every acknowledged
     // commit between them.
-    const bool stepped_down = co_await demote_primary();
-    if (!stepped_down) {
+    const auto former_primary = co_await demote_primary();
+    if (!former_primary) {
         co_await wait_until_primary_unused();
     }
     co_await environment_.read_directory();
-    co_return co_await hold_replicas(kind);
+    co_return co_await choose_target(kind, former_primary);
+}
+
+asio::awaitable<std::optional<promotion_choice>> group_failover::choose_target(
+    failover_kind kind, std::optional<instance_status> former_primary) {
+    const auto deadline = steady_clock::now() + hold_timeout;
+    while (steady_clock::now() < deadline) {
+        auto choice = co_await hold_replicas(kind);
+        if (!choice) {
+            co_return std::nullopt;
+        }
+        const auto others = co_await find_unheld_logs(former_primary);
+        if (contains_acknowledged_commits(choice->position, others)) {
+            co_return choice;
+        }
+        event_line{"failover_waits"}
+            .field("group", group_->name())
+            .field("target", choice->target)
+            .field("position", choice->position)
+            .field("unknown_logs", others.unknown)
+            .field("primary_answered", former_primary.has_value())
+            .write();
+        co_await sleep(check_interval);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<unheld_logs> group_failover::find_unheld_logs(
+    std::optional<instance_status> former_primary) {
+    unheld_logs result;
+    if (former_primary) {
+        result.former_primary = former_primary->received;
+    }
+    const backend_request request = backend_hold{hold_term_};
+    const auto holders = group_->log_holders(steady_clock::now());
+    for (const auto& [id, address] : holders) {
+        const bool is_held =
+            std::find(held_replicas_.begin(), held_replicas_.end(), id) != held_replicas_.end();
+        if (is_held || (former_primary && group_->primary() == id)) {
+            continue;
+        }
+        if (!group_->is_listed(id)) {
+            const auto answer = co_await orders_.send_unlisted(id, address, request);
+            if (answer.status && answer.status->held == hold_term_) {
+                result.longest_unlisted = std::max(result.longest_unlisted.value_or(log_index{}),
+                                                   answer.status->received);
+                continue;
+            }
+        }
+        ++result.unknown;
+    }
+    co_return result;
 }
 
-asio::awaitable<bool> group_failover::demote_primary() {
+asio::awaitable<std::optional<instance_status>> group_failover::demote_primary() {
     const auto primary = group_->primary();
     if (!primary) {
-        co_return false;
+        co_return std::nullopt;
     }
     const backend_request request = backend_step_down{hold_term_};
-    const auto status = co_await request_status(*primary, request);
+    const auto status = co_await orders_.send(*primary, request);
     event_line{"step_down"}
         .field("group", group_->name())
         .field("instance", *primary)
         .field("term", hold_term_)
         .field("answered", status.has_value())
         .write();
-    co_return status && !status->is_primary;
+    co_return status && !status->is_primary ? status : std::nullopt;
 }
 
 asio::awaitable<void> group_failover::announce(std::uint64_t fence) {
@@ -255,40 +304,6 @@
         .write();
 }
 
-asio::awaitable<std::optional<instance_status>> group_failover::request_status(
-    const instance_id& instance, const backend_request& request) {
-    try {
-        const auto now = steady_clock::now();
-        const bool is_dead = group_->primary() == instance && group_->primary_is_dead(now);
-        const auto deadline = now + (is_dead ? dead_primary_request_timeout : request_timeout);
-        const auto answer = co_await group_->run_control_request(instance, request, deadline);
-        auto status = environment_.connector.read_status(answer);
-        if (!status) {
-            event_line{"order_refused"}
-                .field("group", group_->name())
-                .field("instance", instance)
-                .field("code", to_string(answer.code))
-                .write();
-        }
-        co_return status;
-    } catch (const connection_refused_error& failure) {
-        // An instance at its connection limit is alive.
-        group_->on_order_refused(instance);
-        event_line{"order_refused"}
-            .field("group", group_->name())
-            .field("instance", instance)
-            .field("code", to_string(failure.code()))
-            .write();
-    } catch (const error& failure) {
-        event_line{"order_failed"}
-            .field("group", group_->name())
-            .field("instance", instance)
-            .field("reason", failure.what())
-            .write();
-    }
-    co_return std::nullopt;
-}
-
 asio::awaitable<bool> group_failover::find_primary() {
     bool found = false;
     const backend_request status_request = backend_status{};
@@ -296,7 +311,7 @@
     const auto known = group_->primary();
     const bool was_dead = group_->primary_is_dead(steady_clock::now());
     for (const auto& entry : entries) {
-        const auto status = co_await request_status(entry.id, status_request);
+        const auto status = co_await orders_.send(entry.id, status_request);
         if (status) {
             group_->on_status(entry.id, *status);
             found = found || (status->is_primary && group_->primary() == entry.id &&
@@ -333,46 +348,10 @@
     co_return false;
 }
 
-asio::awaitable<failover_row> group_failover::read_lock() {
-    const auto deadline = steady_clock::now() + store_timeout;
-    auto key = lock_key();
-    const auto rows = co_await environment_.store.scan(std::move(key), {}, deadline);
-    auto row = find_failover_row(rows.rows, group_->name()).value_or(failover_row{});
-    row.era = rows.era;
-    co_return row;
-}
-
-asio::awaitable<std::optional<fleet_version>> group_failover::write_row(failover_record record,
-                                                                        row_identity expected) {
-    table_commit change;
-    change.conditions.push_back({lock_key(), expected.version});
-    change.puts.push_back({lock_key(), encode_failover_row(record, environment_.self)});
-    std::optional<commit_result> result;
-    try {
-        result = co_await environment_.store.commit(std::move(change),
-                                                    steady_clock::now() + store_timeout);
-    } catch (const error& failure) {
-        event_line{"store_answer_lost"}
-            .field("row", lock_key())
-            .field("reason", failure.what())
-            .write();
-    }
-    if (result) {
-        // In another era the expected version may belong to another row.
-        const bool written = result->committed && result->era == expected.era;
-        co_return written ? std::optional{result->version} : std::nullopt;
-    }
-    // The commit may have taken effect or may still do so; the row tells.
-    const auto after = co_await read_lock();
-    const bool written = after.holder == environment_.self && after.record == record &&
-                         after.version != expected.version && after.era == expected.era;
-    co_return written ? std::optional{after.version} : std::nullopt;
-}
-
 asio::awaitable<bool> group_failover::acquire_lock() {
     const auto now = steady_clock::now();
     const auto read_at = boot_clock::now();
-    const auto observed = co_await read_lock();
+    const auto observed = co_await rows_.read();
     if (adopt_result(observed, read_at) || required_failover(now) == failover_kind::none) {
         co_return false;
     }
@@ -391,10 +370,14 @@
     }
     // A restore of the store may have replaced the newest record.
     auto record = known.fence > observed.record.fence ? known : observed.record;
+    if (record.log_holders.empty()) {
+        // The row is unreadable, or a host of an earlier release has written it.
+        record.log_holders = known.log_holders;
+    }
     record.fence = std::max(record.fence, fence_base(observed.era)) + 1;
     record.open = true;
     const auto valid_until = boot_clock::now() + lock_expiry;
-    const auto version = co_await write_row(record, {observed.version, observed.era});
+    const auto version = co_await rows_.write(record, {observed.version, observed.era});
     if (!version) {
         co_return false;
     }
@@ -408,7 +391,7 @@
     for (;;) {
         const auto now = boot_clock::now();
         try {
-            const auto version = co_await write_row(lock_.record, {lock_.version, lock_.era});
+            const auto version = co_await rows_.write(lock_.record, {lock_.version, lock_.era});
             if (!version) {
                 event_line{"failover_lock_lost"}
                     .field("group", group_->name())
@@ -421,7 +404,7 @@
             lock_valid_until_ = now + lock_expiry;
             co_return true;
         } catch (const error&) {
-            // `write_row` has logged the failure.
+            // `write` has logged the failure.
             if (boot_clock::now() + check_interval >= lock_valid_until_) {
                 throw;
             }
@@ -442,7 +425,7 @@
     lock_.record.open = false;
     const auto written_at = boot_clock::now();
     // If the row stays open, another host acquires the lock after `lock_expiry`.
-    if (co_await write_row(lock_.record, {lock_.version, lock_.era})) {
+    if (co_await rows_.write(lock_.record, {lock_.version, lock_.era})) {
         group_->on_failover_row(lock_.record, written_at, lock_.era);
         environment_.announce_recorded(group_->name(), lock_.record.fence);
     }
@@ -456,13 +439,13 @@
     while (steady_clock::now() < deadline) {
         const auto written_at = boot_clock::now();
         try {
-            const auto version = co_await write_row(lock_.record, {lock_.version, lock_.era});
+            const auto version = co_await rows_.write(lock_.record, {lock_.version, lock_.era});
             if (version) {
                 group_->on_failover_row(lock_.record, written_at, lock_.era);
                 environment_.announce_recorded(group_->name(), lock_.record.fence);
                 co_return;
             }
-            const auto row = co_await read_lock();
+            const auto row = co_await rows_.read();
             if (row.era != lock_.era && !row.record.open) {
                 // A restore of the store has erased the lock, and nobody has acquired it since.
                 lock_.version = row.version;
@@ -496,7 +479,7 @@
             }
             promotion_candidate candidate;
             candidate.id = entry.id;
-            candidate.held = co_await request_status(entry.id, request);
+            candidate.held = co_await orders_.send(entry.id, request);
             candidate.is_draining = group_->is_draining(entry.id);
             if (candidate.held) {
                 held_replicas_.push_back(entry.id);
@@ -534,13 +517,13 @@
 
 asio::awaitable<void> group_failover::release_replicas() {
     // Only the current lock holder may resume replicas; a later holder may hold the same ones.
-    const auto row = co_await read_lock();
+    const auto row = co_await rows_.read();
     if (row.record.fence != lock_.record.fence || row.holder != environment_.self) {
         co_return;
     }
     const backend_request request = backend_resume{};
     for (const auto& instance : held_replicas_) {
-        co_await request_status(instance, request);
+        co_await orders_.send(instance, request);
     }
     held_replicas_.clear();
 }
@@ -576,7 +559,7 @@
     const backend_request status_request = backend_status{};
     while (steady_clock::now() < deadline) {
         co_await sleep(check_interval);
-        const auto status = co_await request_status(target, status_request);
+        const auto status = co_await orders_.send(target, status_request);
         if (status && status->is_primary) {
             group_->on_status(target, *status);
             group_->set_primary(target, status->term, "promotion");
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -8,7 +8,8 @@
 #include <vector>
 
 #include "backend_group.hpp"
-#include "failover_row.hpp"
+#include "failover_row_store.hpp"
+#include "instance_orders.hpp"
 #include "masticgrade/gateway/promotion_choice.hpp"
 #include "masticgrade/net/table_service.hpp"
 
@@ -71,17 +72,8 @@
     /// Writes the outcome to the row of an attempt whose holder is gone, or to a row that a restore
     /// of the store has set back, while the group has a primary.
     boost::asio::awaitable<void> close_abandoned_row();
-    boost::asio::awaitable<failover_row> read_lock();
     /// Acquires the lock unless the row, as read now, shows that the attempt is not needed.
     boost::asio::awaitable<bool> acquire_lock();
-    struct row_identity {
-        fleet_version version;
-        store_era era;
-    };
-    /// Writes the record to the row if it is the expected one. Returns the row's new version, or
-    /// nullopt if the write failed, another host has replaced the row, or the store was restored.
-    boost::asio::awaitable<std::optional<fleet_version>> write_row(failover_record record,
-                                                                   row_identity expected);
     /// Renews the lock before a promotion request. A restore of the store may have erased it, so
     /// the time until which it is valid is not sufficient. Returns whether this host still holds
     /// it. Throws masticgrade::error if the store does not answer before the lock expires.
@@ -100,25 +92,34 @@
     /// Chooses the replica to promote, after ensuring that the current primary can't acknowledge
     /// further commits.
     boost::asio::awaitable<std::optional<promotion_choice>> prepare_target(failover_kind kind);
-    /// Returns whether the primary has confirmed that it no longer leads.
-    boost::asio::awaitable<bool> demote_primary();
+    /// Returns the status of the primary if it has confirmed that it no longer leads.
+    boost::asio::awaitable<std::optional<instance_status>> demote_primary();
     /// Queries all instances. Returns whether the known primary is alive.
     boost::asio::awaitable<bool> find_primary();
     /// Whether other hosts have just received answers from the primary, so that this host is the
     /// one that is cut off or slow.
     boost::asio::awaitable<bool> others_reach_primary();
+    /// Holds all replicas and chooses the one with the longest log.
     boost::asio::awaitable<std::optional<promotion_choice>> hold_replicas(failover_kind kind);
+    /// Waits until the held replicas have every acknowledged commit between them, and chooses one
+    /// that has. `former_primary` is the status of the primary after it has stepped down, if it
+    /// answered.
+    boost::asio::awaitable<std::optional<promotion_choice>> choose_target(
+        failover_kind kind, std::optional<instance_status> former_primary);
+    /// Finds out about the logs that are not held. Holds instances that are not in the directory
+    /// but run.
+    boost::asio::awaitable<unheld_logs> find_unheld_logs(
+        std::optional<instance_status> former_primary);
     boost::asio::awaitable<void> release_replicas();
     /// Returns the term of the target if it has become the primary.
     boost::asio::awaitable<std::optional<term_number>> promote(promotion_choice choice);
     boost::asio::awaitable<std::optional<term_number>> wait_until_primary(instance_id target);
-    boost::asio::awaitable<std::optional<instance_status>> request_status(
-        const instance_id& instance, const backend_request& request);
     boost::asio::awaitable<void> sleep(duration length);
-    [[nodiscard]] std::string lock_key() const;
 
     std::shared_ptr<backend_group> group_;
     failover_environment environment_;
+    failover_row_store rows_;
+    instance_orders orders_;
     bool stopping_ = false;
     bool promoting_ = false;
     std::optional<time_point> required_since_;
--- /dev/null
+++ b/libs/gateway/src/instance_orders.cpp
@@ -0,0 +1,90 @@
+#include "instance_orders.hpp"
+
+#include <utility>
+
+#include "masticgrade/base/error.hpp"
+#include "masticgrade/base/event_log.hpp"
+
+namespace masticgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds request_timeout{500};
+/// Shorter, since a dead primary has already been silent for longer than this.
+constexpr milliseconds dead_primary_request_timeout{150};
+/// An instance that is not in the directory is most likely gone.
+constexpr milliseconds unlisted_request_timeout{300};
+
+}  // namespace
+
+instance_orders::instance_orders(std::shared_ptr<backend_group> group,
+                                 instance_connector& connector)
+    : group_(std::move(group)), connector_(connector) {}
+
+asio::awaitable<std::optional<instance_status>> instance_orders::send(
+    const instance_id& instance, const backend_request& request) {
+    try {
+        const auto now = steady_clock::now();
+        const bool is_dead = group_->primary() == instance && group_->primary_is_dead(now);
+        const auto deadline = now + (is_dead ? dead_primary_request_timeout : request_timeout);
+        const auto answer = co_await group_->run_control_request(instance, request, deadline);
+        auto status = connector_.read_status(answer);
+        if (!status) {
+            event_line{"order_refused"}
+                .field("group", group_->name())
+                .field("instance", instance)
+                .field("code", to_string(answer.code))
+                .write();
+        }
+        co_return status;
+    } catch (const connection_refused_error& failure) {
+        // An instance at its connection limit is alive.
+        group_->on_order_refused(instance);
+        event_line{"order_refused"}
+            .field("group", group_->name())
+            .field("instance", instance)
+            .field("code", to_string(failure.code()))
+            .write();
+    } catch (const error& failure) {
+        event_line{"order_failed"}
+            .field("group", group_->name())
+            .field("instance", instance)
+            .field("reason", failure.what())
+            .write();
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<instance_orders::unlisted_answer> instance_orders::send_unlisted(
+    const instance_id& instance, const endpoint_address& address, const backend_request& request) {
+    unlisted_answer result;
+    instance_entry entry;
+    entry.id = instance;
+    entry.group = group_->name();
+    entry.address = address;
+    try {
+        const auto deadline = steady_clock::now() + unlisted_request_timeout;
+        const customer_id nobody{"-"};
+        const auto link = co_await connector_.connect(entry, nobody, deadline);
+        result.is_running = true;
+        std::vector<backend_request> requests{request};
+        const auto answers = co_await link->run(std::move(requests), deadline);
+        link->close();
+        result.status = connector_.read_status(answers.front());
+    } catch (const connection_refused_error& failure) {
+        // The address may belong to another instance by now.
+        result.is_running = failure.code() != answer_code::wrong_instance;
+    } catch (const error& failure) {
+        event_line{"unlisted_instance_silent"}
+            .field("group", group_->name())
+            .field("instance", instance)
+            .field("address", address)
+            .field("reason", failure.what())
+            .write();
+    }
+    co_return result;
+}
+
+}  // namespace masticgrade
--- /dev/null
+++ b/libs/gateway/src/instance_orders.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+
+#include "backend_group.hpp"
+
+namespace masticgrade {
+
+/// Sends control requests to the instances of a group and logs those that fail.
+///
+/// Lives as long as the process. Thread safety: none; one executor.
+class instance_orders {
+public:
+    /// Precondition: `connector` outlives this object.
+    instance_orders(std::shared_ptr<backend_group> group, instance_connector& connector);
+
+    /// Returns the status in the instance's answer, or nullopt if it refuses or does not answer in
+    /// time. Precondition: `request` is a status, hold, resume or step-down request.
+    boost::asio::awaitable<std::optional<instance_status>> send(const instance_id& instance,
+                                                                const backend_request& request);
+
+    struct unlisted_answer {
+        /// Whether the instance, or another process that refuses no connection, runs there.
+        bool is_running = false;
+        /// Its status, if it has executed the request.
+        std::optional<instance_status> status;
+    };
+    /// As `send`, to an instance that is not in the directory; it may only be cut off from the
+    /// store.
+    boost::asio::awaitable<unlisted_answer> send_unlisted(const instance_id& instance,
+                                                          const endpoint_address& address,
+                                                          const backend_request& request);
+
+private:
+    std::shared_ptr<backend_group> group_;
+    instance_connector& connector_;
+};
+
+}  // namespace masticgrade
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -35,6 +35,17 @@
     return promotion_choice{best->id, best->held->received};
 }
 
+bool contains_acknowledged_commits(log_index position, const unheld_logs& others) {
+    constexpr std::size_t copies_of_a_commit = 2;
+    if (others.longest_unlisted && position < *others.longest_unlisted) {
+        return false;
+    }
+    if (others.former_primary) {
+        return others.unknown == 0 || position >= *others.former_primary;
+    }
+    return others.unknown < copies_of_a_commit;
+}
+
 milliseconds takeover_delay(std::size_t rank) noexcept {
     return delay_per_rank * static_cast<milliseconds::rep>(std::min(rank, max_delayed_rank));
 }
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -34,6 +34,16 @@
 
     void update() { group->update(group_settings_, connector.entries(), {}); }
 
+    /// Replaces the host by one that knows only what the directory and the failover row tell.
+    void restart_host() {
+        auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
+        group = std::make_shared<backend_group>(group_name, std::move(environment));
+        const auto row =
+            decode_failover_row({lock_row, fleet_version{1}, store.value_of(lock_row)});
+        group->on_failover_row(row.record, boot_clock::now());
+        update();
+    }
+
     /// Runs the failover until `done` returns true, for at most 10 s.
     void run_until(const std::function<bool()>& done) {
         failover_environment environment{
@@ -51,6 +61,7 @@
         auto failover = std::make_shared<group_failover>(group, std::move(environment));
         boost::asio::co_spawn(context_, failover->run(), boost::asio::detached);
         const auto deadline = steady_clock::now() + seconds{10};
+        context_.restart();
         while (!done() && steady_clock::now() < deadline) {
             context_.run_for(milliseconds{20});
         }
@@ -99,6 +110,55 @@
     CHECK(fixture.store.value_of(lock_row).find("\"target\":\"c\"") != std::string::npos);
 }
 
+// Guards against the loss of acknowledged commits by a host that has just started, or has served
+// readers only: two instances are down, and only one of them has the latest commits.
+TEST_CASE("nothing is promoted while two instances that may have the latest commits are down") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.connector.add("d", false).position = 9;
+    for (const auto* name : {"a", "c"}) {
+        fixture.connector.at(name).refuses_connections = true;
+        fixture.connector.at(name).is_listed = false;
+    }
+    failover_record recorded;
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        recorded.log_holders[instance_id{name}] =
+            endpoint_address{std::string{name} + ".example:1"};
+    }
+    fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+    fixture.restart_host();
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 250 || !fixture.promotions.orders.empty(); });
+    CHECK(fixture.promotions.orders.empty());
+
+    fixture.connector.at("c").refuses_connections = false;
+    fixture.connector.at("c").is_listed = true;
+    fixture.update();
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
+// One unknown log beside a dead primary's holds no commit that the others lack, if the primary has
+// told the end of its own log.
+TEST_CASE("a primary that has stepped down is replaced although another instance is gone") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.connector.at("b").is_listed = false;
+    fixture.connector.at("b").refuses_connections = true;
+    fixture.connector.at("a").entry.leaving = true;
+    failover_record recorded;
+    for (const auto* name : {"a", "b", "c"}) {
+        recorded.log_holders[instance_id{name}] =
+            endpoint_address{std::string{name} + ".example:1"};
+    }
+    fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+    fixture.restart_host();
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
 // A second promotion after another host has finished one would lose the commits that the new
 // primary has acknowledged in the meantime.
 TEST_CASE("the result of another host's finished promotion is adopted") {
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -172,6 +172,9 @@
 std::vector<instance_entry> fake_connector::entries() const {
     std::vector<instance_entry> result;
     for (const auto& [name, instance] : instances_) {
+        if (!instance.is_listed) {
+            continue;
+        }
         result.push_back(instance.entry);
         result.back().claims_primary = instance.is_primary;
     }
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -39,6 +39,8 @@
     /// Texts of statements before which the connection breaks, once per entry.
     std::multiset<std::string> breaks_before;
     bool refuses_connections = false;
+    /// Whether the directory has an entry of the instance.
+    bool is_listed = true;
     /// Answers new connections with `connection_limit`.
     bool at_connection_limit = false;
     /// Probes fail, as when the queue of new connections overflows.
--- a/libs/gateway/test/promotion_choice_test.cpp
+++ b/libs/gateway/test/promotion_choice_test.cpp
@@ -24,6 +24,23 @@
 }  // namespace
 
 // A commit may be on one replica only.
+// Guards against promotions that lose acknowledged commits: each is in two logs, so it is in a
+// known one unless two logs are unknown.
+TEST_CASE("one unknown log holds no acknowledged commit alone, two may") {
+    const auto at = [](std::uint64_t term, std::uint64_t number) {
+        return log_index{term_number{term}, log_position{number}};
+    };
+    CHECK(contains_acknowledged_commits(at(2, 5), {0, {}, {}}));
+    CHECK(contains_acknowledged_commits(at(2, 5), {1, {}, {}}));
+    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {2, {}, {}}));
+    CHECK(contains_acknowledged_commits(at(2, 5), {2, at(2, 5), {}}));
+    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {1, at(2, 6), {}}));
+    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {1, at(3, 1), {}}));
+    // Without unknown logs the primary's further commits were never acknowledged.
+    CHECK(contains_acknowledged_commits(at(2, 5), {0, at(2, 6), {}}));
+    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {0, {}, at(2, 6)}));
+}
+
 TEST_CASE("the replica with the longest log is promoted even if it is draining") {
     const auto choice = choose_promotion_target({replica("a", 10), replica("b", 12, true)}, term);
     REQUIRE(choice);
