Gateway: a log of an earlier term lacks the commits of a later one

Cause: the promoting host compared the replica's log with the acknowledged commits that it knows of only if both end in the same term, so a log that ends in an earlier term passed.

Change: positions are compared by term first; known commits count until a promotion in a later term. The check is part of the pure decision and applies while any log holder beside the old primary is unknown, not for 20 s only.

--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -37,18 +37,23 @@
 
 /// The logs that are not held while a replica is chosen.
 struct unheld_logs {
-    /// Number of instances, among them the old primary, that may hold acknowledged commits and
-    /// whose logs are unknown.
-    std::size_t unknown = 0;
+    /// Number of replicas that may hold acknowledged commits and whose logs are unknown.
+    std::size_t unknown_replicas = 0;
+    /// Whether the old primary's log is unknown.
+    bool primary_is_unknown = false;
     /// The end of the old primary's log, if it has confirmed that it no longer leads.
-    std::optional<log_index> former_primary;
+    std::optional<log_index> former_primary = {};
     /// The end of the longest held log that cannot be promoted, if any.
-    std::optional<log_index> longest_unlisted;
+    std::optional<log_index> longest_unlisted = {};
+    /// The highest position known to be acknowledged since the last promotion.
+    std::optional<log_index> acknowledged = {};
 };
 
 /// Whether a log that ends at `position`, the longest of the held replicas' logs, contains every
 /// acknowledged commit. An acknowledged commit is in the log of the primary and of at least one
-/// replica, so one unknown log cannot be the only one that contains it, but two can.
+/// replica, so one unknown log cannot be the only one that contains it, but two can. Logs are
+/// compared by term first: one that ends in an earlier term lacks the commits of the later one,
+/// whatever its length.
 /// Thread safety: reentrant.
 bool contains_acknowledged_commits(log_index position, const unheld_logs& others);
 
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -141,12 +141,6 @@
     return found != instances_.end() && found->second.entry.claims_primary;
 }
 
-bool backend_group::has_recently_lost_instance(time_point now) const {
-    return std::any_of(lost_instances_.begin(), lost_instances_.end(), [&](const auto& entry) {
-        return now - entry.second.lost_at <= lost_instance_lifetime;
-    });
-}
-
 bool backend_group::log_holders_are_recorded() const {
     const auto& recorded = last_failover().log_holders;
     return std::equal(recorded.begin(), recorded.end(), instances_.begin(), instances_.end(),
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -252,8 +252,6 @@
     /// directory within the last 20 s before they were recorded; without those whose log another
     /// instance has taken over.
     [[nodiscard]] std::map<instance_id, endpoint_address> log_holders(time_point now) const;
-    /// Whether an instance of this group has disappeared from the directory within the last 20 s.
-    [[nodiscard]] bool has_recently_lost_instance(time_point now) const;
     [[nodiscard]] bool primary_is_dead(time_point now) const;
     void set_primary(const instance_id& instance, term_number term, std::string_view reason);
     /// Answers another host that finds the instance dead.
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -212,8 +212,9 @@
             .field("group", group_->name())
             .field("target", choice->target)
             .field("position", choice->position)
-            .field("unknown_logs", others.unknown)
-            .field("primary_answered", former_primary.has_value())
+            .field("unknown_replicas", others.unknown_replicas)
+            .field("primary_known", !others.primary_is_unknown)
+            .field("acknowledged", others.acknowledged.value_or(log_index{}))
             .write();
         co_await sleep(check_interval);
     }
@@ -226,12 +227,18 @@
     if (former_primary) {
         result.former_primary = former_primary->received;
     }
+    const auto known = group_->acknowledged();
+    if (known && known->term >= group_->newest_term()) {
+        result.acknowledged = known;
+    }
     const backend_request request = backend_hold{hold_term_};
     const auto holders = group_->log_holders(steady_clock::now());
     for (const auto& [id, address] : holders) {
-        const bool is_held =
-            std::find(held_replicas_.begin(), held_replicas_.end(), id) != held_replicas_.end();
-        if (is_held || (former_primary && group_->primary() == id)) {
+        if (group_->primary() == id) {
+            result.primary_is_unknown = !former_primary;
+            continue;
+        }
+        if (std::find(held_replicas_.begin(), held_replicas_.end(), id) != held_replicas_.end()) {
             continue;
         }
         if (!group_->is_listed(id)) {
@@ -242,7 +249,7 @@
                 continue;
             }
         }
-        ++result.unknown;
+        ++result.unknown_replicas;
     }
     co_return result;
 }
@@ -495,20 +502,7 @@
             if (kind == failover_kind::planned && group_->is_draining(choice->target)) {
                 co_return std::nullopt;
             }
-            // An instance that has disappeared may be the only one with the latest commits.
-            const auto known = group_->acknowledged();
-            const bool may_lack_commits = group_->has_recently_lost_instance(steady_clock::now()) &&
-                                          known && choice->position.term == known->term &&
-                                          choice->position < *known;
-            if (!may_lack_commits) {
-                co_return choice;
-            }
-            event_line{"failover_waits"}
-                .field("group", group_->name())
-                .field("target", choice->target)
-                .field("position", choice->position)
-                .field("acknowledged", *known)
-                .write();
+            co_return choice;
         }
         co_await sleep(check_interval);
     }
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -40,10 +40,17 @@
     if (others.longest_unlisted && position < *others.longest_unlisted) {
         return false;
     }
+    if (others.unknown_replicas == 0) {
+        // A commit that the primary alone has was never acknowledged.
+        return true;
+    }
+    if (others.acknowledged && position < *others.acknowledged) {
+        return false;
+    }
     if (others.former_primary) {
-        return others.unknown == 0 || position >= *others.former_primary;
+        return position >= *others.former_primary;
     }
-    return others.unknown < copies_of_a_commit;
+    return others.unknown_replicas + (others.primary_is_unknown ? 1 : 0) < copies_of_a_commit;
 }
 
 milliseconds takeover_delay(std::size_t rank) noexcept {
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -139,6 +139,22 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
 }
 
+// Guards against the loss of a new primary's commits: the only replica left ends in the term
+// before, and this host has seen commits of the new term acknowledged.
+TEST_CASE("a replica whose log ends in an earlier term than acknowledged commits is not promoted") {
+    failover_fixture fixture;
+    fixture.connector.at("b").position = 40;
+    fixture.connector.add("d", false).position = 39;
+    fixture.group->on_acknowledged(log_index{term_number{2}, log_position{13}});
+    fixture.update();
+    fixture.connector.at("c").refuses_connections = true;
+    fixture.connector.at("c").is_listed = false;
+    fixture.update();
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 250 || !fixture.promotions.orders.empty(); });
+    CHECK(fixture.promotions.orders.empty());
+}
+
 // One unknown log beside a dead primary's holds no commit that the others lack, if the primary has
 // told the end of its own log.
 TEST_CASE("a primary that has stepped down is replaced although another instance is gone") {
--- a/libs/gateway/test/promotion_choice_test.cpp
+++ b/libs/gateway/test/promotion_choice_test.cpp
@@ -30,15 +30,29 @@
     const auto at = [](std::uint64_t term, std::uint64_t number) {
         return log_index{term_number{term}, log_position{number}};
     };
-    CHECK(contains_acknowledged_commits(at(2, 5), {0, {}, {}}));
-    CHECK(contains_acknowledged_commits(at(2, 5), {1, {}, {}}));
-    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {2, {}, {}}));
-    CHECK(contains_acknowledged_commits(at(2, 5), {2, at(2, 5), {}}));
-    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {1, at(2, 6), {}}));
-    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {1, at(3, 1), {}}));
-    // Without unknown logs the primary's further commits were never acknowledged.
-    CHECK(contains_acknowledged_commits(at(2, 5), {0, at(2, 6), {}}));
-    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {0, {}, at(2, 6)}));
+    CHECK(contains_acknowledged_commits(at(2, 5), {0, true}));
+    CHECK(contains_acknowledged_commits(at(2, 5), {1, false}));
+    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {1, true}));
+    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {2, false}));
+    CHECK(contains_acknowledged_commits(at(2, 5), {2, false, at(2, 5)}));
+    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {1, false, at(2, 6)}));
+    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {1, false, at(3, 1)}));
+    // Without unknown replicas the primary's further commits were never acknowledged.
+    CHECK(contains_acknowledged_commits(at(2, 5), {0, false, at(2, 6)}));
+    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {0, false, {}, at(2, 6)}));
+}
+
+// Guards against the promotion of a replica that has missed a whole term: its log may be longer in
+// entries, yet lacks every commit of the new primary.
+TEST_CASE("a log of an earlier term lacks the commits acknowledged in a later one") {
+    const log_index acknowledged{term_number{3}, log_position{7}};
+    unheld_logs others;
+    others.unknown_replicas = 1;
+    others.acknowledged = acknowledged;
+    CHECK_FALSE(contains_acknowledged_commits({term_number{2}, log_position{900}}, others));
+    CHECK_FALSE(contains_acknowledged_commits({term_number{3}, log_position{6}}, others));
+    CHECK(contains_acknowledged_commits(acknowledged, others));
+    CHECK(contains_acknowledged_commits({term_number{4}, log_position{1}}, others));
 }
 
 TEST_CASE("the replica with the longest log is promoted even if it is draining") {
