Gateway: a failover row is closed only when earlier promotion calls are fenced

Cause: the platform refuses a call only if it has seen a higher fencing token. A host that closed the row of an abandoned failover raised the token in the row and resumed the replicas, but never told the platform, so the earlier call remained valid.

Change: the row records that a request may still be carried out. Such a row is closed only after the platform has confirmed a call for the present primary under the new token, which changes nothing and fences the earlier one; then the replicas are resumed. Otherwise the row stays open. Resume requests without an answer are repeated.

One test now writes a row that tells that no request is pending; its checks are unchanged, and rows that do not tell are covered by the new tests.

--- a/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -22,6 +22,8 @@
     /// The instances that may hold acknowledged commits which no other instance holds, and their
     /// addresses. Empty if not recorded yet.
     std::map<instance_id, endpoint_address> log_holders = {};
+    /// A promotion request may still be carried out, since its answer was lost or its sender ended.
+    bool request_pending = false;
 
     friend bool operator==(const failover_record&, const failover_record&) = default;
 };
--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -46,6 +46,11 @@
     return result;
 }
 
+bool bool_or(const json::object& object, std::string_view name, bool fallback) {
+    const auto* value = object.if_contains(name);
+    return value != nullptr && value->is_bool() ? value->as_bool() : fallback;
+}
+
 std::string string_or_empty(const json::object& object, std::string_view name) {
     const auto* value = object.if_contains(name);
     return value != nullptr && value->is_string() ? std::string{value->as_string()} : std::string{};
@@ -69,6 +74,7 @@
                                         {"target", record.target.str()},
                                         {"term", record.term.value()},
                                         {"open", record.open},
+                                        {"request_pending", record.request_pending},
                                         {"log_holders", encode_log_holders(record.log_holders)},
                                         {"mark", random_nonce()}});
 }
@@ -84,14 +90,16 @@
             .field("version", row.version)
             .write();
         result.record.open = true;
+        result.record.request_pending = true;
         return result;
     }
     const auto& object = value.as_object();
     result.record.fence = number_or_zero(object, "fence");
     result.record.target = instance_id{string_or_empty(object, "target")};
     result.record.term = term_number{number_or_zero(object, "term")};
-    const auto* open = object.if_contains("open");
-    result.record.open = open == nullptr || !open->is_bool() || open->as_bool();
+    result.record.open = bool_or(object, "open", true);
+    // Hosts of earlier releases don't record their requests.
+    result.record.request_pending = bool_or(object, "request_pending", result.record.open);
     result.record.log_holders = decode_log_holders(object);
     result.holder = host_id{string_or_empty(object, "holder")};
     return result;
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -34,6 +34,8 @@
 /// Calls with an unknown outcome are repeated for this long. The platform may carry out a call up
 /// to 12 s late.
 constexpr seconds promote_timeout{15};
+/// Replicas that do not answer a resume request are asked again after this time.
+constexpr seconds resume_interval{1};
 /// Outcomes that the store did not accept are written again for this long.
 constexpr seconds record_timeout{10};
 
@@ -74,6 +76,9 @@
         const auto kind = required_failover(now);
         if (kind == failover_kind::none) {
             required_since_.reset();
+            if (!replicas_to_resume_.empty() && now >= resume_after_) {
+                co_await resume_pending_replicas();
+            }
             continue;
         }
         if (!required_since_) {
@@ -174,9 +179,52 @@
             held_replicas_.push_back(entry.id);
         }
     }
-    co_await release_replicas();
     auto target = *primary;
-    co_await record_promotion(std::move(target), group_->newest_term());
+    auto term = group_->newest_term();
+    if (lock_.record.request_pending) {
+        if (!took_over_) {
+            // Hosts may have used another primary shortly before this attempt.
+            group_->on_failover_begun(lock_.record.fence);
+            asio::co_spawn(environment_.executor, announce(lock_.record.fence), asio::detached);
+            co_await wait_until_primary_unused();
+        }
+        const auto leads_in = co_await fence_pending_requests(target);
+        if (!leads_in) {
+            co_return;
+        }
+        term = *leads_in;
+    }
+    co_await release_replicas();
+    co_await record_promotion(std::move(target), term);
+}
+
+asio::awaitable<std::optional<term_number>> group_failover::fence_pending_requests(
+    instance_id primary) {
+    const auto deadline = steady_clock::now() + promote_timeout;
+    while (steady_clock::now() < deadline && co_await renew_lock()) {
+        const auto outcome =
+            co_await environment_.promotions.promote(group_->name(), primary, lock_.record.fence,
+                                                     steady_clock::now() + promote_call_timeout);
+        log_request(primary, outcome);
+        if (outcome == promotion_outcome::refused) {
+            co_return std::nullopt;
+        }
+        if (outcome == promotion_outcome::done) {
+            co_return co_await wait_until_primary(primary);
+        }
+    }
+    co_return std::nullopt;
+}
+
+void group_failover::log_request(const instance_id& target, promotion_outcome outcome) const {
+    event_line{"promote_call"}
+        .field("group", group_->name())
+        .field("target", target)
+        .field("fence", lock_.record.fence)
+        .field("outcome", outcome == promotion_outcome::done      ? "done"
+                          : outcome == promotion_outcome::refused ? "refused"
+                                                                  : "unknown")
+        .write();
 }
 
 asio::awaitable<std::optional<promotion_choice>> group_failover::prepare_target(
@@ -381,6 +429,9 @@
         // The row is unreadable, or a host of an earlier release has written it.
         record.log_holders = known.log_holders;
     }
+    // A restore of the store may have erased the mark of a request that was sent.
+    record.request_pending =
+        known.request_pending || (record.request_pending && !known_to_have_ended);
     record.fence = std::max(record.fence, fence_base(observed.era)) + 1;
     record.open = true;
     const auto valid_until = boot_clock::now() + lock_expiry;
@@ -389,6 +440,7 @@
         co_return false;
     }
     lock_ = {record, environment_.self, *version, observed.era};
+    took_over_ = held_by_other;
     lock_valid_until_ = valid_until;
     lock_acquired_at_ = boot_clock::now();
     co_return true;
@@ -429,6 +481,13 @@
 }
 
 asio::awaitable<void> group_failover::release_lock() {
+    if (lock_.record.request_pending) {
+        event_line{"failover_left_open"}
+            .field("group", group_->name())
+            .field("fence", lock_.record.fence)
+            .write();
+        co_return;
+    }
     lock_.record.open = false;
     const auto written_at = boot_clock::now();
     // If the row stays open, another host acquires the lock after `lock_expiry`.
@@ -442,6 +501,7 @@
     lock_.record.target = std::move(target);
     lock_.record.term = term;
     lock_.record.open = false;
+    lock_.record.request_pending = false;
     const auto deadline = steady_clock::now() + record_timeout;
     while (steady_clock::now() < deadline) {
         const auto written_at = boot_clock::now();
@@ -511,37 +571,58 @@
 
 asio::awaitable<void> group_failover::release_replicas() {
     // Only the current lock holder may resume replicas; a later holder may hold the same ones.
-    const auto row = co_await rows_.read();
-    if (row.record.fence != lock_.record.fence || row.holder != environment_.self) {
+    replicas_to_resume_ = {held_replicas_.begin(), held_replicas_.end()};
+    held_replicas_.clear();
+    resume_fence_ = lock_.record.fence;
+    co_await resume_pending_replicas();
+}
+
+asio::awaitable<void> group_failover::resume_pending_replicas() {
+    resume_after_ = steady_clock::now() + resume_interval;
+    try {
+        const auto row = co_await rows_.read();
+        if (row.record.fence != resume_fence_) {
+            replicas_to_resume_.clear();
+            co_return;
+        }
+    } catch (const error& failure) {
+        event_line{"replicas_not_resumed"}
+            .field("group", group_->name())
+            .field("reason", failure.what())
+            .write();
         co_return;
     }
     const backend_request request = backend_resume{};
-    for (const auto& instance : held_replicas_) {
-        co_await orders_.send(instance, request);
+    const auto instances = replicas_to_resume_;
+    for (const auto& instance : instances) {
+        const auto resumed = co_await orders_.send(instance, request);
+        if (resumed || !group_->is_listed(instance)) {
+            replicas_to_resume_.erase(instance);
+        }
     }
-    held_replicas_.clear();
 }
 
 asio::awaitable<std::optional<term_number>> group_failover::promote(promotion_choice choice) {
     const auto deadline = steady_clock::now() + promote_timeout;
+    const bool earlier_requests_pending = lock_.record.request_pending;
+    bool own_request_pending = false;
+    lock_.record.request_pending = true;
     while (steady_clock::now() < deadline && co_await renew_lock()) {
         const auto outcome = co_await environment_.promotions.promote(
             group_->name(), choice.target, lock_.record.fence,
             steady_clock::now() + promote_call_timeout);
-        event_line{"promote_call"}
-            .field("group", group_->name())
-            .field("target", choice.target)
-            .field("fence", lock_.record.fence)
-            .field("outcome", outcome == promotion_outcome::done      ? "done"
-                              : outcome == promotion_outcome::refused ? "refused"
-                                                                      : "unknown")
-            .write();
+        log_request(choice.target, outcome);
         if (outcome == promotion_outcome::refused) {
+            lock_.record.request_pending = earlier_requests_pending || own_request_pending;
             co_await release_replicas();
             co_await release_lock();
             co_return std::nullopt;
         }
-        if (const auto term = co_await wait_until_primary(choice.target)) {
+        own_request_pending = own_request_pending || outcome == promotion_outcome::unknown;
+        const auto term = co_await wait_until_primary(choice.target);
+        // Without an answer, the platform may not know this fencing token yet, and would still
+        // carry out earlier requests for other targets.
+        if (term && (outcome == promotion_outcome::done || !earlier_requests_pending)) {
             co_return term;
         }
     }
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,8 +82,14 @@
     /// Adopts the result of a promotion that another holder has finished. Returns whether this
     /// changed the primary.
     bool adopt_result(const failover_row& observed, boot_time read_at);
-    /// Records that the attempt has ended without a promotion.
+    /// Records that the attempt has ended without a promotion. Leaves the row open while a
+    /// promotion request of this or an earlier attempt may still be carried out: it would discard
+    /// what the primary has acknowledged in the meantime.
     boost::asio::awaitable<void> release_lock();
+    /// Makes the platform refuse the pending promotion requests of earlier attempts, by designating
+    /// the present primary once more under this attempt's fencing token. Returns the term in
+    /// which it leads, or nullopt if that could not be confirmed.
+    boost::asio::awaitable<std::optional<term_number>> fence_pending_requests(instance_id primary);
     /// Records the promotion of `target`, which leads in `term`.
     boost::asio::awaitable<void> record_promotion(instance_id target, term_number term);
     /// Repeats the announcement until all hosts have confirmed or the attempt has ended.
@@ -110,10 +117,14 @@
     /// but run.
     boost::asio::awaitable<unheld_logs> find_unheld_logs(
         std::optional<instance_status> former_primary);
+    /// Resumes the held replicas, and later those that do not answer now.
     boost::asio::awaitable<void> release_replicas();
+    /// Resumes replicas that did not answer before.
+    boost::asio::awaitable<void> resume_pending_replicas();
     /// Returns the term of the target if it has become the primary.
     boost::asio::awaitable<std::optional<term_number>> promote(promotion_choice choice);
     boost::asio::awaitable<std::optional<term_number>> wait_until_primary(instance_id target);
+    void log_request(const instance_id& target, promotion_outcome outcome) const;
     boost::asio::awaitable<void> sleep(duration length);
 
     std::shared_ptr<backend_group> group_;
@@ -136,6 +147,13 @@
     time_point foreign_since_{};
     term_number hold_term_;
     std::vector<instance_id> held_replicas_;
+    /// Replicas that may be held although the attempt has ended.
+    std::set<instance_id> replicas_to_resume_;
+    /// The attempt in which they were held.
+    std::uint64_t resume_fence_ = 0;
+    time_point resume_after_{};
+    /// The lock was taken over from a holder that is gone.
+    bool took_over_ = false;
 };
 
 }  // namespace masticgrade
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -433,8 +433,7 @@
     auto& primary = fixture.connector.add("a", true);
     primary.position = 12;
     fixture.update();
-    fixture.store.put(
-        lock_row, R"({"fence":4,"holder":"host-2","target":"","term":0,"open":true,"mark":"1"})");
+    fixture.store.put(lock_row, encode_failover_row({4, true, {}, {}}, host_id{"host-2"}));
     fixture.group->on_failover_row(failover_record{4, true, {}, {}}, boot_clock::now());
     CHECK_FALSE(fixture.group->may_lead(instance_id{"a"}, boot_clock::now()));
     fixture.run_until([&] { return fixture.group->may_lead(instance_id{"a"}, boot_clock::now()); });
@@ -443,6 +442,99 @@
     CHECK(fixture.store.value_of(lock_row).find("\"open\":false") != std::string::npos);
 }
 
+namespace {
+
+/// A group with the live primary "a" whose failover row was left open by a holder that is gone. Its
+/// promotion request for "b" may still be carried out.
+failover_record leave_request_pending(failover_fixture& fixture) {
+    fixture.connector.add("a", true).position = 12;
+    fixture.connector.at("b").held = term_number{2};
+    fixture.connector.at("c").held = term_number{2};
+    fixture.update();
+    failover_record record{4, true, {}, {}};
+    record.request_pending = true;
+    fixture.store.put(lock_row, encode_failover_row(record, host_id{"host-2"}));
+    fixture.group->on_failover_row(record, boot_clock::now());
+    return record;
+}
+
+bool row_is_open(const failover_fixture& fixture) {
+    return decode_failover_row({lock_row, fleet_version{1}, fixture.store.value_of(lock_row)})
+        .record.open;
+}
+
+}  // namespace
+
+// Guards against a late promotion call of a holder that is gone: it would discard what the old
+// primary has acknowledged since the row was closed in its favour.
+TEST_CASE("an abandoned failover is closed only after its pending promotion request is fenced") {
+    failover_fixture fixture;
+    leave_request_pending(fixture);
+    bool open_when_fenced = false;
+    bool held_when_fenced = false;
+    fixture.promotions.on_promote = [&] {
+        open_when_fenced = row_is_open(fixture);
+        held_when_fenced = fixture.connector.at("b").held != term_number{};
+    };
+    fixture.run_until([&] { return !row_is_open(fixture); });
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    CHECK(fixture.promotions.orders[0].target == instance_id{"a"});
+    CHECK(fixture.promotions.orders[0].fence > 4);
+    CHECK(open_when_fenced);
+    CHECK(held_when_fenced);
+    CHECK_FALSE(row_is_open(fixture));
+    CHECK(fixture.connector.at("b").held == term_number{});
+    CHECK(fixture.group->may_lead(instance_id{"a"}, boot_clock::now()));
+}
+
+TEST_CASE("a failover row stays open while the platform does not confirm its fencing token") {
+    failover_fixture fixture;
+    leave_request_pending(fixture);
+    fixture.promotions.outcomes = {promotion_outcome::unknown, promotion_outcome::unknown};
+    unsigned calls_while_open = 0;
+    fixture.promotions.on_promote = [&] { calls_while_open += row_is_open(fixture) ? 1 : 0; };
+    fixture.run_until([&] { return !row_is_open(fixture); });
+    CHECK(fixture.promotions.orders.size() == 3);
+    CHECK(calls_while_open == 3);
+    CHECK(fixture.promotions.orders.back().target == instance_id{"a"});
+    CHECK_FALSE(row_is_open(fixture));
+}
+
+// A failover that ends without a promotion must not hide the pending request of an earlier one.
+TEST_CASE("an attempt that finds no target leaves a pending request in the row") {
+    failover_fixture fixture;
+    failover_record record{4, true, {}, {}};
+    record.request_pending = true;
+    fixture.store.put(lock_row, encode_failover_row(record, host_id{"host-1"}));
+    fixture.connector.at("b").refuses_connections = true;
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 250; });
+    CHECK(fixture.promotions.orders.empty());
+    const auto row =
+        decode_failover_row({lock_row, fleet_version{1}, fixture.store.value_of(lock_row)});
+    CHECK(row.record.open);
+    CHECK(row.record.request_pending);
+}
+
+// Guards against a replica that stays held for good: it would lack all later commits when it is the
+// only one left.
+TEST_CASE("a replica whose resume request was lost is resumed later") {
+    failover_fixture fixture;
+    leave_request_pending(fixture);
+    fixture.promotions.on_promote = [&] { fixture.connector.at("c").refuses_connections = true; };
+    bool was_held_after_closing = false;
+    fixture.run_until([&] {
+        auto& replica = fixture.connector.at("c");
+        if (!row_is_open(fixture) && !was_held_after_closing) {
+            was_held_after_closing = replica.held != term_number{};
+            replica.refuses_connections = false;
+        }
+        return was_held_after_closing && replica.held == term_number{};
+    });
+    CHECK(was_held_after_closing);
+    CHECK(fixture.connector.at("c").held == term_number{});
+}
+
 // Until the outcome is recorded, no host uses the new primary.
 TEST_CASE("a promotion whose outcome the store did not accept is recorded later") {
     failover_fixture fixture;
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -349,8 +349,10 @@
         }
     }
     auto& instance = instances_.at(target.str());
-    instance.is_primary = true;
-    instance.term = instance.term.next();
+    if (!instance.is_primary) {
+        instance.is_primary = true;
+        instance.term = instance.term.next();
+    }
     co_return promotion_outcome::done;
 }
 
