--- a/tests/edge/edge_run_test.cpp
+++ b/tests/edge/edge_run_test.cpp
@@ -144,6 +144,76 @@
     CHECK(reader.query("r1", "READ pole").front() == "DATAROW taken");
 }
 
+namespace {
+
+/// An instance's entry with one field replaced.
+std::string entry_with(const std::string& field, const std::string& value) {
+    std::map<std::string, std::string> fields{{"service", "\"ledger\""},
+                                              {"address", "\"127.0.0.1:1\""},
+                                              {"zone", "\"north\""},
+                                              {"version", "\"v1\""},
+                                              {"slots", "3"},
+                                              {"state", "\"ready\""},
+                                              {"warmup-left-ms", "0"},
+                                              {"db-role", "\"replica\""},
+                                              {"sequence", "1"},
+                                              {"born", "1"}};
+    fields[field] = value;
+    std::string result = "{";
+    for (const auto& [name, text] : fields) {
+        result += (result.size() > 1 ? ",\"" : "\"") + name + "\":" + text;
+    }
+    return result + "}";
+}
+
+}  // namespace
+
+// Guards against processes that end, or stop following the list of instances, because of one entry
+// of another writer; such an entry must not count as an instance either, since a replica that does
+// not answer delays the replacement of a primary.
+TEST_CASE("odd_entries: unusable entries among the instances are ignored") {
+    edge_fleet fleet{"odd_entries"};
+    constexpr std::size_t depth = 10000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const std::vector<std::string> entries{
+        nested,
+        entry_with("born", nested),
+        entry_with("extra", nested),
+        entry_with("slots", "1e999"),
+        entry_with("sequence", "18446744073709551616"),
+        entry_with("born", "99999999999999999999999999"),
+        entry_with("warmup-left-ms", "1e308"),
+        entry_with("slots", "-1"),
+        entry_with("address", "\"127.0.0.1:0\""),
+        entry_with("address", "\"127.0.0.1:65536\""),
+        entry_with("address", "\"127.0.0.1:99999999999999999999\""),
+        entry_with("address", "\"127.0.0.1:-1\""),
+        entry_with("address", "{\"port\":1}"),
+        entry_with("zone", "\"\xff\xfe\""),
+        std::string{"\x00\xff\x80{", 4},
+        ""};
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        fleet.world.put_entry("i-odd-" + std::to_string(i), entries[i]);
+    }
+    fleet.world.put_entry("i-\r\nQUERY", entry_with("slots", "3"));
+    std::this_thread::sleep_for(seconds{3});
+    for (const auto port : fleet.ports) {
+        CHECK(fleet.serves(port));
+    }
+    fleet.world.kill_instance(fleet.world.primary());
+    int attempt = 0;
+    CHECK(wait_until([&] {
+        line_client retry{fleet.ports[attempt % 2]};
+        const auto id = "after-" + std::to_string(++attempt);
+        return retry.start("db-primary", key) == "READY I -" &&
+               is_done(retry.query(id, "WRITE pole taken"));
+    }));
+    CHECK(fleet.world.promotions() == 1);
+    for (const auto port : fleet.ports) {
+        CHECK(wait_until([&] { return fleet.serves(port); }));
+    }
+}
+
 // Guards against a withdrawn key that works on an open connection.
 TEST_CASE("key_revoked: an open session is refused, and so is a new one") {
     edge_fleet fleet{"key_revoked"};
--- a/tests/edge/platform_world.cpp
+++ b/tests/edge/platform_world.cpp
@@ -155,6 +155,10 @@
     }
 }
 
+void platform_world::put_entry(const std::string& name, const std::string& value) {
+    run_in_world([&] { rows_.put("servers", name, value); });
+}
+
 void platform_world::configure(const std::vector<std::string>& keys) {
     run_in_world([&] { write_configuration(keys); });
 }
--- a/tests/edge/platform_world.hpp
+++ b/tests/edge/platform_world.hpp
@@ -36,6 +36,8 @@
     void restore_store(const std::vector<std::string>& keys);
     /// Ends an instance at once, with its connections and its entry.
     void kill_instance(const std::string& name);
+    /// Another writer leaves an entry among those of the instances.
+    void put_entry(const std::string& name, const std::string& value);
     /// The next change of rows takes effect and is not answered.
     void lose_next_commit_answer();
 
