--- a/libs/gateway/src/instance_orders.hpp
+++ b/libs/gateway/src/instance_orders.hpp
@@ -22,7 +22,8 @@
                                                                 const backend_request& request);
 
     struct unlisted_answer {
-        /// Whether the instance, or another process that refuses no connection, runs there.
+        /// Whether the instance accepts connections, or refuses them for another reason than its
+        /// id.
         bool is_running = false;
         /// Its status, if it has executed the request.
         std::optional<instance_status> status;
--- a/libs/gateway/test/lease_service_test.cpp
+++ b/libs/gateway/test/lease_service_test.cpp
@@ -107,20 +107,23 @@
 
     template <class Result>
     std::optional<Result> wait_for(asio::awaitable<Result> task) {
-        std::optional<Result> result;
-        bool ended = false;
+        struct outcome {
+            std::optional<Result> result;
+            bool ended = false;
+        };
+        const auto awaited = std::make_shared<outcome>();
         asio::co_spawn(context_, std::move(task),
-                       [&](const std::exception_ptr& failure, Result value) {
-                           ended = true;
+                       [awaited](const std::exception_ptr& failure, Result value) {
+                           awaited->ended = true;
                            if (!failure) {
-                               result = std::move(value);
+                               awaited->result = std::move(value);
                            }
                        });
-        while (!ended) {
+        while (!awaited->ended) {
             context_.restart();
             context_.run_for(milliseconds{5});
         }
-        return result;
+        return awaited->result;
     }
 
     /// Leases a connection to the primary from the owner's pool.
--- a/tests/edge/edge_run_test.cpp
+++ b/tests/edge/edge_run_test.cpp
@@ -159,11 +159,12 @@
                                               {"sequence", "1"},
                                               {"born", "1"}};
     fields[field] = value;
-    std::string result = "{";
+    std::string result;
     for (const auto& [name, text] : fields) {
-        result += (result.size() > 1 ? ",\"" : "\"") + name + "\":" + text;
+        result.append(result.empty() ? "{\"" : ",\"").append(name).append("\":").append(text);
     }
-    return result + "}";
+    result.append("}");
+    return result;
 }
 
 }  // namespace
