Gateway: a stop closes the listening socket before its last check for sessions

Cause: the stop ended as soon as no session was open, and the process ended up to 50 ms later with its listening socket still open. With few hosts of a failure domain in rotation the balancer goes on sending callers to a host that stops, and sessions of these 50 ms were served and dropped. At the end of the 5 s that a stop may take, sessions with running statements were dropped too.

Why this works: the socket closes first (the connections that the kernel has accepted are taken and refused), and the process ends only when no session is left after that. Work that could not end in time is refused as not run, and a statement's time limit is capped by the end of the stop, so that every statement that was accepted gets an answer. Pipelined and half-received statements are answered before a session closes.

--- a/libs/gateway/include/masticgrade/gateway/connections.hpp
+++ b/libs/gateway/include/masticgrade/gateway/connections.hpp
@@ -46,6 +46,8 @@
     /// was closed.
     virtual boost::asio::awaitable<std::optional<caller_statement>> next() = 0;
     virtual boost::asio::awaitable<void> answer(const statement_answer& answer) = 0;
+    /// Whether bytes of a request have arrived that neither `open` nor `next` has returned.
+    [[nodiscard]] virtual bool has_pending_input() = 0;
     virtual void close() = 0;
 };
 
--- a/libs/gateway/include/masticgrade/gateway/gateway.hpp
+++ b/libs/gateway/include/masticgrade/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -48,7 +49,9 @@
     /// Whether the load balancer should route callers to this host.
     [[nodiscard]] bool is_ready() const;
     /// Shuts down without interrupting running statements. Returns when the process may exit.
-    boost::asio::awaitable<void> stop();
+    /// Calls `close_listener` once, when no more callers can be served: it has to pass the
+    /// connections that wait to be accepted to `serve`, which refuses them, and accept no others.
+    boost::asio::awaitable<void> stop(std::function<void()> close_listener);
     /// Metrics in the Prometheus text format.
     [[nodiscard]] std::string scrape();
 
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -13,6 +13,9 @@
 
 /// Time within which a new connection must send the request that opens the session.
 constexpr milliseconds open_timeout{3000};
+/// Time that a host that stops gives a caller that has just connected or opened its session;
+/// several round trips.
+constexpr milliseconds first_request_timeout{200};
 
 template <class... Handlers>
 struct overloaded : Handlers... {
@@ -25,7 +28,10 @@
 
 caller_session::caller_session(std::shared_ptr<caller_connection> link,
                                session_environment& environment)
-    : link_(std::move(link)), environment_(environment), idle_since_(steady_clock::now()) {}
+    : link_(std::move(link)),
+      environment_(environment),
+      idle_since_(steady_clock::now()),
+      first_request_deadline_(idle_since_ + first_request_timeout) {}
 
 asio::awaitable<void> caller_session::run() {
     const auto self = shared_from_this();
@@ -33,20 +39,19 @@
         if (!co_await open()) {
             co_return;
         }
-        busy_ = false;
-        while (!closing_) {
+        is_open_ = true;
+        first_request_deadline_ = steady_clock::now() + first_request_timeout;
+        while (!closing_ || has_work()) {
             idle_since_ = steady_clock::now();
             const auto statement = co_await link_->next();
             if (!statement) {
                 break;
             }
             busy_ = true;
+            first_request_deadline_ = {};
             const auto answer = co_await handle(*statement);
             co_await link_->answer(answer);
             busy_ = false;
-            if (closing_ && transaction_) {
-                closing_ = false;
-            }
         }
     } catch (const connection_error& failure) {
         event_line{"caller_lost"}
@@ -65,6 +70,8 @@
     if (!request) {
         co_return false;
     }
+    busy_ = true;
+    const scope_guard done{[this] { busy_ = false; }};
     database_ = request->database;
     if (!request->key.empty()) {
         key_ = digest_key(request->key);
@@ -72,7 +79,10 @@
     const auto& configuration = environment_.control.configuration();
     std::string reason = "no_configuration";
     std::optional<statement_answer> refusal;
-    if (!configuration) {
+    if (environment_.refuses_work) {
+        reason = "host_stops";
+        refusal = refuse(answer_code::busy, "this host stops, try another one");
+    } else if (!configuration) {
         refusal = refuse(answer_code::busy, "this host has no configuration yet");
     } else if (const auto found = configuration->routes.find(database_);
                found != configuration->routes.end()) {
@@ -166,10 +176,15 @@
 }
 
 void caller_session::close_when_idle() {
-    if (is_idle()) {
+    closing_ = true;
+    if (!busy_ && !has_work()) {
         link_->close();
     }
-    closing_ = true;
+}
+
+bool caller_session::has_work() {
+    return transaction_ || steady_clock::now() < first_request_deadline_ ||
+           link_->has_pending_input();
 }
 
 asio::awaitable<statement_answer> caller_session::handle(const caller_statement& statement) {
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -22,6 +22,10 @@
     usage_limiter& limiter;
     gateway_metrics& metrics;
     std::function<std::shared_ptr<backend_group>(const group_id&)> find_group;
+    /// The process ends then; statements are answered before.
+    time_point serve_until = time_point::max();
+    /// The process ends soon: new sessions and statements for an instance are refused.
+    bool refuses_work = false;
 };
 
 /// A caller's transaction. It holds a connection from its first statement on.
@@ -48,12 +52,11 @@
 
     /// Aborts a transaction that exceeds the idle limit. Call several times a second.
     void tick(time_point now);
-    /// Closes the session as soon as no statement is running and no transaction is open.
+    /// Closes the session as soon as the caller waits for no answer and no transaction is open. A
+    /// caller that has just connected is given time for a request.
     void close_when_idle();
     /// Aborts an open transaction unless a statement is running.
     void abort_transaction(std::string_view reason);
-    /// Whether no statement is running and no transaction is open.
-    [[nodiscard]] bool is_idle() const { return !busy_ && !transaction_; }
 
 private:
     /// The state of one statement during its execution.
@@ -98,6 +101,9 @@
     boost::asio::awaitable<statement_answer> execute_on(connection_lease& lease, operation& op,
                                                         std::optional<log_index> at_least,
                                                         bool proves_position);
+    /// Whether the caller, or this host on its behalf, still has to do something before the session
+    /// may be closed.
+    [[nodiscard]] bool has_work();
     /// Returns the refusal if the caller may not execute statements on this route now.
     std::optional<statement_answer> check_authorization(const database_route& route,
                                                         std::string& reason);
@@ -115,9 +121,12 @@
     session_context context_;
     std::optional<open_transaction> transaction_;
     std::optional<log_index> last_commit_;
-    bool busy_ = true;
+    bool is_open_ = false;
+    bool busy_ = false;
     bool closing_ = false;
     time_point idle_since_;
+    /// Until then the first request of a caller that has connected is awaited.
+    time_point first_request_deadline_;
 };
 
 }  // namespace masticgrade
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -29,6 +29,7 @@
 #include "pool_owner_selector.hpp"
 #include "report_exchange.hpp"
 #include "shared_rows.hpp"
+#include "stop_schedule.hpp"
 
 namespace masticgrade {
 
@@ -73,8 +74,6 @@
 constexpr std::size_t max_concurrent_peer_calls = 2048;
 /// Time until a task that ended with an unexpected error is started again.
 constexpr milliseconds task_restart_delay{100};
-/// The load balancer removes a host after two failed health checks, one second apart.
-constexpr milliseconds balancer_removal_delay{2200};
 
 }  // namespace
 
@@ -162,27 +161,29 @@
                control_.is_current(boot_clock::now(), control_state::readiness_max_age);
     }
 
-    asio::awaitable<void> stop() {
+    asio::awaitable<void> stop(std::function<void()> close_listener) {
         const auto self = shared_from_this();
         stopping_ = true;
-        const auto started = steady_clock::now();
+        const stop_schedule schedule{steady_clock::now(), settings_.stop_grace};
         event_line{"stopping"}.field("sessions", sessions_.size()).write();
         // Makes the other hosts select another pool owner before their next operation.
         reports_->send(false);
         for (auto& [name, failover] : failovers_) {
             failover->stop();
         }
-        const auto abort_transactions_at = started + settings_.stop_grace / 2;
-        const auto stop_deadline = started + settings_.stop_grace * 5 / 6;
-        const auto close_sessions_at =
-            started + std::min(balancer_removal_delay, settings_.stop_grace / 3);
-        while (steady_clock::now() < stop_deadline) {
+        sessions_environment_.serve_until = schedule.deadline();
+        while (steady_clock::now() < schedule.deadline()) {
             const auto now = steady_clock::now();
-            if (now >= close_sessions_at) {
-                end_sessions(now >= abort_transactions_at);
-                if (sessions_.empty() && !is_promoting() && leases_->active_leases() == 0) {
-                    break;
-                }
+            if (schedule.closes_sessions(now)) {
+                end_sessions(schedule.refuses_work(now));
+            }
+            const bool finished = schedule.closes_sessions(now) && is_finished();
+            if (!sessions_environment_.refuses_work && (finished || schedule.refuses_work(now))) {
+                // Sessions that are accepted on this occasion start before the next check.
+                sessions_environment_.refuses_work = true;
+                close_listener();
+            } else if (finished) {
+                break;
             }
             co_await sleep(tick_interval);
         }
@@ -247,6 +248,10 @@
                            [](const auto& entry) { return entry.second->is_promoting(); });
     }
 
+    bool is_finished() const {
+        return sessions_.empty() && !is_promoting() && leases_->active_leases() == 0;
+    }
+
     void end_sessions(bool abort_transactions) {
         const auto sessions = sessions_;
         for (const auto& session : sessions) {
@@ -776,7 +781,9 @@
 
 bool gateway::is_ready() const { return implementation_->is_ready(); }
 
-asio::awaitable<void> gateway::stop() { return implementation_->stop(); }
+asio::awaitable<void> gateway::stop(std::function<void()> close_listener) {
+    return implementation_->stop(std::move(close_listener));
+}
 
 std::string gateway::scrape() { return implementation_->scrape(); }
 
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cmath>
@@ -53,6 +54,10 @@
         return refuse(answer_code::no_database, database_);
     }
     op.route = &found->second;
+    if (environment_.refuses_work && !(transaction_ && transaction_->lease)) {
+        op.reason = "host_stops";
+        return refuse(answer_code::busy, "not run: this host stops, try another one");
+    }
     if (transaction_ && transaction_->route == nullptr) {
         transaction_->configuration = op.configuration;
         transaction_->route = op.route;
@@ -60,7 +65,7 @@
     op.group = environment_.find_group(op.route->group);
     const auto timeout = op.route->statement_timeout.count() > 0 ? op.route->statement_timeout
                                                                  : default_statement_timeout;
-    op.deadline = op.started + timeout;
+    op.deadline = std::min(op.started + timeout, environment_.serve_until);
     op.queue_deadline = interpolate(op.started, op.deadline, queue_fraction);
     if (const auto* action = std::get_if<plain_statement>(&op.statement.action)) {
         op.access = action->access;
@@ -124,7 +129,8 @@
         answer = co_await serve_in_transaction(op);
     }
     answer.phase = phase();
-    if (op.reason == "configuration_too_old" || op.reason == "primary_unproven") {
+    if (op.reason == "configuration_too_old" || op.reason == "primary_unproven" ||
+        op.reason == "host_stops") {
         // Closing the connection makes the caller reconnect, which may reach a host that can serve
         // it.
         closing_ = true;
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -136,11 +136,14 @@
     boost::asio::awaitable<void> refuse(answer_code code, std::string text) override;
     boost::asio::awaitable<std::optional<caller_statement>> next() override;
     boost::asio::awaitable<void> answer(const statement_answer& answer) override;
+    [[nodiscard]] bool has_pending_input() override { return pipelines && !statements_.empty(); }
     void close() override { closed = true; }
 
     std::vector<statement_answer> answers;
     std::optional<answer_code> refused;
     bool closed = false;
+    /// The statements arrive together, without a wait for answers.
+    bool pipelines = false;
     /// Called before the statement with this index is sent.
     std::map<std::size_t, std::function<void()>> before;
 
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -64,6 +64,8 @@
         control_.apply({std::move(configuration), {}}, proven_at);
     }
 
+    void refuse_work() { environment_.refuses_work = true; }
+
     void limit(rate_limit value) { limiter_.configure({{customer, value}}, boot_clock::now()); }
 
     std::shared_ptr<fake_caller> run(const std::string& database,
@@ -76,7 +78,7 @@
     }
 
     void run(const std::shared_ptr<fake_caller>& caller) {
-        auto session = std::make_shared<caller_session>(caller, environment_);
+        session = std::make_shared<caller_session>(caller, environment_);
         boost::asio::co_spawn(context_, session->run(), [](const std::exception_ptr& failure) {
             if (failure) {
                 std::rethrow_exception(failure);
@@ -87,6 +89,8 @@
     }
 
     fake_connector connector;
+    /// The session that runs or has run last.
+    std::shared_ptr<caller_session> session;
     fake_instance* primary = nullptr;
     fake_instance* first_replica = nullptr;
     fake_instance* second_replica = nullptr;
@@ -351,3 +355,51 @@
         CHECK(answer.code == answer_code::done);
     }
 }
+
+// A planned stop closed sessions with the next statement already received, and the write in it got
+// no answer.
+TEST_CASE("statements that have arrived are answered before a session closes") {
+    session_fixture fixture;
+    auto caller = std::make_shared<fake_caller>(
+        session_request{"current", key},
+        std::vector<caller_statement>{write("w1"), write("w2"), write("w3")});
+    caller->pipelines = true;
+    caller->before[1] = [&] { fixture.session->close_when_idle(); };
+    fixture.run(caller);
+    REQUIRE(caller->answers.size() == 3);
+    for (const auto& answer : caller->answers) {
+        CHECK(answer.code == answer_code::done);
+    }
+    CHECK(caller->closed);
+}
+
+TEST_CASE("a session closes after its answer if nothing more has arrived") {
+    session_fixture fixture;
+    auto caller = std::make_shared<fake_caller>(
+        session_request{"current", key}, std::vector<caller_statement>{write("w1"), write("w2")});
+    caller->before[0] = [&] { fixture.session->close_when_idle(); };
+    fixture.run(caller);
+    CHECK(caller->answers.size() == 1);
+    CHECK(caller->closed);
+}
+
+// Guards against a session that is opened, and then dropped, by a process that is about to end.
+TEST_CASE("a host that ends refuses new sessions and statements, and commits begun work") {
+    session_fixture fixture;
+    auto open = std::make_shared<fake_caller>(
+        session_request{"current", key},
+        std::vector<caller_statement>{begin(), write("w1"), commit("c1"), write("w2")});
+    open->pipelines = true;
+    open->before[2] = [&] { fixture.refuse_work(); };
+    fixture.run(open);
+    REQUIRE(open->answers.size() == 4);
+    CHECK(open->answers[2].code == answer_code::done);
+    CHECK(open->answers[3].code == answer_code::busy);
+    CHECK(fixture.primary->commits == 1);
+    CHECK(fixture.runs_of("w2") == 0);
+    CHECK(open->closed);
+
+    const auto late = fixture.run("current", {write("w3")});
+    CHECK(late->refused == answer_code::busy);
+    CHECK(fixture.runs_of("w3") == 0);
+}
--- a/tests/edge/edge_run_test.cpp
+++ b/tests/edge/edge_run_test.cpp
@@ -1,9 +1,11 @@
 #include <doctest/doctest.h>
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <deque>
 #include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <thread>
 
 #include "child_process.hpp"
@@ -284,6 +286,51 @@
     CHECK(fleet.serves(fleet.ports[1]));
 }
 
+// A host that was about to end took new sessions and passed their statements on, and ended before
+// it had the answers.
+TEST_CASE("planned_stop_arrivals: sessions that arrive until the end are answered or refused") {
+    edge_fleet fleet{"planned_stop_arrivals"};
+    fleet.world.set_work(milliseconds{30});
+    const auto port = fleet.ports[0];
+    std::mutex mutex;
+    std::vector<std::string> unanswered;
+    std::atomic<unsigned> answered{0};
+    const auto call_until_refused = [&](const std::string& name) {
+        for (unsigned sent = 0;; ++sent) {
+            const auto id = name + "-" + std::to_string(sent);
+            try {
+                line_client client{port};
+                if (client.start("db-read_own", key).rfind("READY", 0) != 0) {
+                    continue;
+                }
+                const auto answer = client.query(id, "READ pole");
+                if (!answer.empty() && answer.back().rfind("READY", 0) == 0) {
+                    ++answered;
+                    continue;
+                }
+            } catch (const boost::system::system_error&) {
+                return;
+            }
+            const std::lock_guard lock{mutex};
+            unanswered.push_back(id);
+        }
+    };
+    {
+        std::vector<std::jthread> callers;
+        for (const auto* name : {"a", "b", "c", "d", "e", "f"}) {
+            callers.emplace_back(call_until_refused, name);
+        }
+        std::this_thread::sleep_for(milliseconds{500});
+        fleet.processes[0].signal(SIGTERM);
+    }
+    CHECK(fleet.processes[0].wait() == 0);
+    CHECK(answered > 0);
+    for (const auto& id : unanswered) {
+        CAPTURE(id);
+        CHECK(fleet.world.runs_of(id) == 0);
+    }
+}
+
 // Guards against input that takes other sessions with it.
 TEST_CASE("unreadable_input: one error, and the others are served") {
     edge_fleet fleet{"unreadable_input"};
--- a/tests/edge/platform_world.cpp
+++ b/tests/edge/platform_world.cpp
@@ -219,6 +219,10 @@
     });
 }
 
+void platform_world::set_work(milliseconds work) {
+    run_in_world([&] { work_ = work; });
+}
+
 void platform_world::lose_next_commit_answer() {
     run_in_world([&] { lose_answer_ = true; });
 }
@@ -371,6 +375,8 @@
                 const auto answers =
                     co_await link.run(std::move(requests), steady_clock::now() + seconds{1});
                 replicate();
+                asio::steady_timer work{context_, work_};
+                co_await work.async_wait(asio::use_awaitable);
                 reply = answer_line(server, answers.front(), line);
             }
             co_await asio::async_write(*socket, asio::buffer(reply), asio::use_awaitable);
--- a/tests/edge/platform_world.hpp
+++ b/tests/edge/platform_world.hpp
@@ -38,6 +38,8 @@
     void kill_instance(const std::string& name);
     /// Another writer leaves an entry among those of the instances.
     void put_entry(const std::string& name, const std::string& value);
+    /// Each statement takes this long after it has run until it is answered.
+    void set_work(milliseconds work);
     /// The next change of rows takes effect and is not answered.
     void lose_next_commit_answer();
 
@@ -70,6 +72,7 @@
     std::map<std::string, std::string> data_;
     std::uint64_t configuration_version_ = 0;
     bool lose_answer_ = false;
+    milliseconds work_{0};
     std::unique_ptr<http_server> store_;
     std::thread thread_;
 };
