Rows: changed rows travel between hosts as compressed differences in small pieces

Callers saw: after a change of a large configuration, statements failed for 12 s on fleets with links of 10 Mbit/s, connections were reset, and requests were answered by an older configuration (CONFIG).

Cause: every host was sent the whole configuration after each change, and an answer that took longer than 150 ms was thrown away and requested again from the next of four hosts. The links stayed full, and statements, leases and reports waited behind rows.

Change: libs/rows (the row exchange moves there from libs/gateway, with its tests). A query names the digest of the rows that the host has; the answer is a zstd frame with that version as its dictionary, in pieces of 8 KB, one under way at a time. A transfer continues at the next source, or with the next read.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -26,9 +26,9 @@
 #include "masticgrade/base/scope_guard.hpp"
 #include "masticgrade/limits/usage_limiter.hpp"
 #include "masticgrade/peer/peer_network.hpp"
+#include "masticgrade/rows/shared_rows.hpp"
 #include "pool_owner_selector.hpp"
 #include "report_exchange.hpp"
-#include "shared_rows.hpp"
 #include "stop_schedule.hpp"
 
 namespace masticgrade {
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -195,7 +195,10 @@
     }
     std::pair<wire::Call, Offset<void>> operator()(const row_query& call) const {
         const auto prefix = out.CreateString(call.prefix);
-        return {wire::Call::AskRows, wire::CreateAskRows(out, prefix, call.digest).Union()};
+        return {wire::Call::AskRows,
+                wire::CreateAskRows(out, prefix, call.digest, call.accepts_pieces,
+                                    call.progress.frame, call.progress.received)
+                    .Union()};
     }
     std::pair<wire::Call, Offset<void>> operator()(const row_reply& call) const {
         std::vector<Offset<wire::TableRow>> rows;
@@ -206,9 +209,17 @@
             rows.push_back(wire::CreateTableRow(out, key, row.version.value(), value));
         }
         const auto list = out.CreateVector(rows);
+        Offset<wire::RowPiece> piece;
+        if (call.piece) {
+            const auto& bytes = call.piece->bytes;
+            const auto content =
+                out.CreateVector(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+            piece = wire::CreateRowPiece(out, call.piece->frame, call.piece->base,
+                                         call.piece->frame_size, call.piece->offset, content);
+        }
         return {wire::Call::RowsTold,
                 wire::CreateRowsTold(out, call.known, call.digest, time_field(call.age), list,
-                                     call.era.value())
+                                     call.era.value(), piece)
                     .Union()};
     }
     std::pair<wire::Call, Offset<void>> operator()(const failover_begun& call) const {
@@ -393,12 +404,21 @@
 }
 
 lease_payload read(const wire::AskRows& call) {
-    return row_query{text_of(call.prefix()), call.digest()};
+    return row_query{text_of(call.prefix()), call.digest(), call.pieces(),
+                     transfer_progress{call.frame(), call.received()}};
 }
 
 lease_payload read(const wire::RowsTold& call) {
-    row_reply result{
-        call.known(), call.digest(), time_of(call.age_ms()), {}, store_era{call.era()}};
+    row_reply result{call.known(), call.digest(),         time_of(call.age_ms()),
+                     {},           store_era{call.era()}, {}};
+    if (const auto* piece = call.piece()) {
+        result.piece =
+            row_piece{piece->frame(), piece->base(), piece->frame_size(), piece->offset(), {}};
+        if (piece->bytes() != nullptr) {
+            result.piece->bytes.assign(reinterpret_cast<const char*>(piece->bytes()->data()),
+                                       piece->bytes()->size());
+        }
+    }
     if (call.rows() != nullptr) {
         for (const auto* row : *call.rows()) {
             result.rows.push_back(
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -11,7 +11,7 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/gateway/session_state.hpp"
 #include "masticgrade/gateway/statement.hpp"
-#include "masticgrade/version/table_row.hpp"
+#include "masticgrade/rows/row_messages.hpp"
 
 namespace masticgrade {
 
@@ -134,27 +134,6 @@
     friend bool operator==(const positions_reply&, const positions_reply&) = default;
 };
 
-/// Queries rows of the store that the recipient has read.
-struct row_query {
-    std::string prefix;
-    /// Digest of the rows that the sender already has.
-    std::uint64_t digest = 0;
-
-    friend bool operator==(const row_query&, const row_query&) = default;
-};
-
-struct row_reply {
-    /// False if the recipient has not read these rows.
-    bool known = false;
-    std::uint64_t digest = 0;
-    /// Time since the recipient requested the rows from the store.
-    milliseconds age{0};
-    /// Empty if the querying host already has the same rows.
-    std::vector<table_row> rows;
-    /// Era of the store in which the rows were read.
-    store_era era = {};
-};
-
 /// The sender has acquired the lock of a group's failover. The recipient stops using the group's
 /// primary before it replies with `failover_confirmed`.
 struct failover_begun {
--- a/libs/gateway/src/report_relay.hpp
+++ b/libs/gateway/src/report_relay.hpp
@@ -12,20 +12,10 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
 #include "masticgrade/peer/messages.hpp"
+#include "masticgrade/rows/shared_rows.hpp"
 
 namespace masticgrade {
 
-/// How a host obtains the rows of the store.
-struct row_access {
-    /// Hosts to query for rows that they have read, in order of preference. Empty on the host that
-    /// reads the store for the whole fleet.
-    std::vector<host_id> sources;
-    /// Whether this host reads the store whenever no source has recent rows. In a large failure
-    /// domain only a few hosts do, since an outage of the store would otherwise turn all hosts into
-    /// readers.
-    bool reads_store = true;
-};
-
 /// A host that may become a relay; hosts with a faster link compare higher.
 struct relay_candidate {
     unsigned link_mbps = 0;
--- a/libs/gateway/src/shared_rows.cpp
+++ b/libs/rows/src/shared_rows.cpp
@@ -1,7 +1,4 @@
-#include "shared_rows.hpp"
-
-#include <fmt/format.h>
-#include <xxhash.h>
+#include "masticgrade/rows/shared_rows.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -15,7 +12,8 @@
 
 namespace {
 
-/// A host of the same failure domain answers within a few milliseconds.
+/// A host of the same failure domain answers within a few milliseconds. Applies to each piece of a
+/// transfer.
 constexpr milliseconds answer_timeout{150};
 /// Interval between reads of the store by a host that leaves the reading to others, while none of
 /// them has recent rows. Shorter than the proofs that depend on the rows are valid.
@@ -23,17 +21,6 @@
 
 }  // namespace
 
-std::uint64_t digest_rows(const std::vector<table_row>& rows) {
-    // The version alone doesn't identify a row's value: a store that was restored from a copy
-    // assigns versions again.
-    std::string contents;
-    for (const auto& row : rows) {
-        contents += fmt::format("{}\n{}\n{}\n", row.key, row.version, row.value.size());
-        contents += row.value;
-    }
-    return XXH3_64bits(contents.data(), contents.size());
-}
-
 shared_rows::shared_rows(table_service& store, std::function<row_access()> access, host_query query)
     : store_(store), access_(std::move(access)), query_host_(std::move(query)) {}
 
@@ -41,8 +28,9 @@
                                                 time_point deadline) {
     const auto oldest_allowed = boot_clock::now() - max_age;
     const auto access = access_();
+    bool is_transferring = false;
     for (const auto& host : access.sources) {
-        auto reply = co_await read_from_host(host, prefix, deadline);
+        auto reply = co_await read_from_host(host, prefix, deadline, is_transferring);
         if (reply && reply->read_at >= oldest_allowed && !is_outdated(reply->era)) {
             known_[prefix].read_failed = false;
             co_return std::move(*reply);
@@ -50,9 +38,11 @@
     }
     auto& known = known_[prefix];
     const auto now = steady_clock::now();
-    if (!access.reads_store && now < known.next_fallback_read) {
+    // The store would send everything over a link that is too slow for the differences.
+    if (!access.reads_store && (is_transferring || now < known.next_fallback_read)) {
         known.read_failed = true;
-        throw error("read rows", "", "no host has recent rows");
+        throw error("read rows", "",
+                    is_transferring ? "the transfer is not complete" : "no host has recent rows");
     }
     known.next_fallback_read = now + fallback_read_interval;
     co_return co_await read_store(std::move(prefix), deadline);
@@ -60,31 +50,65 @@
 
 asio::awaitable<std::optional<row_snapshot>> shared_rows::read_from_host(host_id host,
                                                                          std::string prefix,
-                                                                         time_point deadline) {
-    const auto asked_at = boot_clock::now();
-    const auto answer_by = std::min(deadline, steady_clock::now() + answer_timeout);
-    row_query query{prefix, known_[prefix].snapshot.digest};
-    auto reply = co_await query_host_(std::move(host), query, answer_by);
-    if (!reply || !reply->known) {
-        co_return std::nullopt;
+                                                                         time_point deadline,
+                                                                         bool& is_transferring) {
+    auto& known = known_[prefix];
+    for (;;) {
+        const auto asked_at = boot_clock::now();
+        const auto answer_by = std::min(deadline, steady_clock::now() + answer_timeout);
+        if (known.download.base() != 0 && known.download.base() != known.digest()) {
+            known.download.reset();
+        }
+        row_query query{prefix, known.digest(), true, known.download.progress()};
+        auto reply = co_await query_host_(host, query, answer_by);
+        if (!reply || !reply->known) {
+            co_return std::nullopt;
+        }
+        row_snapshot snapshot{{}, reply->digest, asked_at - reply->age, reply->era};
+        if (reply->digest == query.digest && known.digest() == query.digest) {
+            known.download.reset();
+            snapshot.rows = known.source.current().rows;
+        } else if (auto rows = rows_of(known, *reply)) {
+            snapshot.rows = std::move(*rows);
+        } else if (reply->piece && known.download.progress() != query.progress) {
+            is_transferring = true;
+            continue;
+        } else {
+            co_return std::nullopt;
+        }
+        note_era(snapshot.era, prefix);
+        keep(known, snapshot);
+        co_return snapshot;
     }
-    auto& latest = known_[prefix].snapshot;
-    if (reply->digest == query.digest && latest.digest == query.digest) {
-        latest.read_at = std::max(latest.read_at, asked_at - reply->age);
-        latest.era = std::max(latest.era, reply->era);
-        note_era(reply->era, prefix);
-        co_return latest;
+}
+
+std::optional<std::vector<table_row>> shared_rows::rows_of(known_rows& known, row_reply& reply) {
+    std::vector<table_row> rows = std::move(reply.rows);
+    if (reply.piece) {
+        known.download.add(*reply.piece);
+        if (!known.download.is_complete()) {
+            return std::nullopt;
+        }
+        const std::vector<table_row> nothing;
+        try {
+            rows = known.download.take(known.source.has_rows() ? known.source.current().rows
+                                                               : nothing);
+        } catch (const error& failure) {
+            event_line{"row_transfer_failed"}.field("reason", failure.what()).write();
+            return std::nullopt;
+        }
     }
-    row_snapshot snapshot{std::move(reply->rows), reply->digest, asked_at - reply->age, reply->era};
-    if (digest_rows(snapshot.rows) != snapshot.digest) {
-        // The reply omits rows that matched the query, but this host has replaced them since.
-        co_return std::nullopt;
+    // A reply may omit rows that matched the query, although this host has replaced them since.
+    if (digest_rows(rows) != reply.digest) {
+        return std::nullopt;
     }
-    note_era(snapshot.era, prefix);
-    if (snapshot.read_at > latest.read_at) {
-        latest = snapshot;
+    return rows;
+}
+
+void shared_rows::keep(known_rows& known, const row_snapshot& snapshot) {
+    if (!known.source.has_rows() || snapshot.read_at > known.source.current().read_at) {
+        known.source.update(snapshot);
     }
-    co_return snapshot;
 }
 
 asio::awaitable<row_snapshot> shared_rows::read_store(std::string prefix, time_point deadline) {
@@ -106,9 +130,7 @@
     note_era(snapshot.era, prefix);
     auto& known = known_[prefix];
     known.read_failed = false;
-    if (snapshot.read_at > known.snapshot.read_at) {
-        known.snapshot = snapshot;
-    }
+    keep(known, snapshot);
     co_return snapshot;
 }
 
@@ -130,19 +152,12 @@
     newest_era_ = era;
 }
 
-row_reply shared_rows::answer(const row_query& query, boot_time now) const {
+row_reply shared_rows::answer(const row_query& query, boot_time now) {
     const auto found = known_.find(query.prefix);
-    if (found == known_.end() || found->second.read_failed ||
-        found->second.snapshot.read_at == boot_time{}) {
+    if (found == known_.end() || found->second.read_failed || !found->second.source.has_rows()) {
         return {};
     }
-    const auto& latest = found->second.snapshot;
-    row_reply reply{
-        true, latest.digest, std::chrono::ceil<milliseconds>(now - latest.read_at), {}, latest.era};
-    if (latest.digest != query.digest) {
-        reply.rows = latest.rows;
-    }
-    return reply;
+    return found->second.source.answer(query, now);
 }
 
 }  // namespace masticgrade
--- a/libs/gateway/test/shared_rows_test.cpp
+++ b/libs/rows/test/shared_rows_test.cpp
@@ -1,4 +1,4 @@
-#include "shared_rows.hpp"
+#include "masticgrade/rows/shared_rows.hpp"
 
 #include <doctest/doctest.h>
 
@@ -240,3 +240,54 @@
     CHECK(snapshot->era == store_era{2});
     CHECK(host.store.reads == 2);
 }
+
+namespace {
+
+/// Rows whose compressed form takes several pieces.
+std::vector<table_row> large_rows() {
+    std::string value;
+    std::uint64_t state = 1;
+    while (value.size() < 10 * row_source::piece_bytes) {
+        state = state * 6364136223846793005U + 1442695040888963407U;
+        value += static_cast<char>(state >> 56U);
+    }
+    return {{prefix + "config", fleet_version{1}, value}};
+}
+
+}  // namespace
+
+// A configuration of some hundred kilobytes did not arrive within the time limit of an answer over
+// a link of 10 Mbit/s, and was requested again and again until the links were full.
+TEST_CASE("a transfer that takes longer than one read goes on with the next one") {
+    row_source relay;
+    row_snapshot large{large_rows(), 0, boot_clock::now(), store_era{1}};
+    large.digest = digest_rows(large.rows);
+    relay.update(large);
+    reader host;
+    host.reads_store = false;
+    host.relays.resize(1);
+    std::optional<row_snapshot> result;
+    unsigned reads = 0;
+    while (!result) {
+        REQUIRE(++reads < 10);
+        // Each read gets three pieces; then the host does not answer in time.
+        transfer_progress progress =
+            host.queries.empty() ? transfer_progress{} : host.queries.back().progress;
+        for (int i = 0; i < 3; ++i) {
+            const auto reply = relay.answer({prefix, 0, true, progress}, boot_clock::now());
+            progress = {reply.piece->frame, static_cast<std::uint32_t>(reply.piece->offset +
+                                                                       reply.piece->bytes.size())};
+            host.answers.push_back(reply);
+            if (progress.received == reply.piece->frame_size) {
+                break;
+            }
+        }
+        host.answers.push_back(std::nullopt);
+        result = host.read();
+        host.answers.clear();
+    }
+    CHECK(result->digest == large.digest);
+    CHECK(reads > 2);
+    // A host that gets the rows slowly doesn't read them from the store over the same link.
+    CHECK(host.store.reads == 0);
+}
