Placement: a customer's reads keep to few instances where connections are scarce

Callers saw: on deployments with more customers than an instance keeps connections, 15% to 33% of the statements opened a connection, which occupies a slot as long as a statement does.

Cause: reads were spread over all instances of a group, so every instance needed a connection of every customer.

Change: each customer prefers as many replicas as the pools can hold it on, chosen by rendezvous hashing; other instances are charged the time of opening a connection. A full pool closes a customer's second connection before another customer's only one. Acts only where the configuration has more customers than a pool keeps connections.

placement_test, "reads that keep to few instances open less than half ...", replays reads of 73 customers and compares with the decision taken out.

--- a/libs/gateway/include/masticgrade/gateway/placement.hpp
+++ b/libs/gateway/include/masticgrade/gateway/placement.hpp
@@ -2,6 +2,8 @@
 
 #include <cstddef>
 #include <optional>
+#include <set>
+#include <span>
 #include <vector>
 
 #include "masticgrade/base/time.hpp"
@@ -21,6 +23,9 @@
     microseconds service_time{0};
     /// Moving average of the time that operations waited for a connection from the pool owner.
     microseconds queue_time{0};
+    /// Another instance is more likely to have a connection of the customer; see
+    /// preferred_instances.
+    bool is_avoided = false;
     /// An idle connection of the customer is available.
     bool has_free_connection = false;
     /// A connection can be opened within the pool limit.
@@ -41,6 +46,25 @@
 std::optional<instance_id> choose_instance(const std::vector<placement_candidate>& candidates,
                                            microseconds connection_setup);
 
+/// The replicas that the customer's reads prefer, so that its connections are kept where they are
+/// used again. Empty if every pool can keep a connection of every customer.
+///
+/// Answers the load of more customers than an instance accepts connections: with reads spread over
+/// all instances, pools close connections that are needed again soon, and opening one occupies a
+/// slot as long as a statement does. All hosts agree, and the loss of an instance moves only its
+/// own customers.
+///
+/// Thread safety: reentrant.
+std::set<instance_id> preferred_instances(const customer_id& customer,
+                                          const std::vector<instance_id>& replicas,
+                                          std::size_t customers, unsigned connections_per_pool);
+
+/// Selects the idle connection that is closed to make room for another customer's, given the
+/// customers of the idle connections, least recently used first. Prefers a customer that has
+/// several: its second connection is needed only when two of its operations overlap.
+/// Precondition: `customers` is not empty. Thread safety: reentrant.
+std::size_t choose_connection_to_close(std::span<const customer_id> customers);
+
 struct pool_owner_candidate {
     host_id host;
     failure_domain_id failure_domain;
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -262,6 +262,9 @@
             owners.emplace(id, owner);
         }
     }
+    if (!request.leased_instance && !request.queue_entry.needs_primary) {
+        mark_avoided(candidates, request.queue_entry.customer);
+    }
     const auto chosen = choose_instance(candidates, connection_setup_time_);
     if (!chosen) {
         return std::nullopt;
@@ -289,16 +292,43 @@
         const auto& candidate = *std::find_if(candidates.begin(), candidates.end(),
                                               [&](const auto& c) { return c.instance == *chosen; });
         if (!candidate.can_open) {
-            auto oldest = std::move(instance.idle.front());
-            instance.idle.pop_front();
-            oldest->link->close();
-            --instance.open;
+            close(take_connection_to_close(instance));
         }
         ++instance.open;
     }
     return result;
 }
 
+void backend_group::mark_avoided(std::vector<placement_candidate>& candidates,
+                                 const customer_id& customer) const {
+    std::vector<instance_id> replicas;
+    for (const auto& item : candidates) {
+        if (!item.is_primary) {
+            replicas.push_back(item.instance);
+        }
+    }
+    const auto core_size =
+        pool_owner_connections(settings_.max_connections, settings_.customers).core_size;
+    const auto preferred = preferred_instances(customer, replicas, settings_.customers, core_size);
+    for (auto& item : candidates) {
+        item.is_avoided = !preferred.empty() && !preferred.contains(item.instance);
+    }
+}
+
+std::unique_ptr<pooled_connection> backend_group::take_connection_to_close(
+    instance_state& instance) {
+    std::vector<customer_id> customers;
+    customers.reserve(instance.idle.size());
+    for (const auto& connection : instance.idle) {
+        customers.push_back(connection->customer);
+    }
+    const auto chosen = std::next(
+        instance.idle.begin(), static_cast<std::ptrdiff_t>(choose_connection_to_close(customers)));
+    auto connection = std::move(*chosen);
+    instance.idle.erase(chosen);
+    return connection;
+}
+
 void backend_group::on_run_started(pooled_connection& connection) {
     if (connection.idle_in_transaction) {
         connection.idle_in_transaction = false;
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -326,6 +326,12 @@
 
     std::optional<assignment> assign(const acquire_request& request, bool only_free_connections,
                                      time_point now);
+    /// Marks the instances that the customer's reads avoid.
+    void mark_avoided(std::vector<placement_candidate>& candidates,
+                      const customer_id& customer) const;
+    /// Removes the idle connection that makes room for another customer's.
+    /// Precondition: there is an idle connection.
+    static std::unique_ptr<pooled_connection> take_connection_to_close(instance_state& instance);
     [[nodiscard]] placement_candidate make_candidate(const instance_state& instance,
                                                      const instance_pool_owner& owner,
                                                      const customer_id& customer,
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <compare>
 #include <map>
+#include <string_view>
 #include <utility>
 
 namespace masticgrade {
@@ -26,6 +27,9 @@
         (item.is_primary ? primary_load_bias : 0);
     double cost = static_cast<double>(service.count()) * (1 + waiting) +
                   static_cast<double>(item.queue_time.count());
+    if (item.is_avoided) {
+        cost += static_cast<double>(connection_setup.count());
+    }
     if (!item.has_free_connection) {
         cost += static_cast<double>(connection_setup.count()) * (item.can_open ? 1 : 2);
     }
@@ -57,6 +61,39 @@
     return best->instance;
 }
 
+std::set<instance_id> preferred_instances(const customer_id& customer,
+                                          const std::vector<instance_id>& replicas,
+                                          std::size_t customers, unsigned connections_per_pool) {
+    const auto connections = replicas.size() * connections_per_pool;
+    if (customers <= connections_per_pool) {
+        return {};
+    }
+    std::vector<std::pair<std::uint64_t, instance_id>> ranked;
+    ranked.reserve(replicas.size());
+    for (const auto& instance : replicas) {
+        const auto text = customer.str() + '\n' + instance.str();
+        ranked.emplace_back(XXH3_64bits(text.data(), text.size()), instance);
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    ranked.resize(std::min(ranked.size(), std::max<std::size_t>(1, connections / customers)));
+    std::set<instance_id> result;
+    for (const auto& item : ranked) {
+        result.insert(item.second);
+    }
+    return result;
+}
+
+std::size_t choose_connection_to_close(std::span<const customer_id> customers) {
+    std::set<std::string_view> seen;
+    std::size_t result = 0;
+    for (std::size_t i = customers.size(); i-- > 0;) {
+        if (!seen.insert(customers[i].str()).second) {
+            result = i;
+        }
+    }
+    return result;
+}
+
 std::optional<host_id> choose_pool_owner(const instance_id& instance,
                                          const failure_domain_id& failure_domain,
                                          const std::vector<pool_owner_candidate>& candidates) {
--- a/libs/gateway/test/placement_test.cpp
+++ b/libs/gateway/test/placement_test.cpp
@@ -3,6 +3,10 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <random>
 #include <set>
 
 using namespace masticgrade;
@@ -147,3 +151,115 @@
     }
     CHECK(owners == std::set<host_id>{host_id{"large-0"}, host_id{"large-1"}, host_id{"large-2"}});
 }
+
+namespace {
+
+/// Replays reads of many customers on the pools of a group's instances and counts the connections
+/// that they open. Customer i sends about 1 / (i + 1) of what the first one sends.
+class pool_replay {
+public:
+    static constexpr std::size_t customers = 73;
+    static constexpr unsigned pool_size = 42;
+    static constexpr unsigned reads = 20000;
+
+    explicit pool_replay(bool keeps_to_few) : keeps_to_few_(keeps_to_few) {}
+
+    double opened_per_read() {
+        std::vector<double> weights;
+        for (std::size_t i = 0; i < customers; ++i) {
+            weights.push_back(1.0 / static_cast<double>(i + 1));
+        }
+        std::discrete_distribution<std::size_t> draw{weights.begin(), weights.end()};
+        std::mt19937 random{20261206};
+        unsigned opened = 0;
+        for (unsigned i = 0; i < reads; ++i) {
+            const customer_id customer{"customer-" + std::to_string(draw(random))};
+            // The load of other hosts differs from moment to moment.
+            std::uniform_int_distribution<int> queue{0, 10};
+            opened += use_connection(place(customer, queue(random), queue(random)), customer);
+        }
+        return static_cast<double>(opened) / reads;
+    }
+
+private:
+    std::size_t place(const customer_id& customer, int first_queue, int second_queue) const {
+        std::vector<placement_candidate> candidates{candidate("0", milliseconds{20}),
+                                                    candidate("1", milliseconds{20})};
+        candidates[0].queue_time = milliseconds{first_queue};
+        candidates[1].queue_time = milliseconds{second_queue};
+        const auto preferred = preferred_instances(
+            customer, {candidates[0].instance, candidates[1].instance}, customers, pool_size);
+        for (auto& item : candidates) {
+            item.is_avoided = keeps_to_few_ && !preferred.contains(item.instance);
+        }
+        return choose(candidates)->str() == "0" ? 0 : 1;
+    }
+
+    unsigned use_connection(std::size_t instance, const customer_id& customer) {
+        auto& pool = pools_[instance];
+        const auto found = std::find(pool.begin(), pool.end(), customer);
+        const unsigned opened = found == pool.end() ? 1 : 0;
+        if (found != pool.end()) {
+            pool.erase(found);
+        } else if (pool.size() == pool_size) {
+            pool.erase(pool.begin() +
+                       static_cast<std::ptrdiff_t>(choose_connection_to_close(pool)));
+        }
+        pool.push_back(customer);
+        return opened;
+    }
+
+    bool keeps_to_few_;
+    /// Customers of the idle connections, least recently used first.
+    std::array<std::vector<customer_id>, 2> pools_;
+};
+
+}  // namespace
+
+// 73 customers share instances that keep 42 connections; a quarter of all statements opened one.
+TEST_CASE("reads that keep to few instances open less than half of the connections") {
+    const double spread = pool_replay{false}.opened_per_read();
+    const double kept = pool_replay{true}.opened_per_read();
+    CHECK(spread > 0.05);
+    CHECK(kept < spread / 2);
+}
+
+TEST_CASE("a busy preferred instance passes reads on") {
+    auto preferred = candidate("preferred", milliseconds{20});
+    auto avoided = candidate("avoided", milliseconds{20});
+    avoided.is_avoided = true;
+    CHECK(choose({avoided, preferred}) == preferred.instance);
+    preferred.queue_time = setup + milliseconds{1};
+    CHECK(choose({avoided, preferred}) == avoided.instance);
+}
+
+TEST_CASE("nothing is preferred where every pool keeps a connection of every customer") {
+    const std::vector<instance_id> replicas{instance_id{"a"}, instance_id{"b"}};
+    CHECK(preferred_instances(customer_id{"parish"}, replicas, 8, 8).empty());
+    CHECK(preferred_instances(customer_id{"parish"}, replicas, 9, 8).size() == 1);
+    CHECK(preferred_instances(customer_id{"parish"}, {}, 9, 8).empty());
+}
+
+TEST_CASE("the loss of an instance moves only the customers that preferred it") {
+    rc::check([] {
+        const customer_id customer{"c" + std::to_string(*rc::gen::inRange(0, 1000))};
+        const std::vector<instance_id> all{instance_id{"a"}, instance_id{"b"}, instance_id{"c"}};
+        const auto before = preferred_instances(customer, all, 100, 40);
+        for (const auto& lost : all) {
+            std::vector<instance_id> left;
+            std::copy_if(all.begin(), all.end(), std::back_inserter(left),
+                         [&](const auto& instance) { return instance != lost; });
+            const auto after = preferred_instances(customer, left, 100, 40);
+            RC_ASSERT(before.contains(lost) || after == before);
+        }
+    });
+}
+
+TEST_CASE("a customer's second connection makes room before another customer's only one") {
+    const customer_id one{"one"};
+    const customer_id two{"two"};
+    const customer_id three{"three"};
+    CHECK(choose_connection_to_close(std::vector{one, two, three, two}) == 1);
+    CHECK(choose_connection_to_close(std::vector{one, two, three}) == 0);
+    CHECK(choose_connection_to_close(std::vector{one, two, two, two}) == 1);
+}
