Rows: transfers continue at the next source, and damaged frames lead to it

Found by review of the row exchange. A source that had not encoded a frame yet answered with its first piece although the asking host had it, so a transfer stalled when its source died; a frame that could not be decoded was requested again until the time was up, and the store was never read; a reader whose transfer used up its time called the store with a deadline that had passed, and told its domain that it has no rows; differences from two versions could be the same bytes under one id; hosts at different versions discarded each other's pieces. Frames are now bounded by bytes.

--- a/libs/rows/include/masticgrade/rows/row_download.hpp
+++ b/libs/rows/include/masticgrade/rows/row_download.hpp
@@ -16,8 +16,8 @@
 public:
     /// What to tell the next host that is asked.
     [[nodiscard]] transfer_progress progress() const;
-    /// Adds a piece. Pieces of another frame, or from another offset, start over if they are the
-    /// first of their frame, and are ignored otherwise.
+    /// Adds a piece. The first piece of another frame starts over; any other piece is ignored
+    /// unless it continues the frame.
     void add(const row_piece& piece);
     [[nodiscard]] bool is_complete() const;
     /// Digest of the rows that the frame is a difference from; 0 if it holds everything.
--- a/libs/rows/include/masticgrade/rows/row_source.hpp
+++ b/libs/rows/include/masticgrade/rows/row_source.hpp
@@ -13,8 +13,8 @@
 /// The versions of rows that a host can pass on to others, in small pieces of compressed
 /// differences.
 ///
-/// Answers the load of a large configuration that many hosts request at once over weak links: each
-/// asking host has one piece under way at a time, and a frame is compressed once for all of them.
+/// Written for a large configuration that many hosts request at once over weak links: each asking
+/// host has one piece under way at a time, and a frame is compressed once for all of them.
 ///
 /// Lives as long as the process. Thread safety: none.
 class row_source {
@@ -27,7 +27,8 @@
     static constexpr std::size_t kept_versions = 8;
     /// Memory limit of the kept versions, besides the current one.
     static constexpr std::size_t kept_bytes = std::size_t{2} << 20;
-    static constexpr std::size_t kept_frames = 16;
+    /// Memory limit of the kept frames, besides the newest one.
+    static constexpr std::size_t kept_frame_bytes = std::size_t{1} << 20;
 
     /// Replaces the current rows.
     void update(const row_snapshot& snapshot);
@@ -60,6 +61,7 @@
     const frame* find_frame(const row_query& query);
     const frame& make_frame(std::uint64_t base);
     void drop_old_versions();
+    void drop_old_frames();
 
     /// Newest first.
     std::deque<version> versions_;
--- a/libs/rows/include/masticgrade/rows/shared_rows.hpp
+++ b/libs/rows/include/masticgrade/rows/shared_rows.hpp
@@ -80,7 +80,8 @@
                                                                        std::string prefix,
                                                                        time_point deadline,
                                                                        bool& is_transferring);
-    /// The rows that a reply brings; nullopt if it brings none, or only a part of them.
+    /// The rows that a reply brings; nullopt if it brings none, only a part of them, or a damaged
+    /// frame.
     std::optional<std::vector<table_row>> rows_of(known_rows& known, row_reply& reply);
     static void keep(known_rows& known, const row_snapshot& snapshot);
 
--- a/libs/rows/src/row_compression.hpp
+++ b/libs/rows/src/row_compression.hpp
@@ -5,7 +5,7 @@
 
 namespace masticgrade {
 
-/// Compresses `contents` into a frame. Whatever also stands in `base` takes almost no space; the
+/// Compresses `contents` into a frame. Whatever `base` also contains takes almost no space; the
 /// receiver has to pass the same base. Throws masticgrade::error if the library fails.
 /// Thread safety: reentrant.
 std::string compress_rows(std::string_view contents, std::string_view base);
--- a/libs/rows/src/row_source.cpp
+++ b/libs/rows/src/row_source.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "row_compression.hpp"
@@ -69,14 +70,16 @@
         return reply;
     }
     const auto* found = find_frame(query);
-    std::uint32_t offset = query.progress.received;
     if (found == nullptr) {
-        offset = 0;
         const auto existing = std::find_if(frames_.begin(), frames_.end(), [&](const frame& item) {
             return item.digest == current().digest && item.base == query.digest;
         });
         found = existing != frames_.end() ? &*existing : &make_frame(query.digest);
     }
+    // Another source may have sent the first pieces of the same frame.
+    const bool continues =
+        found->id == query.progress.frame && query.progress.received < found->bytes.size();
+    const std::uint32_t offset = continues ? query.progress.received : 0;
     reply.digest = found->digest;
     reply.age = age(found->read_at);
     reply.era = found->era;
@@ -88,6 +91,7 @@
 const row_source::frame* row_source::find_frame(const row_query& query) {
     const auto found = std::find_if(frames_.begin(), frames_.end(), [&](const frame& item) {
         return item.id == query.progress.frame && item.digest != query.digest &&
+               (item.base == 0 || item.base == query.digest) &&
                query.progress.received < item.bytes.size();
     });
     return query.progress.frame == 0 || found == frames_.end() ? nullptr : &*found;
@@ -109,14 +113,23 @@
     const std::string nothing;
     made.bytes = compress_rows(serialized(versions_.front()),
                                older == nullptr ? nothing : serialized(*older));
-    made.id = XXH3_64bits(made.bytes.data(), made.bytes.size());
+    // Differences from two versions may be the same bytes.
+    made.id = XXH3_64bits_withSeed(made.bytes.data(), made.bytes.size(), made.base ^ made.digest);
     frames_.push_front(std::move(made));
-    if (frames_.size() > kept_frames) {
-        frames_.pop_back();
-    }
+    drop_old_frames();
     return frames_.front();
 }
 
+void row_source::drop_old_frames() {
+    std::size_t bytes = 0;
+    const auto first_dropped =
+        std::find_if(std::next(frames_.begin()), frames_.end(), [&](const frame& item) {
+            bytes += item.bytes.size();
+            return bytes > kept_frame_bytes;
+        });
+    frames_.erase(first_dropped, frames_.end());
+}
+
 row_source::version* row_source::find_version(std::uint64_t digest) {
     const auto found = std::find_if(versions_.begin(), versions_.end(), [&](const version& item) {
         return item.snapshot.digest == digest;
--- a/libs/rows/src/shared_rows.cpp
+++ b/libs/rows/src/shared_rows.cpp
@@ -38,11 +38,15 @@
     }
     auto& known = known_[prefix];
     const auto now = steady_clock::now();
-    // The store would send everything over a link that is too slow for the differences.
-    if (!access.reads_store && (is_transferring || now < known.next_fallback_read)) {
+    // The store would send everything over a link that is too slow for the differences, and a
+    // transfer that has used all the time leaves none for the store.
+    const bool is_waiting = is_transferring && (!access.reads_store || now >= deadline);
+    if (is_waiting) {
+        throw error("read rows", "", "the transfer is not complete");
+    }
+    if (!access.reads_store && now < known.next_fallback_read) {
         known.read_failed = true;
-        throw error("read rows", "",
-                    is_transferring ? "the transfer is not complete" : "no host has recent rows");
+        throw error("read rows", "", "no host has recent rows");
     }
     known.next_fallback_read = now + fallback_read_interval;
     co_return co_await read_store(std::move(prefix), deadline);
@@ -64,21 +68,30 @@
         if (!reply || !reply->known) {
             co_return std::nullopt;
         }
+        const bool is_other_frame = reply->piece && reply->piece->frame != query.progress.frame;
+        if (is_transferring && is_other_frame) {
+            // Keeps what an earlier source has sent of its frame.
+            co_return std::nullopt;
+        }
         row_snapshot snapshot{{}, reply->digest, asked_at - reply->age, reply->era};
         if (reply->digest == query.digest && known.digest() == query.digest) {
             known.download.reset();
             snapshot.rows = known.source.current().rows;
         } else if (auto rows = rows_of(known, *reply)) {
             snapshot.rows = std::move(*rows);
-        } else if (reply->piece && known.download.progress() != query.progress) {
+        } else if (known.download.progress().received > query.progress.received ||
+                   (is_other_frame && known.download.progress().received > 0)) {
             is_transferring = true;
             continue;
         } else {
             co_return std::nullopt;
         }
+        if (is_outdated(snapshot.era)) {
+            co_return std::nullopt;
+        }
         note_era(snapshot.era, prefix);
         keep(known, snapshot);
-        co_return snapshot;
+        co_return known.source.current();
     }
 }
 
@@ -107,6 +120,10 @@
 
 void shared_rows::keep(known_rows& known, const row_snapshot& snapshot) {
     if (!known.source.has_rows() || snapshot.read_at > known.source.current().read_at) {
+        if (known.digest() != snapshot.digest) {
+            // The next query names the new rows and gets the difference from them.
+            known.download.reset();
+        }
         known.source.update(snapshot);
     }
 }
--- a/libs/rows/test/shared_rows_test.cpp
+++ b/libs/rows/test/shared_rows_test.cpp
@@ -291,3 +291,89 @@
     // A host that gets the rows slowly doesn't read them from the store over the same link.
     CHECK(host.store.reads == 0);
 }
+
+namespace {
+
+/// Answers of a source that has the rows, for a host that has received `progress`.
+std::deque<std::optional<row_reply>> answers_from(row_source& source, transfer_progress progress,
+                                                  std::size_t count) {
+    std::deque<std::optional<row_reply>> result;
+    while (result.size() < count) {
+        auto reply = source.answer({prefix, 0, true, progress}, boot_clock::now());
+        progress = {reply.piece->frame,
+                    static_cast<std::uint32_t>(reply.piece->offset + reply.piece->bytes.size())};
+        const bool is_last = progress.received == reply.piece->frame_size;
+        result.emplace_back(std::move(reply));
+        if (is_last) {
+            break;
+        }
+    }
+    return result;
+}
+
+row_source source_of_large_rows() {
+    row_snapshot large{large_rows(), 0, boot_clock::now(), store_era{1}};
+    large.digest = digest_rows(large.rows);
+    row_source result;
+    result.update(large);
+    return result;
+}
+
+}  // namespace
+
+TEST_CASE("the next host continues a transfer whose first source has died") {
+    auto first = source_of_large_rows();
+    auto second = source_of_large_rows();
+    reader host;
+    host.reads_store = false;
+    host.answers = answers_from(first, {}, 3);
+    const auto progress = transfer_progress{
+        host.answers.back()->piece->frame,
+        static_cast<std::uint32_t>(host.answers.size() * row_source::piece_bytes)};
+    host.answers.emplace_back(std::nullopt);
+    for (auto& answer : answers_from(second, progress, 100)) {
+        host.answers.push_back(std::move(answer));
+    }
+    const auto result = host.read();
+    REQUIRE(result);
+    CHECK(result->digest == second.current().digest);
+    CHECK(host.store.reads == 0);
+}
+
+// Guards against a host that requests a frame which it cannot decode until its time is up, and
+// never asks anyone else.
+TEST_CASE("a damaged frame leads to the next source") {
+    auto source = source_of_large_rows();
+    reader host;
+    host.relays.resize(1);
+    host.answers = answers_from(source, {}, 100);
+    host.answers[2]->piece->bytes[100] ^= 0x55;
+    const auto pieces = host.answers.size();
+    const auto result = host.read();
+    REQUIRE(result);
+    CHECK(host.queries.size() == pieces);
+    CHECK(host.store.reads == 1);
+}
+
+// Guards against hosts at different versions that discard each other's pieces.
+TEST_CASE("another version from the next host does not discard the transfer") {
+    auto source = source_of_large_rows();
+    row_source outdated;
+    auto old_rows = large_rows();
+    old_rows.front().value[0] ^= 1;
+    row_snapshot old{old_rows, digest_rows(old_rows), boot_clock::now(), store_era{1}};
+    outdated.update(old);
+    reader host;
+    host.reads_store = false;
+    host.answers = answers_from(source, {}, 3);
+    const auto progress = transfer_progress{
+        host.answers.back()->piece->frame,
+        static_cast<std::uint32_t>(host.answers.size() * row_source::piece_bytes)};
+    host.answers.emplace_back(std::nullopt);
+    host.answers.push_back(answers_from(outdated, {}, 1).front());
+    CHECK_FALSE(host.read());
+    host.answers = answers_from(source, progress, 100);
+    const auto result = host.read();
+    REQUIRE(result);
+    CHECK(result->digest == source.current().digest);
+}
