Gateway: time for the last answers of a stop, and no abort of a commit that has arrived

Found by review. A statement on another host's connection could be answered after the process had ended, since its time limit was the end itself; a commit that had arrived unread at half of the grace found its transaction aborted; and with a grace of zero the listening socket was not closed.

The test of sessions that arrive during a stop also checks that what was refused as not run did not run.

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -39,7 +39,6 @@
         if (!co_await open()) {
             co_return;
         }
-        is_open_ = true;
         first_request_deadline_ = steady_clock::now() + first_request_timeout;
         while (!closing_ || has_work()) {
             idle_since_ = steady_clock::now();
@@ -163,7 +162,7 @@
 }
 
 void caller_session::abort_transaction(std::string_view reason) {
-    if (busy_ || !transaction_ || transaction_->failed) {
+    if (busy_ || !transaction_ || transaction_->failed || link_->has_pending_input()) {
         return;
     }
     event_line{"transaction_aborted"}
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -55,7 +55,7 @@
     /// Closes the session as soon as the caller waits for no answer and no transaction is open. A
     /// caller that has just connected is given time for a request.
     void close_when_idle();
-    /// Aborts an open transaction unless a statement is running.
+    /// Aborts an open transaction unless a statement is running or has arrived.
     void abort_transaction(std::string_view reason);
 
 private:
@@ -121,7 +121,6 @@
     session_context context_;
     std::optional<open_transaction> transaction_;
     std::optional<log_index> last_commit_;
-    bool is_open_ = false;
     bool busy_ = false;
     bool closing_ = false;
     time_point idle_since_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -171,7 +171,7 @@
         for (auto& [name, failover] : failovers_) {
             failover->stop();
         }
-        sessions_environment_.serve_until = schedule.deadline();
+        sessions_environment_.serve_until = schedule.answer_deadline();
         while (steady_clock::now() < schedule.deadline()) {
             const auto now = steady_clock::now();
             if (schedule.closes_sessions(now)) {
@@ -187,6 +187,9 @@
             }
             co_await sleep(tick_interval);
         }
+        if (!sessions_environment_.refuses_work) {
+            close_listener();
+        }
         reports_->send(true);
         co_await sleep(tick_interval);
         event_line{"stopped"}.field("sessions", sessions_.size()).write();
--- a/libs/gateway/test/stop_schedule_test.cpp
+++ b/libs/gateway/test/stop_schedule_test.cpp
@@ -13,7 +13,8 @@
     CHECK(schedule.closes_sessions(started + grace / 3));
     CHECK_FALSE(schedule.refuses_work(started + grace / 3));
     CHECK(schedule.refuses_work(started + grace / 2));
-    CHECK(schedule.deadline() > started + grace / 2);
+    CHECK(schedule.answer_deadline() > started + grace / 2);
+    CHECK(schedule.answer_deadline() < schedule.deadline());
     CHECK(schedule.deadline() < started + grace);
 }
 
--- a/tests/edge/edge_run_test.cpp
+++ b/tests/edge/edge_run_test.cpp
@@ -293,6 +293,7 @@
     fleet.world.set_work(milliseconds{30});
     const auto port = fleet.ports[0];
     std::mutex mutex;
+    std::vector<std::string> not_run;
     std::vector<std::string> unanswered;
     std::atomic<unsigned> answered{0};
     const auto call_until_refused = [&](const std::string& name) {
@@ -306,6 +307,10 @@
                 const auto answer = client.query(id, "READ pole");
                 if (!answer.empty() && answer.back().rfind("READY", 0) == 0) {
                     ++answered;
+                    if (answer.front().rfind("ERROR BUSY", 0) == 0) {
+                        const std::lock_guard lock{mutex};
+                        not_run.push_back(id);
+                    }
                     continue;
                 }
             } catch (const boost::system::system_error&) {
@@ -325,9 +330,11 @@
     }
     CHECK(fleet.processes[0].wait() == 0);
     CHECK(answered > 0);
-    for (const auto& id : unanswered) {
-        CAPTURE(id);
-        CHECK(fleet.world.runs_of(id) == 0);
+    for (const auto* ids : {&unanswered, &not_run}) {
+        for (const auto& id : *ids) {
+            CAPTURE(id);
+            CHECK(fleet.world.runs_of(id) == 0);
+        }
     }
 }
 
