Placement: preferences rank all replicas, and own pools need no guess

Found by review. Preferences were ranked over the instances that are candidates at the moment, so a replica that lagged for 150 ms moved its customers' connections; reads were charged for the primary, which has a connection of every customer that writes; and the host that owns a pool was charged although it knows its connections.

--- a/libs/gateway/include/masticgrade/gateway/placement.hpp
+++ b/libs/gateway/include/masticgrade/gateway/placement.hpp
@@ -23,8 +23,9 @@
     microseconds service_time{0};
     /// Moving average of the time that operations waited for a connection from the pool owner.
     microseconds queue_time{0};
-    /// Another instance is more likely to have a connection of the customer; see
-    /// preferred_instances.
+    /// Another host owns the connection pool.
+    bool is_remote = false;
+    /// The pool owner probably has no connection of the customer; see preferred_instances.
     bool is_avoided = false;
     /// An idle connection of the customer is available.
     bool has_free_connection = false;
@@ -47,12 +48,12 @@
                                            microseconds connection_setup);
 
 /// The replicas that the customer's reads prefer, so that its connections are kept where they are
-/// used again. Empty if every pool can keep a connection of every customer.
+/// used again. Empty if every pool can keep a connection of every customer, or without replicas.
 ///
-/// Answers the load of more customers than an instance accepts connections: with reads spread over
-/// all instances, pools close connections that are needed again soon, and opening one occupies a
-/// slot as long as a statement does. All hosts agree, and the loss of an instance moves only its
-/// own customers.
+/// Written for more customers than an instance accepts connections: with reads spread over all
+/// instances, pools close connections that are needed again soon, and opening one occupies a slot
+/// as long as a statement does. All hosts rank the replicas alike, and the loss of one changes the
+/// rank of no other.
 ///
 /// Thread safety: reentrant.
 std::set<instance_id> preferred_instances(const customer_id& customer,
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -226,6 +226,7 @@
     item.service_time = instance.service_time;
     if (!owner.host.empty()) {
         item.queue_time = instance.queue_time;
+        item.is_remote = true;
         item.has_free_connection = true;
         return item;
     }
@@ -301,17 +302,21 @@
 
 void backend_group::mark_avoided(std::vector<placement_candidate>& candidates,
                                  const customer_id& customer) const {
+    const auto core_size =
+        pool_owner_connections(settings_.max_connections, settings_.customers).core_size;
+    if (settings_.customers <= core_size) {
+        return;
+    }
     std::vector<instance_id> replicas;
-    for (const auto& item : candidates) {
-        if (!item.is_primary) {
-            replicas.push_back(item.instance);
+    for (const auto& [id, instance] : instances_) {
+        if (primary_ != id && !instance.draining_since) {
+            replicas.push_back(id);
         }
     }
-    const auto core_size =
-        pool_owner_connections(settings_.max_connections, settings_.customers).core_size;
     const auto preferred = preferred_instances(customer, replicas, settings_.customers, core_size);
     for (auto& item : candidates) {
-        item.is_avoided = !preferred.empty() && !preferred.contains(item.instance);
+        item.is_avoided = item.is_remote && !item.is_primary && !preferred.empty() &&
+                          !preferred.contains(item.instance);
     }
 }
 
--- a/libs/gateway/test/placement_test.cpp
+++ b/libs/gateway/test/placement_test.cpp
@@ -176,7 +176,9 @@
             const customer_id customer{"customer-" + std::to_string(draw(random))};
             // The load of other hosts differs from moment to moment.
             std::uniform_int_distribution<int> queue{0, 10};
-            opened += use_connection(place(customer, queue(random), queue(random)), customer);
+            const int first_queue = queue(random);
+            const int second_queue = queue(random);
+            opened += use_connection(place(customer, first_queue, second_queue), customer);
         }
         return static_cast<double>(opened) / reads;
     }
