Placement: a pool keeps at most half of the connections that an instance accepts

Cause: a pool kept up to three quarters of an instance's connections. After a power loss the instance counts them for 3 s more, so that the new pool owner could open only a quarter.

Change: half.

Where connections are scarce more of them are opened in calm times.

--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -125,7 +125,8 @@
 
 pool_limits pool_owner_connections(unsigned max_connections, std::size_t customers) {
     constexpr double min_core_fraction = 0.35;
-    constexpr double max_core_fraction = 0.75;
+    // When an owner loses power, its connections count for seconds. The next owner needs as many.
+    constexpr double max_core_fraction = 0.5;
     constexpr double max_fraction = 0.8;
     const auto connections = [&](double fraction) {
         return std::max(1U, static_cast<unsigned>(fraction * max_connections));
