Failover: a host that is cut off or slow replaces no primary

What callers saw: while the links of many hosts were full, a host started failovers of groups whose primaries were well. Writes to these groups were refused until the row was closed.

Cause, three parts: - A host that finds a primary dead asks the pool owner and four others.

Change: primary_suspicion judges a primary without clock or socket. A recent answer reported by a host means alive. Confirmed dead takes replies from half of the hosts asked and an answer from a replica, and the primary is asked after the hosts; a status answer clears the suspicion. Without an answer from a replica nothing is concluded: no promotion would be possible. A host that knows of no other decides alone, as before. A host that finds no other one live asks the registered ones. Replies "not used here" count for the asking host's connection only.

Why it works: a full or cut link shows in the missing replies of hosts and replicas, and is judged in the same round as the silence of the primary.

--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -66,4 +66,8 @@
 std::size_t failover_rank(const group_id& group, const host_id& self,
                           const std::vector<host_id>& hosts);
 
+/// Up to `count` of `hosts`, those with the lowest ranks in the order of `failover_rank`.
+std::vector<host_id> highest_ranked_hosts(const group_id& group, std::vector<host_id> hosts,
+                                          std::size_t count);
+
 }  // namespace masticgrade
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -318,43 +318,49 @@
         return group;
     }
 
-    /// Asks the pool owner of the primary and the hosts that rank highest for the group's failover.
-    asio::awaitable<std::optional<milliseconds>> query_primary(group_id group,
-                                                               instance_entry primary) {
-        const auto self = shared_from_this();
-        const auto answer_by = steady_clock::now() + announcement_timeout;
-        std::vector<host_id> hosts;
+    /// The pool owner of the primary and the live hosts that rank highest for the group's failover.
+    /// Registered hosts if none is live: all may have failed, or this host may be cut off.
+    std::set<host_id> hosts_to_ask_about(const group_id& group, const instance_entry& primary) {
+        auto candidates = live_host_ids();
+        std::erase(candidates, settings_.host);
+        if (candidates.empty()) {
+            const auto registered = other_hosts();
+            candidates.assign(registered.begin(), registered.end());
+        }
+        const auto highest = highest_ranked_hosts(group, candidates, hosts_asked_about_primary);
+        std::set<host_id> result{highest.begin(), highest.end()};
         if (const auto owner = pool_owners_->pool_owner_of(primary).host; !owner.empty()) {
-            hosts.push_back(owner);
-        }
-        const auto live = live_host_ids();
-        for (const auto& host : live) {
-            if (host != settings_.host &&
-                failover_rank(group, host, live) < hosts_asked_about_primary) {
-                hosts.push_back(host);
-            }
+            result.insert(owner);
         }
-        const auto best = std::make_shared<std::optional<milliseconds>>();
+        return result;
+    }
+
+    asio::awaitable<primary_replies> query_primary(group_id group, instance_entry primary) {
+        const auto self = shared_from_this();
+        const auto answer_by = steady_clock::now() + announcement_timeout;
+        const auto hosts = hosts_to_ask_about(group, primary);
+        const auto replies = std::make_shared<primary_replies>(hosts.size());
         const auto pending = std::make_shared<pending_confirmations>(
             pending_confirmations{hosts.size(), asio::steady_timer{executor_, answer_by}});
+        std::size_t index = 0;
         for (const auto& host : hosts) {
-            asio::co_spawn(
-                executor_, leases_->query_primary(host, {group, primary.id}, answer_by),
-                [pending, best](const std::exception_ptr& failure,
-                                const std::optional<primary_reply>& reply) {
-                    if (!failure && reply && reply->alive && (!*best || reply->age < **best)) {
-                        *best = reply->age;
-                    }
-                    if (--pending->missing == 0) {
-                        pending->timer.cancel();
-                    }
-                });
+            asio::co_spawn(executor_, leases_->query_primary(host, {group, primary.id}, answer_by),
+                           [pending, replies, index](const std::exception_ptr& failure,
+                                                     const std::optional<primary_reply>& reply) {
+                               if (!failure) {
+                                   (*replies)[index] = reply;
+                               }
+                               if (--pending->missing == 0) {
+                                   pending->timer.cancel();
+                               }
+                           });
+            ++index;
         }
         if (pending->missing > 0) {
             boost::system::error_code ignored;
             co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
-        co_return *best;
+        co_return *replies;
     }
 
     /// Tells all registered hosts that this host has acquired a failover lock. Hosts that register
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -25,12 +25,11 @@
 constexpr seconds hold_timeout{3};
 /// Time from a promotion call until the target is the primary; instances take up to 1 s.
 constexpr seconds new_primary_timeout{3};
-/// A primary that answered another host this recently is alive. Shorter than the time in which a
-/// failure is detected, so that answers from before the failure don't count.
-constexpr milliseconds recent_answer_age{400};
 /// Prevents that one failure causes a series of promotions.
 constexpr seconds delay_after_promotion{3};
 constexpr milliseconds delay_after_failure{400};
+/// Shorter than `delay_after_failure`: the replies to the next query may be sufficient.
+constexpr milliseconds delay_after_inconclusive_verdict{100};
 /// Calls with an unknown outcome are repeated for this long. The platform may carry out a call up
 /// to 12 s late.
 constexpr seconds promote_timeout{15};
@@ -76,6 +75,7 @@
         const auto kind = required_failover(now);
         if (kind == failover_kind::none) {
             required_since_.reset();
+            suspicion_.clear();
             if (!replicas_to_resume_.empty() && now >= resume_after_) {
                 co_await resume_pending_replicas();
             }
@@ -106,15 +106,22 @@
 asio::awaitable<void> group_failover::run_failover(failover_kind kind) {
     retry_after_ = steady_clock::now() + delay_after_failure;
     const auto replaced = group_->primary();
-    const bool has_primary = co_await find_primary();
-    if (has_primary && kind == failover_kind::unplanned) {
-        if (row_needs_closing()) {
-            co_await close_abandoned_row();
+    if (kind == failover_kind::planned) {
+        co_await survey_instances();
+    } else {
+        const auto verdict = co_await assess_primary();
+        if (!verdict) {
+            if (row_needs_closing()) {
+                co_await close_abandoned_row();
+            }
+            co_return;
+        }
+        if (*verdict == primary_verdict::inconclusive) {
+            retry_after_ = steady_clock::now() + delay_after_inconclusive_verdict;
+        }
+        if (!permits_failover(*verdict)) {
+            co_return;
         }
-        co_return;
-    }
-    if (kind == failover_kind::unplanned && co_await others_reach_primary()) {
-        co_return;
     }
     if (!co_await acquire_lock()) {
         co_return;
@@ -359,7 +366,8 @@
         .write();
 }
 
-asio::awaitable<bool> group_failover::find_primary() {
+asio::awaitable<group_failover::survey_result> group_failover::survey_instances() {
+    survey_result result;
     bool found = false;
     const backend_request status_request = backend_status{};
     const auto entries = group_->entries();
@@ -369,38 +377,74 @@
         const auto status = co_await orders_.send(entry.id, status_request);
         if (status) {
             group_->on_status(entry.id, *status);
+            result.replicas_answered += known == entry.id ? 0 : 1;
             found = found || (status->is_primary && group_->primary() == entry.id &&
                               status->term >= group_->newest_term());
         }
     }
-    if (was_dead && known && known == group_->primary() &&
-        !group_->primary_is_dead(steady_clock::now())) {
-        // It refused the order but is alive.
-        co_return true;
-    }
     // A primary that answers but can't commit counts as dead too.
-    co_return found && !group_->primary_is_dead(steady_clock::now());
+    const bool is_dead = group_->primary_is_dead(steady_clock::now());
+    // One that refuses the order is alive.
+    const bool refused_order = was_dead && known && known == group_->primary();
+    result.has_primary = !is_dead && (found || refused_order);
+    co_return result;
 }
 
-asio::awaitable<bool> group_failover::others_reach_primary() {
+asio::awaitable<std::optional<primary_verdict>> group_failover::assess_primary() {
     const auto primary = group_->primary();
-    for (const auto& entry : group_->entries()) {
-        if (entry.id != primary) {
-            continue;
-        }
-        const auto age = co_await environment_.query_primary(group_->name(), entry);
-        if (!age || *age > recent_answer_age) {
-            co_return false;
+    // The instances are asked after the other hosts, so that the silence of the primary counts only
+    // if messages to others are answered at the same time.
+    const bool ask_hosts_first = group_->primary_is_dead(steady_clock::now());
+    primary_inquiry inquiry;
+    if (ask_hosts_first) {
+        inquiry.replies = co_await query_primary();
+    }
+    if (!inquiry.reports_alive()) {
+        const auto survey = co_await survey_instances();
+        if (survey.has_primary) {
+            suspicion_.clear();
+            co_return std::nullopt;
         }
-        event_line{"primary_reported_alive"}
-            .field("group", group_->name())
-            .field("instance", entry.id)
-            .field_ms("answer_age_ms", *age)
-            .write();
-        group_->on_primary_reported_alive(entry.id);
-        co_return true;
+        inquiry.replicas_answered = survey.replicas_answered;
+    }
+    if (!ask_hosts_first) {
+        inquiry.replies = co_await query_primary();
+    }
+    const auto verdict = suspicion_.assess(inquiry, steady_clock::now());
+    log_verdict(primary.value_or(instance_id{"none"}), verdict, inquiry);
+    if (verdict == primary_verdict::alive && primary) {
+        group_->on_primary_reported_alive(*primary);
     }
-    co_return false;
+    co_return verdict;
+}
+
+asio::awaitable<primary_replies> group_failover::query_primary() {
+    const auto primary = group_->primary();
+    const auto entries = group_->entries();
+    const auto entry = std::find_if(entries.begin(), entries.end(),
+                                    [&](const auto& item) { return item.id == primary; });
+    if (entry == entries.end()) {
+        co_return primary_replies{};
+    }
+    auto group = group_->name();
+    auto suspect = *entry;
+    co_return co_await environment_.query_primary(std::move(group), std::move(suspect));
+}
+
+void group_failover::log_verdict(const instance_id& instance, primary_verdict verdict,
+                                 const primary_inquiry& inquiry) const {
+    event_line line{verdict == primary_verdict::alive ? "primary_reported_alive"
+                                                      : "primary_verdict"};
+    line.field("group", group_->name())
+        .field("instance", instance)
+        .field("verdict", to_string(verdict))
+        .field("asked", inquiry.asked())
+        .field("replied", inquiry.replied())
+        .field("replicas_answered", inquiry.replicas_answered);
+    if (const auto age = inquiry.newest_answer_age()) {
+        line.field_ms("answer_age_ms", *age);
+    }
+    line.write();
 }
 
 asio::awaitable<bool> group_failover::acquire_lock() {
@@ -551,7 +595,7 @@
             if (candidate.held) {
                 held_replicas_.push_back(entry.id);
                 if (candidate.held->is_primary || candidate.held->term >= hold_term_) {
-                    // Another promotion has finished; `find_primary` will find its primary.
+                    // Another promotion has finished; `survey_instances` will find its primary.
                     co_return std::nullopt;
                 }
             }
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -11,6 +11,7 @@
 #include "backend_group.hpp"
 #include "failover_row_store.hpp"
 #include "instance_orders.hpp"
+#include "masticgrade/gateway/primary_verdict.hpp"
 #include "masticgrade/gateway/promotion_choice.hpp"
 #include "masticgrade/net/table_service.hpp"
 
@@ -28,10 +29,8 @@
     std::function<std::vector<host_id>()> live_hosts;
     /// Refreshes the instance directory. Throws masticgrade::error.
     std::function<boost::asio::awaitable<void>()> read_directory;
-    /// Asks some other hosts whether the primary is alive. Returns the time since one of them last
-    /// received an answer from it, or nullopt if none has.
-    std::function<boost::asio::awaitable<std::optional<milliseconds>>(group_id group,
-                                                                      instance_entry primary)>
+    /// Asks some other hosts whether they reach the primary.
+    std::function<boost::asio::awaitable<primary_replies>(group_id group, instance_entry primary)>
         query_primary;
     /// Tells all other registered hosts that this host has acquired the failover lock. Returns the
     /// number of hosts that did not confirm. Throws masticgrade::error.
@@ -101,11 +100,20 @@
     boost::asio::awaitable<std::optional<promotion_choice>> prepare_target(failover_kind kind);
     /// Returns the status of the primary if it has confirmed that it no longer leads.
     boost::asio::awaitable<std::optional<instance_status>> demote_primary();
-    /// Queries all instances. Returns whether the known primary is alive.
-    boost::asio::awaitable<bool> find_primary();
-    /// Whether other hosts have just received answers from the primary, so that this host is the
-    /// one that is cut off or slow.
-    boost::asio::awaitable<bool> others_reach_primary();
+    struct survey_result {
+        /// The known primary is alive.
+        bool has_primary = false;
+        std::size_t replicas_answered = 0;
+    };
+    /// Queries all instances.
+    boost::asio::awaitable<survey_result> survey_instances();
+    /// Finds out whether the primary has failed, by asking other hosts and all instances. Returns
+    /// nullopt if the primary answers this host.
+    boost::asio::awaitable<std::optional<primary_verdict>> assess_primary();
+    /// Asks other hosts about the primary. Returns no replies if the directory does not list it.
+    boost::asio::awaitable<primary_replies> query_primary();
+    void log_verdict(const instance_id& instance, primary_verdict verdict,
+                     const primary_inquiry& inquiry) const;
     /// Holds all replicas and chooses the one with the longest log.
     boost::asio::awaitable<std::optional<promotion_choice>> hold_replicas(failover_kind kind);
     /// Waits until the held replicas have every acknowledged commit between them, and chooses one
@@ -134,6 +142,7 @@
     bool stopping_ = false;
     bool promoting_ = false;
     std::optional<time_point> required_since_;
+    primary_suspicion suspicion_;
     time_point retry_after_{};
     /// The lock as last acquired by this host.
     failover_row lock_;
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -82,6 +82,7 @@
     }
     if (status.is_primary && status.term >= newest_term_) {
         set_primary(instance, status.term, "status");
+        failure_detector_.on_answer(steady_clock::now());
     }
     newest_term_ = std::max(newest_term_, status.term);
 }
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "masticgrade/base/time.hpp"
+#include "masticgrade/gateway/primary_verdict.hpp"
 #include "masticgrade/gateway/session_state.hpp"
 #include "masticgrade/gateway/statement.hpp"
 #include "masticgrade/rows/row_messages.hpp"
@@ -163,15 +164,6 @@
     friend bool operator==(const primary_query&, const primary_query&) = default;
 };
 
-struct primary_reply {
-    /// The recipient uses the instance as the primary, and it has answered.
-    bool alive = false;
-    /// Time since the last answer.
-    milliseconds age{0};
-
-    friend bool operator==(const primary_reply&, const primary_reply&) = default;
-};
-
 using lease_payload =
     std::variant<lease_request, lease_reply, run_request, run_reply, lease_release, ping, pong,
                  position_query, position_reply, row_query, row_reply, failover_begun,
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -3,7 +3,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
+#include <utility>
 
 namespace masticgrade {
 
@@ -15,6 +17,11 @@
 /// each attempt asks all instances of the group and reads the store.
 constexpr std::size_t max_delayed_rank = 16;
 
+std::uint64_t failover_weight(const group_id& group, const host_id& host) {
+    const auto text = group.str() + '\n' + host.str();
+    return XXH3_64bits(text.data(), text.size());
+}
+
 }  // namespace
 
 std::optional<promotion_choice> choose_promotion_target(
@@ -59,14 +66,27 @@
 
 std::size_t failover_rank(const group_id& group, const host_id& self,
                           const std::vector<host_id>& hosts) {
-    const auto weight = [&](const host_id& host) {
-        const auto text = group.str() + '\n' + host.str();
-        return XXH3_64bits(text.data(), text.size());
-    };
-    const auto own = weight(self);
-    return static_cast<std::size_t>(
-        std::count_if(hosts.begin(), hosts.end(),
-                      [&](const auto& host) { return host != self && weight(host) > own; }));
+    const auto own = failover_weight(group, self);
+    return static_cast<std::size_t>(std::count_if(
+        hosts.begin(), hosts.end(),
+        [&](const auto& host) { return host != self && failover_weight(group, host) > own; }));
+}
+
+std::vector<host_id> highest_ranked_hosts(const group_id& group, std::vector<host_id> hosts,
+                                          std::size_t count) {
+    std::vector<std::pair<std::uint64_t, host_id>> weighted;
+    weighted.reserve(hosts.size());
+    for (auto& host : hosts) {
+        const auto weight = failover_weight(group, host);
+        weighted.emplace_back(weight, std::move(host));
+    }
+    const auto end = weighted.begin() + static_cast<std::ptrdiff_t>(std::min(count, hosts.size()));
+    std::partial_sort(weighted.begin(), end, weighted.end(), std::greater{});
+    hosts.clear();
+    for (auto item = weighted.begin(); item != end; ++item) {
+        hosts.push_back(std::move(item->second));
+    }
+    return hosts;
 }
 
 }  // namespace masticgrade
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -55,7 +55,7 @@
             metrics_,
             [] { return std::vector{host_id{"host-1"}}; },
             [this] { return read_directory(); },
-            [this](const group_id&, const instance_entry&) { return answer_age(); },
+            [this](const group_id&, const instance_entry&) { return ask_others(); },
             [this](const group_id&, std::uint64_t) { return announce(); },
             [](const group_id&, std::uint64_t) {}};
         auto failover = std::make_shared<group_failover>(group, std::move(environment));
@@ -83,7 +83,7 @@
 
 private:
     boost::asio::awaitable<std::size_t> announce() { co_return silent_hosts; }
-    boost::asio::awaitable<std::optional<milliseconds>> answer_age() { co_return std::nullopt; }
+    boost::asio::awaitable<primary_replies> ask_others() { co_return primary_replies{}; }
 
     boost::asio::awaitable<void> read_directory() {
         on_directory_read();
@@ -287,7 +287,7 @@
                 first->update(settings_, connector.entries(), {});
                 co_return;
             },
-            [this](const group_id&, const instance_entry& primary) { return answer_age(primary); },
+            [this](const group_id&, const instance_entry& primary) { return ask_others(primary); },
             [this, silent_hosts](const group_id&, std::uint64_t fence) {
                 return announce(silent_hosts, fence);
             },
@@ -355,6 +355,11 @@
         return *used;
     }
 
+    void first_reaches_primary(bool reached) {
+        first_connector_.set_unreachable(reached ? std::set<std::string>{}
+                                                 : std::set<std::string>{"a"});
+    }
+
     boost::asio::io_context context{1};
     fake_connector connector;
     fake_store store;
@@ -363,11 +368,24 @@
     std::shared_ptr<backend_group> second;
     /// Whether the second host answers queries about the primary.
     bool second_answers = false;
+    /// Other hosts that are asked about the primary and don't reply.
+    std::size_t silent_when_asked = 0;
+    /// Other hosts that reply without having used the primary.
+    std::size_t hosts_without_evidence = 0;
+    std::function<void()> on_asked = [] {};
+    std::optional<time_point> first_asked_at;
 
 private:
-    boost::asio::awaitable<std::optional<milliseconds>> answer_age(instance_entry primary) {
-        const auto reply = second->report_primary(primary.id);
-        co_return reply.alive&& second_answers ? std::optional{reply.age} : std::nullopt;
+    boost::asio::awaitable<primary_replies> ask_others(instance_entry primary) {
+        const auto now = steady_clock::now();
+        first_asked_at = first_asked_at.value_or(now);
+        on_asked();
+        primary_replies replies(silent_when_asked);
+        replies.resize(silent_when_asked + hosts_without_evidence, primary_reply{});
+        if (second_answers) {
+            replies.emplace_back(second->report_primary(primary.id));
+        }
+        co_return replies;
     }
 
     boost::asio::awaitable<std::size_t> announce(std::size_t silent_hosts, std::uint64_t fence) {
@@ -597,6 +615,67 @@
     CHECK(fixture.promotions.orders.empty());
 }
 
+// Guards against the replacement of a primary that is well: a large configuration filled the links
+// of many hosts, so that neither the primary nor any other host replied to one of them.
+TEST_CASE("a host that no other host replies to replaces no primary at once") {
+    partitioned_fixture fixture;
+    fixture.silent_when_asked = 5;
+    const auto failover = fixture.start_failover(0);
+    const auto deadline = steady_clock::now() + seconds{5};
+    while (!fixture.first_asked_at && steady_clock::now() < deadline) {
+        fixture.run_for(milliseconds{20});
+    }
+    REQUIRE(fixture.first_asked_at);
+    fixture.run_for(inconclusive_limit - milliseconds{200});
+    failover->stop();
+    CHECK(fixture.promotions.orders.empty());
+    CHECK(fixture.second_host_uses_primary());
+}
+
+// In the incident the links stayed full for 8 s, longer than a host may wait for other hosts.
+TEST_CASE("a host that reaches neither hosts nor replicas does not acquire the failover lock") {
+    partitioned_fixture fixture;
+    fixture.silent_when_asked = 5;
+    fixture.connector.at("b").refuses_connections = true;
+    fixture.connector.at("c").refuses_connections = true;
+    const auto failover = fixture.start_failover(0);
+    fixture.run_for(2 * inconclusive_limit);
+    failover->stop();
+    REQUIRE(fixture.first_asked_at);
+    CHECK(fixture.store.value_of(lock_row).empty());
+    CHECK(fixture.second_host_uses_primary());
+}
+
+// In the incident the links became free for moments: the replies of hosts that never use the
+// primary arrived, and it would have answered as well.
+TEST_CASE("a primary that answers once other hosts reply is not replaced") {
+    partitioned_fixture fixture;
+    fixture.silent_when_asked = 2;
+    fixture.hosts_without_evidence = 3;
+    fixture.on_asked = [&] { fixture.first_reaches_primary(true); };
+    const auto failover = fixture.start_failover(0);
+    fixture.run_for(seconds{2});
+    failover->stop();
+    REQUIRE(fixture.first_asked_at);
+    CHECK(fixture.promotions.orders.empty());
+    CHECK(fixture.store.value_of(lock_row).empty());
+}
+
+// A group must not remain without a primary because the hosts that could confirm its death have
+// failed with it.
+TEST_CASE("a primary is replaced in time although no other host replies") {
+    partitioned_fixture fixture;
+    fixture.silent_when_asked = 5;
+    const auto failover = fixture.start_failover(0);
+    fixture.run_until_promoted();
+    failover->stop();
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    REQUIRE(fixture.first_asked_at);
+    const auto waited = steady_clock::now() - *fixture.first_asked_at;
+    CHECK(waited >= inconclusive_limit);
+    CHECK(waited < inconclusive_limit + seconds{1});
+}
+
 // Two holders promoted with one fencing token: the store had been restored to a copy without the
 // first promotion, and the second holder had started after that.
 TEST_CASE("fencing tokens are not reused after a restore of the store") {
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -110,6 +110,8 @@
     partitioned_connector(fake_connector& instances, std::set<std::string> unreachable)
         : instances_(instances), unreachable_(std::move(unreachable)) {}
 
+    void set_unreachable(std::set<std::string> names) { unreachable_ = std::move(names); }
+
     boost::asio::awaitable<instance_connection_ptr> connect(instance_entry instance,
                                                             customer_id customer,
                                                             time_point deadline) override;
--- a/libs/gateway/test/promotion_choice_test.cpp
+++ b/libs/gateway/test/promotion_choice_test.cpp
@@ -106,3 +106,19 @@
     CHECK(takeover_delay(10) > takeover_delay(5));
     CHECK(takeover_delay(500) < seconds{7});
 }
+
+// Hosts that are asked about a primary must be those that the ranks of the failover name.
+TEST_CASE("the highest-ranked hosts are those with the lowest ranks") {
+    CHECK(rc::check([](const std::set<std::uint8_t>& numbers, std::uint8_t count) {
+        std::vector<host_id> hosts;
+        for (const auto number : numbers) {
+            hosts.emplace_back("host-" + std::to_string(number));
+        }
+        const group_id group{"ledger"};
+        const auto chosen = highest_ranked_hosts(group, hosts, count);
+        RC_ASSERT(chosen.size() == std::min<std::size_t>(count, hosts.size()));
+        for (std::size_t i = 0; i < chosen.size(); ++i) {
+            RC_ASSERT(failover_rank(group, chosen[i], hosts) == i);
+        }
+    }));
+}
