Promotion: the safety rule follows the service's sync-replicas

Cause: the operators' configuration tells for each service how many replicas have a commit when it is acknowledged, and one was assumed everywhere. With none, a group waited for a lost replica although nothing is promised; with two or more it waited although every acknowledged commit was in a known log.

With n of them, a promotion tolerates n unknown logs, or fewer than n unknown replicas. With 0 the longest held log is promoted, also if the old primary's is longer: held replicas receive nothing more, so waiting would not help. A lost instance stays a log holder until n others have all that the primary held, since the rule counts n + 1 copies among the log holders.

--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -25,11 +25,10 @@
 
 /// Chooses a replica to promote without losing any acknowledged commit.
 ///
-/// A commit is acknowledged once at least one replica has received it. While every replica is held,
-/// none receives log entries, so no further commit is acknowledged and the replica with the longest
-/// log has every acknowledged one. Returns nullopt unless all `replicas` are held at `term`. Among
-/// replicas with equally long logs, those that are not draining are preferred; a draining replica
-/// is preferred to one with a shorter log.
+/// While every replica is held, none receives log entries, so no further commit is acknowledged if
+/// that takes a replica, and the replica with the longest log has every acknowledged one. Returns
+/// nullopt unless all `replicas` are held at `term`. Among replicas with equally long logs, those
+/// that are not draining are preferred; a draining replica is preferred to one with a shorter log.
 ///
 /// Thread safety: reentrant.
 std::optional<promotion_choice> choose_promotion_target(
@@ -47,14 +46,16 @@
     std::optional<log_index> longest_unlisted = {};
     /// The highest position known to be acknowledged since the last promotion.
     std::optional<log_index> acknowledged = {};
+    /// Replicas that have received a commit when it is acknowledged.
+    std::size_t sync_replicas = 1;
 };
 
 /// Whether a log that ends at `position`, the longest of the held replicas' logs, contains every
-/// acknowledged commit. An acknowledged commit is in the log of the primary and of at least one
-/// replica, so one unknown log cannot be the only one that contains it, but two can. Logs are
+/// acknowledged commit. Such a commit is in the log of the primary and of `sync_replicas` replicas,
+/// so that it is in a known one unless more than `sync_replicas` logs are unknown. Logs are
 /// compared by term first: one that ends in an earlier term lacks the commits of the later one,
-/// whatever its length.
-/// Thread safety: reentrant.
+/// whatever its length. With no synchronous replica, commits are acknowledged before any replica
+/// has them, and every position is sufficient. Thread safety: reentrant.
 bool contains_acknowledged_commits(log_index position, const unheld_logs& others);
 
 /// Delay before a host of the given rank starts a failover, so that hosts that detect the same
--- a/libs/gateway/include/masticgrade/gateway/topology.hpp
+++ b/libs/gateway/include/masticgrade/gateway/topology.hpp
@@ -48,6 +48,9 @@
     /// Operations per second that an instance accepts during warm-up, summed over all hosts; 0
     /// means no limit.
     double warmup_rate = 0;
+    /// Replicas that have received a commit when it is acknowledged. 1 is safe if the configuration
+    /// lacks the number: larger ones only permit more promotions, and 0 promises nothing.
+    unsigned sync_replicas = 1;
 };
 
 /// One version of the operators' configuration, decoded and indexed. Immutable once published.
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -253,6 +253,8 @@
     /// instance has taken over.
     [[nodiscard]] std::map<instance_id, endpoint_address> log_holders(time_point now) const;
     [[nodiscard]] bool primary_is_dead(time_point now) const;
+    /// See group_settings.
+    [[nodiscard]] unsigned sync_replicas() const { return settings_.sync_replicas; }
     void set_primary(const instance_id& instance, term_number term, std::string_view reason);
     /// Answers another host that finds the instance dead.
     [[nodiscard]] primary_reply report_primary(const instance_id& instance) const;
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -270,6 +270,7 @@
             .field("unknown_replicas", others.unknown_replicas)
             .field("primary_known", !others.primary_is_unknown)
             .field("acknowledged", others.acknowledged.value_or(log_index{}))
+            .field("sync_replicas", others.sync_replicas)
             .write();
         co_await sleep(check_interval);
     }
@@ -279,6 +280,7 @@
 asio::awaitable<unheld_logs> group_failover::find_unheld_logs(
     std::optional<instance_status> former_primary) {
     unheld_logs result;
+    result.sync_replicas = group_->sync_replicas();
     if (former_primary) {
         result.former_primary = former_primary->received;
     }
--- a/libs/gateway/src/log_holder_registry.cpp
+++ b/libs/gateway/src/log_holder_registry.cpp
@@ -114,17 +114,22 @@
     if (!leading || !leading->is_primary || leading->term < group_->newest_term()) {
         co_return false;
     }
+    const std::size_t required = group_->sync_replicas();
+    std::size_t replicated = 0;
     const auto entries = group_->entries();
     for (const auto& entry : entries) {
+        if (replicated >= required) {
+            break;
+        }
         if (entry.id == *primary) {
             continue;
         }
         const auto replica = co_await orders_.send(entry.id, status_request);
         if (replica && !replica->is_primary && replica->received >= leading->received) {
-            co_return true;
+            ++replicated;
         }
     }
-    co_return false;
+    co_return replicated >= required;
 }
 
 }  // namespace masticgrade
--- a/libs/gateway/src/log_holder_registry.hpp
+++ b/libs/gateway/src/log_holder_registry.hpp
@@ -47,7 +47,8 @@
     /// Whether all log holders that are not listed may be removed.
     boost::asio::awaitable<bool> are_dispensable(
         const std::map<instance_id, endpoint_address>& unlisted);
-    /// Whether a replica has received everything that the primary holds.
+    /// Whether as many replicas as an acknowledged commit takes have received everything that the
+    /// primary holds.
     boost::asio::awaitable<bool> is_replicated();
 
     std::shared_ptr<backend_group> group_;
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -43,7 +43,9 @@
 }
 
 bool contains_acknowledged_commits(log_index position, const unheld_logs& others) {
-    constexpr std::size_t copies_of_a_commit = 2;
+    if (others.sync_replicas == 0) {
+        return true;
+    }
     if (others.longest_unlisted && position < *others.longest_unlisted) {
         return false;
     }
@@ -54,10 +56,13 @@
     if (others.acknowledged && position < *others.acknowledged) {
         return false;
     }
+    if (others.unknown_replicas < others.sync_replicas) {
+        return true;
+    }
     if (others.former_primary) {
         return position >= *others.former_primary;
     }
-    return others.unknown_replicas + (others.primary_is_unknown ? 1 : 0) < copies_of_a_commit;
+    return others.unknown_replicas + (others.primary_is_unknown ? 1 : 0) <= others.sync_replicas;
 }
 
 milliseconds takeover_delay(std::size_t rank) noexcept {
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -33,6 +33,10 @@
     }
 
     void update() { group->update(group_settings_, connector.entries(), {}); }
+    void set_sync_replicas(unsigned number) {
+        group_settings_.sync_replicas = number;
+        update();
+    }
 
     /// Replaces the host by one that knows only what the directory and the failover row tell.
     void restart_host() {
@@ -139,6 +143,31 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
 }
 
+// Two unknown logs keep a group without a primary only if they may hold a promised commit.
+TEST_CASE("a promotion follows the configured number of synchronous replicas") {
+    unsigned sync_replicas = 0;
+    SUBCASE("none") {}
+    SUBCASE("two") { sync_replicas = 2; }
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.connector.add("d", false).position = 11;
+    for (const auto* name : {"a", "c"}) {
+        fixture.connector.at(name).refuses_connections = true;
+        fixture.connector.at(name).is_listed = false;
+    }
+    failover_record recorded;
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        recorded.log_holders[instance_id{name}] =
+            endpoint_address{std::string{name} + ".example:1"};
+    }
+    fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+    fixture.restart_host();
+    fixture.set_sync_replicas(sync_replicas);
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
+}
+
 // Guards against the loss of a new primary's commits: the only replica left ends in the term
 // before, and this host has seen commits of the new term acknowledged.
 TEST_CASE("a replica whose log ends in an earlier term than acknowledged commits is not promoted") {
--- a/libs/gateway/test/log_holder_registry_test.cpp
+++ b/libs/gateway/test/log_holder_registry_test.cpp
@@ -36,6 +36,7 @@
         group_settings settings;
         settings.name = group_name;
         settings.max_connections = 20;
+        settings.sync_replicas = sync_replicas;
         group_->update(settings, connector.entries(), {});
     }
 
@@ -60,6 +61,7 @@
 
     fake_connector connector;
     fake_store store;
+    unsigned sync_replicas = 1;
 
 private:
     boost::asio::io_context context_{1};
@@ -93,6 +95,20 @@
     CHECK(fixture.update() == names{"a", "b"});
 }
 
+// With two synchronous replicas, a promotion may ignore two unknown logs, so each acknowledged
+// commit must be in three of the recorded ones.
+TEST_CASE("a lost instance remains a log holder until as many others as a commit takes caught up") {
+    registry_fixture fixture;
+    fixture.sync_replicas = 2;
+    fixture.connector.add("d", false).position = 10;
+    fixture.list_instances();
+    fixture.update();
+    fixture.lose("c");
+    CHECK(fixture.update() == names{"a", "b", "c", "d"});
+    fixture.connector.at("d").position = 12;
+    CHECK(fixture.update() == names{"a", "b", "d"});
+}
+
 TEST_CASE("a lost instance remains a log holder while the primary does not answer") {
     registry_fixture fixture;
     fixture.update();
--- a/libs/gateway/test/promotion_choice_test.cpp
+++ b/libs/gateway/test/promotion_choice_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 using namespace masticgrade;
@@ -55,6 +56,114 @@
     CHECK(contains_acknowledged_commits({term_number{4}, log_position{1}}, others));
 }
 
+// With fewer promises a lost replica must not keep a group without a primary.
+TEST_CASE("as many unknown logs are tolerated as replicas have each acknowledged commit") {
+    const log_index position{term_number{2}, log_position{5}};
+    const log_index longer{term_number{2}, log_position{6}};
+    const auto allows = [&](std::size_t sync_replicas, unheld_logs others) {
+        others.sync_replicas = sync_replicas;
+        return contains_acknowledged_commits(position, others);
+    };
+    // Nothing is promised.
+    CHECK(allows(0, {3, true}));
+    CHECK(allows(0, {1, false, longer, longer, longer}));
+    CHECK(allows(2, {1, true}));
+    CHECK(allows(2, {2, false}));
+    CHECK_FALSE(allows(2, {2, true}));
+    CHECK_FALSE(allows(2, {3, false}));
+    CHECK(allows(2, {3, false, position}));
+    CHECK_FALSE(allows(2, {2, false, longer}));
+    // One of the known replicas has every acknowledged commit; the primary's others were none.
+    CHECK(allows(2, {1, false, longer}));
+    CHECK_FALSE(allows(2, {1, false, {}, longer}));
+    CHECK_FALSE(allows(2, {1, false, {}, {}, longer}));
+    CHECK(allows(3, {2, true}));
+    CHECK_FALSE(allows(3, {3, true}));
+}
+
+// Guards against promotions that lose acknowledged commits, for any number of synchronous replicas.
+TEST_CASE("a promotion that is allowed has every commit of the primary and n replicas") {
+    struct model_replica {
+        std::uint64_t received = 0;
+        bool is_known = true;
+        bool is_listed = true;
+    };
+    unsigned allowed_with_unknown = 0;
+    CHECK(rc::check([&] {
+        // The first one is known and listed: without such a replica there is nothing to promote.
+        std::vector<model_replica> replicas{{*rc::gen::inRange<std::uint64_t>(0, 8)}};
+        const auto others_count = *rc::gen::inRange<std::size_t>(1, 5);
+        for (std::size_t i = 0; i < others_count; ++i) {
+            replicas.push_back({*rc::gen::inRange<std::uint64_t>(0, 8), *rc::gen::arbitrary<bool>(),
+                                *rc::gen::arbitrary<bool>()});
+        }
+        const auto required = *rc::gen::inRange<std::size_t>(1, replicas.size() + 1);
+        std::vector<std::uint64_t> received;
+        received.reserve(replicas.size());
+        for (const auto& replica : replicas) {
+            received.push_back(replica.received);
+        }
+        std::sort(received.rbegin(), received.rend());
+        // The newest commit that `required` replicas have. The primary has at least what they have.
+        const auto acknowledged = received[required - 1];
+        const auto primary = received.front() + *rc::gen::inRange<std::uint64_t>(0, 3);
+
+        const auto at = [](std::uint64_t number) {
+            return log_index{term_number{2}, log_position{number}};
+        };
+        unheld_logs others;
+        others.sync_replicas = required;
+        others.primary_is_unknown = *rc::gen::arbitrary<bool>();
+        if (!others.primary_is_unknown) {
+            others.former_primary = at(primary);
+        }
+        if (*rc::gen::arbitrary<bool>()) {
+            others.acknowledged = at(*rc::gen::inRange<std::uint64_t>(0, acknowledged + 1));
+        }
+        std::uint64_t longest_held = 0;
+        for (const auto& replica : replicas) {
+            if (!replica.is_known) {
+                ++others.unknown_replicas;
+            } else if (replica.is_listed) {
+                longest_held = std::max(longest_held, replica.received);
+            } else {
+                others.longest_unlisted =
+                    std::max(others.longest_unlisted.value_or(log_index{}), at(replica.received));
+            }
+        }
+        if (contains_acknowledged_commits(at(longest_held), others)) {
+            allowed_with_unknown += others.unknown_replicas > 0 ? 1 : 0;
+            RC_ASSERT(longest_held >= acknowledged);
+        }
+    }));
+    CHECK(allowed_with_unknown > 0);
+}
+
+// A configuration that lacks the number is given 1, which must be the safe choice.
+TEST_CASE("a larger number of synchronous replicas never forbids a promotion") {
+    CHECK(rc::check([](std::uint8_t unknown, bool primary_is_unknown,
+                       const std::vector<std::uint8_t>& ends) {
+        unheld_logs others;
+        others.unknown_replicas = unknown % 5;
+        others.primary_is_unknown = primary_is_unknown;
+        const auto end_of = [&](std::size_t i) {
+            return i < ends.size() ? std::optional{log_index{term_number{2}, log_position{ends[i]}}}
+                                   : std::nullopt;
+        };
+        others.former_primary = end_of(0);
+        others.longest_unlisted = end_of(1);
+        others.acknowledged = end_of(2);
+        const log_index position{term_number{2}, log_position{100}};
+        bool was_allowed = false;
+        for (std::size_t number = 1; number < 6; ++number) {
+            others.sync_replicas = number;
+            const bool allowed = contains_acknowledged_commits(position, others);
+            RC_ASSERT(allowed || !was_allowed);
+            was_allowed = allowed;
+        }
+    }));
+}
+
 TEST_CASE("the replica with the longest log is promoted even if it is draining") {
     const auto choice = choose_promotion_target({replica("a", 10), replica("b", 12, true)}, term);
     REQUIRE(choice);
@@ -111,6 +220,7 @@
 TEST_CASE("the highest-ranked hosts are those with the lowest ranks") {
     CHECK(rc::check([](const std::set<std::uint8_t>& numbers, std::uint8_t count) {
         std::vector<host_id> hosts;
+        hosts.reserve(numbers.size());
         for (const auto number : numbers) {
             hosts.emplace_back("host-" + std::to_string(number));
         }
