--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -60,12 +60,6 @@
 
 const std::string failover_row::prefix = "failover/";
 
-std::uint64_t fence_base(store_era era) {
-    constexpr unsigned bits_per_era = 32;
-    const store_era first{1};
-    return era > first ? (era.value() - first.value()) << bits_per_era : 0;
-}
-
 std::string failover_row_key(const group_id& group) { return failover_row::prefix + group.str(); }
 
 std::string encode_failover_row(const failover_record& record, const host_id& holder) {
--- a/libs/gateway/src/failover_row.hpp
+++ b/libs/gateway/src/failover_row.hpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include "masticgrade/base/fence.hpp"
 #include "masticgrade/gateway/leadership_evidence.hpp"
 #include "masticgrade/version/table_row.hpp"
 
@@ -23,10 +24,6 @@
     static const std::string prefix;
 };
 
-/// A fencing token below all those of the given era and above those of the earlier ones, of which a
-/// restore of the store may have erased every record. Precondition: a group has fewer than 2^32
-/// failovers in an era. Thread safety: reentrant.
-std::uint64_t fence_base(store_era era);
 /// Thread safety: reentrant.
 std::string failover_row_key(const group_id& group);
 /// The row's value. Values of the same state differ, so that each write changes the row.
