Usage: the edge process counts, exchanges and reports usage

Settings without the duty or the window create none of it.

What counts is one request for a single statement and one for a transaction; statements of a transaction and callers without a key do not count.

--- a/libs/gateway/include/masticgrade/gateway/connections.hpp
+++ b/libs/gateway/include/masticgrade/gateway/connections.hpp
@@ -10,6 +10,7 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/gateway/statement.hpp"
 #include "masticgrade/gateway/topology.hpp"
+#include "masticgrade/usage/usage_reporter.hpp"
 #include "masticgrade/version/table_row.hpp"
 
 namespace masticgrade {
@@ -146,4 +147,16 @@
                                                               time_point deadline) = 0;
 };
 
+/// Receives the fleet's usage reports.
+class usage_report_service {
+public:
+    usage_report_service() = default;
+    usage_report_service(const usage_report_service&) = delete;
+    usage_report_service& operator=(const usage_report_service&) = delete;
+    virtual ~usage_report_service() = default;
+
+    virtual boost::asio::awaitable<report_outcome> send(window_usage report, std::uint64_t fence,
+                                                        time_point deadline) = 0;
+};
+
 }  // namespace masticgrade
--- a/libs/gateway/include/masticgrade/gateway/gateway.hpp
+++ b/libs/gateway/include/masticgrade/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "masticgrade/base/time.hpp"
@@ -22,6 +23,8 @@
     unsigned link_mbps = 0;
     /// Time from the stop request until the process is killed.
     milliseconds stop_grace{6000};
+    /// Usage is accounted for and reported if set.
+    std::optional<usage_settings> usage = {};
 };
 
 /// External services that the gateway uses. They must outlive it.
@@ -30,6 +33,8 @@
     const control_decoder& documents;
     promotion_service& promotions;
     table_service& store;
+    /// Required if the settings ask for usage reports.
+    usage_report_service* usage_reports = nullptr;
 };
 
 /// Serves long-lived caller sessions on a fleet of identical hosts.
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -119,7 +119,7 @@
     }
     if (route.is_public) {
         if (customer_.empty()) {
-            customer_ = customer_id{"-"};
+            customer_ = anonymous_customer;
         }
         return std::nullopt;
     }
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -15,6 +15,9 @@
 
 namespace masticgrade {
 
+/// Name under which instances are told of callers without a key.
+inline const customer_id anonymous_customer{"-"};
+
 /// Dependencies that all sessions share. Lives as long as the process.
 struct session_environment {
     boost::asio::any_io_executor executor;
@@ -26,6 +29,9 @@
     time_point serve_until = time_point::max();
     /// The process ends soon: new sessions and statements for an instance are refused.
     bool refuses_work = false;
+    /// Called for each operation of a customer that an instance began to run; absent if usage is
+    /// not accounted for.
+    std::function<void(const customer_id&, wall_time)> on_operation_run = {};
 };
 
 /// A caller's transaction. It holds a connection from its first statement on.
@@ -34,6 +40,8 @@
     bool failed = false;
     bool wrote = false;
     bool admitted = false;
+    /// Whether an instance has begun to run one of its statements.
+    bool has_run = false;
     /// Whether it runs on the primary, which refuses its statements after losing the primary role.
     bool on_primary = false;
     std::shared_ptr<const gateway_configuration> configuration;
@@ -101,6 +109,14 @@
     boost::asio::awaitable<statement_answer> execute_on(connection_lease& lease, operation& op,
                                                         std::optional<log_index> at_least,
                                                         bool proves_position);
+    /// Executes the statement once and counts its operation if the instance began to run it.
+    /// Throws connection_error.
+    boost::asio::awaitable<statement_answer> execute_counted(connection_lease& lease,
+                                                             backend_request request,
+                                                             bool may_commit, bool proves_position,
+                                                             time_point deadline);
+    /// Counts a single statement, or the first of a transaction.
+    void count_operation(wall_time began_at);
     /// Whether the caller, or this host on its behalf, still has to do something before the session
     /// may be closed.
     [[nodiscard]] bool has_work();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -30,6 +30,7 @@
 #include "pool_owner_selector.hpp"
 #include "report_exchange.hpp"
 #include "stop_schedule.hpp"
+#include "usage_accounting.hpp"
 
 namespace masticgrade {
 
@@ -127,6 +128,12 @@
             [this] { return uptime(); },
             [this] { refresh_failovers(); },
             incarnation_};
+        if (settings_.usage) {
+            leases.receive_usage = [this](const host_id& host, incarnation_number incarnation,
+                                          const usage_update& update) {
+                return usage_->receive(host, incarnation, update);
+            };
+        }
         leases_ = std::make_shared<lease_service>(std::move(leases));
         reports_ = std::make_unique<report_exchange>(
             reporting_host{settings_.host, incarnation_, settings_.failure_domain,
@@ -135,6 +142,9 @@
         pool_owners_ = std::make_unique<pool_owner_selector>(
             pool_owner_candidate{settings_.host, settings_.failure_domain, settings_.link_mbps},
             limiter_, hosts_, *leases_, [this] { return is_ready(); });
+        if (settings_.usage) {
+            create_usage_accounting();
+        }
     }
 
     void start() {
@@ -145,6 +155,10 @@
         spawn("positions", [this] { return position_loop(); });
         spawn("reports", [this] { return reports_->run(executor_); });
         spawn("tick", [this] { return tick_loop(); });
+        if (usage_) {
+            spawn("usage_exchange", [this] { return usage_->run_exchange(); });
+            spawn("usage_reports", [this] { return usage_->run_reports(); });
+        }
     }
 
     asio::awaitable<void> serve(std::shared_ptr<caller_connection> link) {
@@ -187,6 +201,9 @@
             }
             co_await sleep(tick_interval);
         }
+        if (usage_) {
+            usage_->send_totals();
+        }
         reports_->send(true);
         co_await sleep(tick_interval);
         event_line{"stopped"}.field("sessions", sessions_.size()).write();
@@ -262,6 +279,36 @@
         }
     }
 
+    /// Precondition: the settings ask for usage reports.
+    void create_usage_accounting() {
+        if (services_.usage_reports == nullptr) {
+            throw error("start", "usage accounting", "no service for usage reports is given");
+        }
+        usage_environment environment{executor_,
+                                      {settings_.host, incarnation_},
+                                      services_.store,
+                                      *services_.usage_reports,
+                                      *leases_,
+                                      metrics_,
+                                      [this] { return live_candidates(); }};
+        usage_ = std::make_unique<usage_accounting>(std::move(environment), *settings_.usage);
+        sessions_environment_.on_operation_run = [this](const customer_id& customer,
+                                                        wall_time began_at) {
+            usage_->count(customer, began_at);
+        };
+    }
+
+    std::vector<collector_candidate> live_candidates() const {
+        std::vector<collector_candidate> result{
+            {settings_.host, settings_.failure_domain, settings_.link_mbps}};
+        for (const auto& [id, host] : hosts_.others()) {
+            if (limiter_.is_live(id, boot_clock::now())) {
+                result.push_back({id, host.failure_domain, host.link_mbps});
+            }
+        }
+        return result;
+    }
+
     std::size_t live_hosts() const { return limiter_.live_peer_count(boot_clock::now()) + 1; }
 
     std::shared_ptr<backend_group> find_group(const group_id& name) {
@@ -757,6 +804,8 @@
     std::shared_ptr<lease_service> leases_;
     std::unique_ptr<report_exchange> reports_;
     std::unique_ptr<pool_owner_selector> pool_owners_;
+    /// Null if the settings do not ask for usage reports.
+    std::unique_ptr<usage_accounting> usage_;
     std::map<group_id, std::shared_ptr<backend_group>> groups_;
     std::map<group_id, std::shared_ptr<group_failover>> failovers_;
     std::map<group_id, std::unique_ptr<log_holder_registry>> log_holders_;
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -24,6 +24,11 @@
     return static_cast<std::uint32_t>(std::clamp<milliseconds::rep>(value.count(), 0, max_time_ms));
 }
 
+std::uint64_t milliseconds_of(wall_time moment) {
+    return static_cast<std::uint64_t>(
+        std::chrono::floor<milliseconds>(moment.time_since_epoch()).count());
+}
+
 std::optional<wire::Position> position_field(const std::optional<log_index>& index) {
     if (!index) {
         return std::nullopt;
@@ -235,6 +240,28 @@
         return {wire::Call::FailoverRecorded,
                 wire::CreateFailoverRecorded(out, group, call.fence).Union()};
     }
+    std::pair<wire::Call, Offset<void>> operator()(const usage_update& call) const {
+        std::vector<Offset<wire::WindowCounts>> windows;
+        for (const auto& item : call.windows) {
+            std::vector<std::string> customers;
+            std::vector<std::uint32_t> counts;
+            for (const auto& [customer, count] : item.counts) {
+                customers.push_back(customer.str());
+                counts.push_back(static_cast<std::uint32_t>(count));
+            }
+            const auto names = out.CreateVectorOfStrings(customers);
+            const auto numbers = out.CreateVector(counts);
+            windows.push_back(wire::CreateWindowCounts(out, item.window.value(), names, numbers));
+        }
+        const auto list = out.CreateVector(windows);
+        return {wire::Call::CountUsage,
+                wire::CreateCountUsage(out, list, call.revision, milliseconds_of(call.taken_at))
+                    .Union()};
+    }
+    std::pair<wire::Call, Offset<void>> operator()(const usage_acknowledgement& call) const {
+        return {wire::Call::UsageCounted,
+                wire::CreateUsageCounted(out, call.revision, call.incarnation.value()).Union()};
+    }
     std::pair<wire::Call, Offset<void>> operator()(const primary_query& call) const {
         const auto group = out.CreateString(call.group.str());
         const auto instance = out.CreateString(call.instance.str());
@@ -428,6 +455,34 @@
     return result;
 }
 
+usage_counts read_counts(const wire::WindowCounts& item) {
+    const auto* customers = item.customers();
+    const auto* counts = item.counts();
+    if (customers == nullptr || counts == nullptr || customers->size() != counts->size()) {
+        reject("the customers and counts of a window differ in number");
+    }
+    usage_counts result;
+    for (flatbuffers::uoffset_t i = 0; i < customers->size(); ++i) {
+        result[customer_id{text_of(customers->Get(i))}] = counts->Get(i);
+    }
+    return result;
+}
+
+lease_payload read(const wire::CountUsage& call) {
+    /// In the year 10000, so that the time fits the clock.
+    constexpr std::uint64_t max_time_of_day_ms = 253'402'300'800'000;
+    usage_update result;
+    result.revision = call.revision();
+    result.taken_at = wall_time{milliseconds{
+        static_cast<milliseconds::rep>(std::min(call.taken_ms(), max_time_of_day_ms))}};
+    if (call.windows() != nullptr) {
+        for (const auto* item : *call.windows()) {
+            result.windows.push_back({window_number{item->window()}, read_counts(*item)});
+        }
+    }
+    return result;
+}
+
 lease_payload read(const wire::AskPositions& call) {
     positions_query result;
     if (call.groups() != nullptr) {
@@ -541,6 +596,15 @@
         case wire::Call::PositionsTold:
             result.call = read(*message.call_as_PositionsTold());
             break;
+        case wire::Call::CountUsage:
+            result.call = read(*message.call_as_CountUsage());
+            break;
+        case wire::Call::UsageCounted: {
+            const auto& call = *message.call_as_UsageCounted();
+            result.call =
+                usage_acknowledgement{call.revision(), incarnation_number{call.incarnation()}};
+            break;
+        }
         case wire::Call::NONE:
             reject("the message has no call");
     }
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -12,6 +12,7 @@
 #include "masticgrade/gateway/session_state.hpp"
 #include "masticgrade/gateway/statement.hpp"
 #include "masticgrade/rows/row_messages.hpp"
+#include "masticgrade/usage/operation_counter.hpp"
 
 namespace masticgrade {
 
@@ -172,11 +173,19 @@
     friend bool operator==(const primary_reply&, const primary_reply&) = default;
 };
 
+/// A collector has stored the usage update of this revision.
+struct usage_acknowledgement {
+    std::uint64_t revision = 0;
+    incarnation_number incarnation;
+
+    friend bool operator==(const usage_acknowledgement&, const usage_acknowledgement&) = default;
+};
+
 using lease_payload =
     std::variant<lease_request, lease_reply, run_request, run_reply, lease_release, ping, pong,
                  position_query, position_reply, row_query, row_reply, failover_begun,
                  failover_confirmed, failover_recorded, primary_query, primary_reply,
-                 positions_query, positions_reply>;
+                 positions_query, positions_reply, usage_update, usage_acknowledgement>;
 
 struct lease_message {
     /// Uptime of the sending process at the time of sending.
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -276,6 +276,9 @@
         reply = failover_confirmed{};
     } else if (const auto* about = std::get_if<primary_query>(&request.call)) {
         reply = environment_.find_group(about->group)->report_primary(about->instance);
+    } else if (const auto* usage = std::get_if<usage_update>(&request.call);
+               usage != nullptr && environment_.receive_usage) {
+        reply = environment_.receive_usage(message.sender, message.incarnation, *usage);
     } else if (std::holds_alternative<failover_recorded>(request.call)) {
         environment_.refresh_failovers();
         co_return std::nullopt;
@@ -453,6 +456,24 @@
     co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<usage_acknowledgement>> lease_service::send_usage(
+    host_id host, usage_update update, time_point deadline) {
+    const auto self = shared_from_this();
+    lease_payload message = std::move(update);
+    try {
+        const auto reply = co_await call(host, std::move(message), deadline);
+        if (const auto* answer = std::get_if<usage_acknowledgement>(&reply)) {
+            co_return *answer;
+        }
+    } catch (const error& failure) {
+        event_line{"usage_not_acknowledged"}
+            .field("peer", host)
+            .field("reason", failure.what())
+            .write();
+    }
+    co_return std::nullopt;
+}
+
 void lease_service::announce_recorded(const host_id& host, failover_recorded announcement) {
     if (const auto address = environment_.address_of(host)) {
         environment_.peers.send(*address, make_message(std::move(announcement)),
--- a/libs/gateway/src/lease_service.hpp
+++ b/libs/gateway/src/lease_service.hpp
@@ -30,6 +30,9 @@
     std::function<void()> refresh_failovers;
     /// Differs from that of every earlier process of this host.
     incarnation_number incarnation;
+    /// Stores the usage totals of another host's process; absent if usage is not accounted for.
+    std::function<usage_acknowledgement(const host_id&, incarnation_number, const usage_update&)>
+        receive_usage = {};
 };
 
 struct group_position_proof {
@@ -78,6 +81,10 @@
     boost::asio::awaitable<std::optional<primary_reply>> query_primary(host_id host,
                                                                        primary_query query,
                                                                        time_point deadline);
+    /// Sends usage totals to a collector. Returns nullopt if it does not acknowledge them.
+    boost::asio::awaitable<std::optional<usage_acknowledgement>> send_usage(host_id host,
+                                                                            usage_update update,
+                                                                            time_point deadline);
     /// Tells the host that the outcome of a failover is in the store.
     void announce_recorded(const host_id& host, failover_recorded announcement);
     /// Whether a recent call to the host failed or was refused.
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -38,6 +38,12 @@
            code == answer_code::wrong_instance || code == answer_code::connection_limit;
 }
 
+/// Whether an instance that gave this answer began to run the statement.
+bool was_run(answer_code code) {
+    return code == answer_code::done || code == answer_code::failed ||
+           code == answer_code::timeout || code == answer_code::in_doubt;
+}
+
 std::string retry_text(milliseconds wait) {
     return "not run, try again in " + std::to_string(wait.count()) + " ms";
 }
@@ -219,8 +225,8 @@
         if (!may_commit && !transaction_) {
             deadline = interpolate(steady_clock::now(), op.deadline, first_attempt_fraction);
         }
-        auto answer =
-            co_await lease.execute(std::move(request), may_commit, proves_position, deadline);
+        auto answer = co_await execute_counted(lease, std::move(request), may_commit,
+                                               proves_position, deadline);
         const bool still_open = !transaction_ || answer.phase == transaction_phase::open;
         if (answer.code != answer_code::busy || attempts == max_busy_attempts || !still_open ||
             steady_clock::now() + busy_retry_delay >= op.deadline) {
@@ -231,6 +237,35 @@
     }
 }
 
+void caller_session::count_operation(wall_time began_at) {
+    const bool continues = transaction_ && std::exchange(transaction_->has_run, true);
+    if (!continues && customer_ != anonymous_customer && environment_.on_operation_run) {
+        environment_.on_operation_run(customer_, began_at);
+    }
+}
+
+asio::awaitable<statement_answer> caller_session::execute_counted(connection_lease& lease,
+                                                                  backend_request request,
+                                                                  bool may_commit,
+                                                                  bool proves_position,
+                                                                  time_point deadline) {
+    const auto sent_at = wall_clock::now();
+    try {
+        auto answer =
+            co_await lease.execute(std::move(request), may_commit, proves_position, deadline);
+        if (was_run(answer.code)) {
+            // The statement may have waited for the instance after it was sent.
+            count_operation(wall_clock::now());
+        }
+        co_return answer;
+    } catch (const connection_error& failure) {
+        if (failure.may_have_run()) {
+            count_operation(sent_at);
+        }
+        throw;
+    }
+}
+
 asio::awaitable<statement_answer> caller_session::single_read(operation& op) {
     std::set<instance_id> excluded;
     bool on_primary = op.route->consistency == read_consistency::current;
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -41,6 +41,9 @@
         make_group();
         apply_configuration(1, {key}, proven_at);
         limiter_.configure({{customer, {1000, 1000}}}, boot_clock::now() - seconds{30});
+        environment_.on_operation_run = [this](const customer_id& runner, wall_time) {
+            ++counted_operations[runner];
+        };
         update();
     }
 
@@ -53,6 +56,8 @@
         add_route(*configuration, "current", read_consistency::current);
         add_route(*configuration, "bounded", read_consistency::bounded);
         add_route(*configuration, "session", read_consistency::session);
+        add_route(*configuration, "open", read_consistency::bounded);
+        configuration->routes["open"].is_public = true;
         masticgrade::configuration owners;
         auto& owner = owners.customers[customer];
         owner.name = customer;
@@ -94,6 +99,8 @@
     fake_instance* primary = nullptr;
     fake_instance* first_replica = nullptr;
     fake_instance* second_replica = nullptr;
+    /// Operations counted for usage accounting.
+    std::map<customer_id, unsigned> counted_operations;
 
     [[nodiscard]] std::size_t runs_of(const std::string& id) const {
         return primary->runs_of(id) + first_replica->runs_of(id) + second_replica->runs_of(id);
@@ -141,6 +148,33 @@
     CHECK(fixture.runs_of("w1") == 1);
 }
 
+// Guards against usage reports that count each statement of a transaction, or what never ran.
+TEST_CASE("usage counts a single statement and a transaction once, if an instance ran it") {
+    session_fixture fixture;
+    const auto runs = [&](std::vector<caller_statement> statements) {
+        fixture.counted_operations.clear();
+        fixture.run("bounded", std::move(statements));
+        return fixture.counted_operations[customer];
+    };
+    CHECK(runs({write("w1"), write("w2")}) == 2);
+    CHECK(runs({begin(), write("w1"), read("r1"), write("w2"), commit("c1")}) == 1);
+    CHECK(runs({begin(), write("w1"), rollback(), begin(), write("w2"), commit("c2")}) == 2);
+    CHECK(runs({begin(), rollback()}) == 0);
+
+    fixture.primary->lost_answers.insert("write lost");
+    CHECK(runs({write("w3", "write lost")}) == 1);
+    fixture.limit({0.001, 1});
+    CHECK(runs({write("w4"), write("w5")}) <= 1);
+}
+
+// Guards against reports about callers that are no customers.
+TEST_CASE("usage does not count callers without a key") {
+    session_fixture fixture;
+    fixture.run("open", {read("r1")}, "");
+    CHECK(fixture.runs_of("r1") == 1);
+    CHECK(fixture.counted_operations.empty());
+}
+
 // A retry after a lost answer could execute the write twice.
 TEST_CASE("a write whose answer is lost is in doubt and is not repeated") {
     session_fixture fixture;
