--- a/libs/usage/src/operation_counter.cpp
+++ b/libs/usage/src/operation_counter.cpp
@@ -34,7 +34,8 @@
 
 void operation_counter::on_acknowledged(const host_id& collector, incarnation_number incarnation,
                                         std::uint64_t revision) {
-    const auto [entry, added] = acknowledged_.try_emplace(collector, incarnation, revision);
+    const auto [entry, added] =
+        acknowledged_.try_emplace(collector, acknowledgement{incarnation, revision});
     if (added) {
         return;
     }
