--- a/libs/usage/include/masticgrade/usage/usage_reporter.hpp
+++ b/libs/usage/include/masticgrade/usage/usage_reporter.hpp
@@ -70,6 +70,10 @@
     /// A host takes over a record that has not changed for this long, when the previous holder's
     /// calls have ended.
     static constexpr milliseconds handover_time{1500};
+    /// A holder whose calls have all failed for this long lets others take over.
+    static constexpr milliseconds failing_time{4500};
+    /// Time for which it then takes no step, in which a window becomes overdue.
+    static constexpr milliseconds yield_time{10000};
     /// Added to the lease for the delays of calls.
     static constexpr milliseconds lease_margin{1000};
 
@@ -144,6 +148,8 @@
     window_number recorded_until_;
     /// Windows whose reports the platform has confirmed to this process.
     std::set<window_number> confirmed_;
+    /// Since when every call has failed.
+    std::optional<boot_time> failing_since_;
     /// Time of the last call to the platform.
     std::optional<boot_time> last_call_;
     /// The highest token that this process has used.
--- a/libs/usage/src/usage_reporter.cpp
+++ b/libs/usage/src/usage_reporter.cpp
@@ -215,6 +215,9 @@
 
 void usage_reporter::on_sent(const send_report_step& step, report_outcome outcome, boot_time now) {
     last_call_ = now;
+    if (outcome != report_outcome::unknown) {
+        failing_since_.reset();
+    }
     switch (outcome) {
         case report_outcome::done:
             confirmed_.insert(step.report.window);
@@ -225,6 +228,12 @@
             break;
         case report_outcome::unknown:
             wait_until_ = now + retry_delay;
+            if (!failing_since_) {
+                failing_since_ = now;
+            } else if (now - *failing_since_ >= failing_time) {
+                failing_since_.reset();
+                wait_until_ = now + yield_time;
+            }
             break;
     }
 }
--- a/libs/usage/test/fleet_model.cpp
+++ b/libs/usage/test/fleet_model.cpp
@@ -147,6 +147,7 @@
         auto& item = members[i];
         item.frozen_until = std::min(item.frozen_until, now_);
         item.is_refused = false;
+        item.misses_platform = false;
         item.is_cut_off = false;
         if (!item.is_alive) {
             start(i);
@@ -158,7 +159,7 @@
     auto& item = members[random_() % members.size()];
     const auto index = static_cast<std::size_t>(&item - members.data());
     const auto for_some_time = [&] { return milliseconds{100 + random_() % 8000}; };
-    switch (random_() % 10) {
+    switch (random_() % 11) {
         case 0:
             kill(index);
             break;
@@ -186,6 +187,9 @@
         case 8:
             lost_answers = lost_answers > 0 ? 0 : 0.4;
             break;
+        case 9:
+            item.misses_platform = !item.misses_platform;
+            break;
         default:
             for (std::size_t i = 0; i < members.size(); ++i) {
                 if (!members[i].is_alive) {
@@ -309,8 +313,8 @@
 }
 
 void fleet_model::answer(member& item, const send_report_step& step) {
-    if (platform.is_away || chance(lost_answers)) {
-        if (chance(0.7)) {
+    if (platform.is_away || item.misses_platform || chance(lost_answers)) {
+        if (!item.misses_platform && chance(0.7)) {
             late_calls_.push_back({now_ + milliseconds{random_() % 4000}, item.host, step});
         }
         item.reporter->on_sent(step, report_outcome::unknown, now_);
--- a/libs/usage/test/fleet_model.hpp
+++ b/libs/usage/test/fleet_model.hpp
@@ -88,6 +88,8 @@
         boot_time frozen_until;
         /// The store refuses this host's calls.
         bool is_refused = false;
+        /// Its calls to the platform get lost.
+        bool misses_platform = false;
         /// Its messages and calls don't arrive anywhere.
         bool is_cut_off = false;
         std::unique_ptr<operation_counter> counter;
--- a/libs/usage/test/usage_reporter_test.cpp
+++ b/libs/usage/test/usage_reporter_test.cpp
@@ -106,6 +106,23 @@
     check_reports(fleet, started);
 }
 
+// Guards against a holder that keeps the lock while it reaches the store and not the platform.
+TEST_CASE("a holder that does not reach the platform is replaced") {
+    for (unsigned begin = 0; begin < 50; ++begin) {
+        CAPTURE(begin);
+        fleet_model fleet{5, begin};
+        run_with_work(fleet, seconds{20});
+        fleet.run(milliseconds{100 * begin});
+        const auto holder = fleet.holder();
+        REQUIRE(holder);
+        fleet.members[*holder].misses_platform = true;
+        run_with_work(fleet, seconds{15});
+        const auto replaced = fleet.wall();
+        run_with_work(fleet, seconds{40});
+        check_reports(fleet, replaced);
+    }
+}
+
 // Guards against a report that is computed again after its answer was lost.
 TEST_CASE("reports whose answers are lost are repeated unchanged") {
     fleet_model fleet{5, 4};
