Failover: a slow link or busy replicas don't distort the verdict on a primary

Cause: - The suspected primary had 150 ms to answer and the replicas 500 ms. Over a link that delays each exchange by 200 ms, a primary that was well was confirmed dead. - A replica that refused (BUSY, CONNLIMIT) counted as silent: a group with overloaded replicas was not failed over, and each such round started the limit of an isolated host anew. A refusal by the primary counted only if it had been found dead before, so a busy primary was replaced after its failover row had been left open; one because of another id (WRONGNODE) counted as well. - Rounds of 0.6 s with a limit of 0.9 s took the sum of all steps above 7 s. - The time of isolation was kept when the primary changed and after an attempt. - A host that reached nothing asked again every 100 ms, which loads the full link. - The text said that hosts which use a primary through its pool owner don't vouch for it. They do (connection_lease::run_observed).

Change: the survey asks all instances concurrently, with 500 ms for each; a connection that an instance accepted is an answer of the primary. instance_orders::send_until returns whether the instance answered apart from its status. primary_suspicion knows the instance that it is about. inconclusive_limit is 0.5 s: the last round ends within 1.6 s, 6.9 s with detection, wait and promotion call. The store calls that acquire the lock and the delay by rank are not in this sum. Only an isolated host that replicas answer asks again after 0.1 s, others after 0.4 s.

Price: a primary that is silent, rather than refusing connections, is found dead up to 0.35 s later.

Not changed: a host that does not know the term (no traffic yet, all status requests refused) holds replicas at a term that is too low, and ends each attempt until a status request is answered.

--- a/libs/gateway/include/masticgrade/gateway/primary_verdict.hpp
+++ b/libs/gateway/include/masticgrade/gateway/primary_verdict.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "masticgrade/base/time.hpp"
+#include "masticgrade/base/types.hpp"
 
 namespace masticgrade {
 
@@ -25,7 +26,8 @@
 /// What this host learned about a primary that it does not reach.
 struct primary_inquiry {
     primary_replies replies;
-    /// Number of the group's other instances that answered this host, asked after the hosts.
+    /// Number of the group's other instances that answered this host, if only with a refusal. They
+    /// are asked after the hosts.
     std::size_t replicas_answered = 0;
 
     [[nodiscard]] std::size_t asked() const { return replies.size(); }
@@ -58,16 +60,18 @@
 /// failure is detected, so that answers from before the failure don't count.
 inline constexpr milliseconds recent_answer_age{400};
 
-/// A host that reaches replicas but no other hosts replaces the primary after this time. As long as
-/// failed hosts are still asked. With 1 s to detect the failure, 0.5 s for a round of
-/// questions, 3.3 s until unreachable hosts have stopped using the primary and 1 s for the
-/// promotion call, the group has a primary again within 7 s.
-inline constexpr milliseconds inconclusive_limit{900};
+/// A host that reaches replicas but too few other hosts replaces the primary at the end of the
+/// first round that ends at least this long after its first one. A round takes at most 0.75 s
+/// (0.25 s for hosts, 0.5 s for instances) and the next one starts 0.1 s later, so the last one
+/// ends within 1.6 s. With 1 s to detect the failure, 3.3 s until unreachable hosts have stopped
+/// using the primary and 1 s for the promotion call, the sum is 6.9 s.
+inline constexpr milliseconds inconclusive_limit{500};
 
 /// Judges a primary that this host finds dead, in one or more rounds of questions.
 ///
-/// The replies of other hosts rarely say anything about the primary, since most hosts never
-/// exchange messages with it. But they show that this host is neither cut off nor slow, so that its
+/// A host can vouch for a primary that has just answered it, on its own connections or through
+/// those of the pool owner. The replies of hosts that have not just used the primary say nothing
+/// about it. But they show that this host is neither cut off nor slow, so that its
 /// own failed probes count. At least half of the hosts that were asked must reply, since those that
 /// failed together with the primary don't. Without an answer from a replica nothing is concluded:
 /// no promotion would be possible.
@@ -75,12 +79,18 @@
 /// Thread safety: none.
 class primary_suspicion {
 public:
-    /// Call at the end of each round.
-    primary_verdict assess(const primary_inquiry& inquiry, time_point now);
-    /// The primary has answered, or is no longer the primary.
+    /// Call at the end of each round. `primary` is the instance that the inquiry is about; empty if
+    /// the group has no primary.
+    primary_verdict assess(const std::optional<instance_id>& primary,
+                           const primary_inquiry& inquiry, time_point now);
+    /// The primary has answered, or an attempt to replace it has begun.
     void clear() { isolated_since_.reset(); }
+    /// Whether replicas answered in the last round but too few hosts.
+    [[nodiscard]] bool is_isolated() const { return isolated_since_.has_value(); }
 
 private:
+    /// The instance of the last round.
+    std::optional<instance_id> primary_;
     /// End of the first of the consecutive rounds in which replicas answered but too few hosts. Not
     /// its start: over a full link, a single round can take longer than the limit.
     std::optional<time_point> isolated_since_;
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -381,6 +381,10 @@
     const auto entry = state.entry;
     const auto customer = last_customer_.empty() ? customer_id{"-"} : last_customer_;
     auto link = co_await environment_.connector.connect(entry, customer, deadline);
+    if (primary_ == instance) {
+        // Over a slow link, the answer to the request may come after the deadline.
+        failure_detector_.on_answer(steady_clock::now());
+    }
     auto answers = co_await link->run(std::move(requests), deadline);
     link->close();
     co_return answers.front();
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -28,8 +29,9 @@
 /// Prevents that one failure causes a series of promotions.
 constexpr seconds delay_after_promotion{3};
 constexpr milliseconds delay_after_failure{400};
-/// Shorter than `delay_after_failure`: the replies to the next query may be sufficient.
-constexpr milliseconds delay_after_inconclusive_verdict{100};
+/// Between rounds of a host that reaches replicas but too few hosts. Others wait for
+/// `delay_after_failure`, since their link may be full.
+constexpr milliseconds delay_while_isolated{100};
 /// Calls with an unknown outcome are repeated for this long. The platform may carry out a call up
 /// to 12 s late.
 constexpr seconds promote_timeout{15};
@@ -37,6 +39,17 @@
 constexpr seconds resume_interval{1};
 /// Outcomes that the store did not accept are written again for this long.
 constexpr seconds record_timeout{10};
+/// The primary has the same time to answer as the replicas: over a slow link, answers of replicas
+/// alone would make it look dead.
+constexpr milliseconds survey_timeout{500};
+
+/// Answers of a group's instances, in the order of its entries. The timer ends the wait for those
+/// that are missing.
+struct pending_answers {
+    std::vector<instance_orders::order_answer> answers;
+    std::size_t missing;
+    asio::steady_timer timer;
+};
 
 }  // namespace
 
@@ -117,7 +130,8 @@
             co_return;
         }
         if (*verdict == primary_verdict::inconclusive) {
-            retry_after_ = steady_clock::now() + delay_after_inconclusive_verdict;
+            retry_after_ = steady_clock::now() +
+                           (suspicion_.is_isolated() ? delay_while_isolated : delay_after_failure);
         }
         if (!permits_failover(*verdict)) {
             co_return;
@@ -126,6 +140,8 @@
     if (!co_await acquire_lock()) {
         co_return;
     }
+    // The next attempt needs a verdict of its own.
+    suspicion_.clear();
     // Another host may have finished a promotion in the meantime.
     if (group_->primary() != replaced ||
         required_failover(steady_clock::now()) == failover_kind::none) {
@@ -366,27 +382,68 @@
         .write();
 }
 
+asio::awaitable<instance_orders::order_answer> group_failover::query_status(instance_id instance,
+                                                                            time_point deadline) {
+    const backend_request request = backend_status{};
+    auto answer = co_await orders_.send_until(instance, request, deadline);
+    if (answer.status) {
+        group_->on_status(instance, *answer.status);
+    }
+    co_return answer;
+}
+
 asio::awaitable<group_failover::survey_result> group_failover::survey_instances() {
-    survey_result result;
-    bool found = false;
-    const backend_request status_request = backend_status{};
     const auto entries = group_->entries();
     const auto known = group_->primary();
-    const bool was_dead = group_->primary_is_dead(steady_clock::now());
-    for (const auto& entry : entries) {
-        const auto status = co_await orders_.send(entry.id, status_request);
-        if (status) {
-            group_->on_status(entry.id, *status);
-            result.replicas_answered += known == entry.id ? 0 : 1;
-            found = found || (status->is_primary && group_->primary() == entry.id &&
-                              status->term >= group_->newest_term());
-        }
+    const auto started = steady_clock::now();
+    const bool was_dead = group_->primary_is_dead(started);
+    const auto deadline = started + survey_timeout;
+    const auto pending = std::make_shared<pending_answers>(
+        pending_answers{std::vector<instance_orders::order_answer>(entries.size()), entries.size(),
+                        asio::steady_timer{environment_.executor, deadline}});
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        asio::co_spawn(
+            environment_.executor,
+            [self = shared_from_this(), instance = entries[index].id, deadline] {
+                return self->query_status(instance, deadline);
+            },
+            [pending, index](const std::exception_ptr& failure,
+                             const instance_orders::order_answer& answer) {
+                if (!failure) {
+                    pending->answers[index] = answer;
+                }
+                if (--pending->missing == 0) {
+                    pending->timer.cancel();
+                }
+            });
+    }
+    if (pending->missing > 0) {
+        boost::system::error_code ignored;
+        co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    survey_result result;
+    bool found = false;
+    bool refused = false;
+    bool has_status = false;
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        const auto& id = entries[index].id;
+        const auto& [answered, status] = pending->answers[index];
+        if (known == id) {
+            refused = answered && !status;
+            has_status = status.has_value();
+        } else if (answered) {
+            ++result.replicas_answered;
+        }
+        found = found || (status && status->is_primary && group_->primary() == id &&
+                          status->term >= group_->newest_term());
     }
     // A primary that answers but can't commit counts as dead too.
     const bool is_dead = group_->primary_is_dead(steady_clock::now());
-    // One that refuses the order is alive.
-    const bool refused_order = was_dead && known && known == group_->primary();
-    result.has_primary = !is_dead && (found || refused_order);
+    // It may have answered another request in the meantime, or the first part of this one.
+    const bool other_answer = was_dead && !has_status;
+    const bool known_is_alive = known && known == group_->primary() && (refused || other_answer);
+    result.has_primary = !is_dead && (found || known_is_alive);
     co_return result;
 }
 
@@ -410,7 +467,7 @@
     if (!ask_hosts_first) {
         inquiry.replies = co_await query_primary();
     }
-    const auto verdict = suspicion_.assess(inquiry, steady_clock::now());
+    const auto verdict = suspicion_.assess(primary, inquiry, steady_clock::now());
     log_verdict(primary.value_or(instance_id{"none"}), verdict, inquiry);
     if (verdict == primary_verdict::alive && primary) {
         group_->on_primary_reported_alive(*primary);
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -103,10 +103,14 @@
     struct survey_result {
         /// The known primary is alive.
         bool has_primary = false;
+        /// Number of other instances that answered, if only with a refusal.
         std::size_t replicas_answered = 0;
     };
-    /// Queries all instances.
+    /// Queries all instances concurrently, with the same deadline for each.
     boost::asio::awaitable<survey_result> survey_instances();
+    /// Queries one instance and applies its status.
+    boost::asio::awaitable<instance_orders::order_answer> query_status(instance_id instance,
+                                                                       time_point deadline);
     /// Finds out whether the primary has failed, by asking other hosts and all instances. Returns
     /// nullopt if the primary answers this host.
     boost::asio::awaitable<std::optional<primary_verdict>> assess_primary();
--- a/libs/gateway/src/instance_orders.cpp
+++ b/libs/gateway/src/instance_orders.cpp
@@ -25,23 +25,36 @@
 
 asio::awaitable<std::optional<instance_status>> instance_orders::send(
     const instance_id& instance, const backend_request& request) {
+    const auto now = steady_clock::now();
+    const bool is_dead = group_->primary() == instance && group_->primary_is_dead(now);
+    const auto deadline = now + (is_dead ? dead_primary_request_timeout : request_timeout);
+    const auto result = co_await send_until(instance, request, deadline);
+    co_return result.status;
+}
+
+asio::awaitable<instance_orders::order_answer> instance_orders::send_until(
+    const instance_id& instance, const backend_request& request, time_point deadline) {
+    order_answer result;
     try {
-        const auto now = steady_clock::now();
-        const bool is_dead = group_->primary() == instance && group_->primary_is_dead(now);
-        const auto deadline = now + (is_dead ? dead_primary_request_timeout : request_timeout);
         const auto answer = co_await group_->run_control_request(instance, request, deadline);
-        auto status = connector_.read_status(answer);
-        if (!status) {
+        result.status = connector_.read_status(answer);
+        result.answered = answer.code != answer_code::wrong_instance;
+        if (!result.status) {
+            if (result.answered) {
+                group_->on_order_refused(instance);
+            }
             event_line{"order_refused"}
                 .field("group", group_->name())
                 .field("instance", instance)
                 .field("code", to_string(answer.code))
                 .write();
         }
-        co_return status;
     } catch (const connection_refused_error& failure) {
         // An instance at its connection limit is alive.
-        group_->on_order_refused(instance);
+        result.answered = failure.code() != answer_code::wrong_instance;
+        if (result.answered) {
+            group_->on_order_refused(instance);
+        }
         event_line{"order_refused"}
             .field("group", group_->name())
             .field("instance", instance)
@@ -54,7 +67,7 @@
             .field("reason", failure.what())
             .write();
     }
-    co_return std::nullopt;
+    co_return result;
 }
 
 asio::awaitable<instance_orders::unlisted_answer> instance_orders::send_unlisted(
--- a/libs/gateway/src/instance_orders.hpp
+++ b/libs/gateway/src/instance_orders.hpp
@@ -16,8 +16,19 @@
     /// Precondition: `connector` outlives this object.
     instance_orders(std::shared_ptr<backend_group> group, instance_connector& connector);
 
-    /// Returns the status in the instance's answer, or nullopt if it refuses or does not answer in
-    /// time. Precondition: `request` is a status, hold, resume or step-down request.
+    struct order_answer {
+        /// Whether the instance has executed or refused the request. A refusal because of its id is
+        /// no answer: the address belongs to another instance.
+        bool answered = false;
+        /// Its status, if it has executed the request.
+        std::optional<instance_status> status;
+    };
+    /// Precondition: `request` is a status, hold, resume or step-down request.
+    boost::asio::awaitable<order_answer> send_until(const instance_id& instance,
+                                                    const backend_request& request,
+                                                    time_point deadline);
+    /// As `send_until` with a deadline that is earlier for a primary that is dead. Returns the
+    /// status in the answer, or nullopt if the instance refuses or does not answer in time.
     boost::asio::awaitable<std::optional<instance_status>> send(const instance_id& instance,
                                                                 const backend_request& request);
 
--- a/libs/gateway/src/primary_verdict.cpp
+++ b/libs/gateway/src/primary_verdict.cpp
@@ -38,7 +38,12 @@
     return "unknown";
 }
 
-primary_verdict primary_suspicion::assess(const primary_inquiry& inquiry, time_point now) {
+primary_verdict primary_suspicion::assess(const std::optional<instance_id>& primary,
+                                          const primary_inquiry& inquiry, time_point now) {
+    if (primary_ != primary) {
+        clear();
+        primary_ = primary;
+    }
     if (inquiry.reports_alive()) {
         clear();
         return primary_verdict::alive;
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <thread>
 
 #include "fakes.hpp"
@@ -372,6 +373,8 @@
     std::size_t silent_when_asked = 0;
     /// Other hosts that reply without having used the primary.
     std::size_t hosts_without_evidence = 0;
+    /// Time until the other hosts reply.
+    milliseconds reply_delay{0};
     std::function<void()> on_asked = [] {};
     std::optional<time_point> first_asked_at;
 
@@ -380,6 +383,8 @@
         const auto now = steady_clock::now();
         first_asked_at = first_asked_at.value_or(now);
         on_asked();
+        boost::asio::steady_timer timer{context, reply_delay};
+        co_await timer.async_wait(boost::asio::use_awaitable);
         primary_replies replies(silent_when_asked);
         replies.resize(silent_when_asked + hosts_without_evidence, primary_reply{});
         if (second_answers) {
@@ -661,6 +666,169 @@
     CHECK(fixture.store.value_of(lock_row).empty());
 }
 
+// Over a slow link, replicas answered in their 500 ms and hosts in their 250 ms, but a primary that
+// was well had only 150 ms.
+TEST_CASE("a primary that answers as slowly as the replicas is not replaced") {
+    partitioned_fixture fixture;
+    fixture.hosts_without_evidence = 3;
+    SUBCASE("all answers take 200 ms") {
+        fixture.reply_delay = milliseconds{200};
+        for (const auto* name : {"a", "b", "c"}) {
+            fixture.connector.at(name).answer_delay = milliseconds{200};
+        }
+    }
+    SUBCASE("the connection to the primary is ready in time, but its status is late") {
+        fixture.connector.at("a").answer_delay = milliseconds{300};
+    }
+    // A probe that succeeds would show that the primary is alive.
+    fixture.connector.at("a").fails_probes = true;
+    fixture.on_asked = [&] { fixture.first_reaches_primary(true); };
+    const auto failover = fixture.start_failover(0);
+    fixture.run_for(seconds{2});
+    failover->stop();
+    REQUIRE(fixture.first_asked_at);
+    CHECK(fixture.promotions.orders.empty());
+    CHECK(fixture.store.value_of(lock_row).empty());
+    CHECK_FALSE(fixture.first->primary_is_dead(steady_clock::now()));
+}
+
+// Guards against rounds that take as long as all silent instances together.
+TEST_CASE("silent instances delay a round by the time of one") {
+    partitioned_fixture fixture;
+    fixture.hosts_without_evidence = 3;
+    for (const auto* name : {"d", "e", "f"}) {
+        fixture.connector.add(name, false).position = 10;
+    }
+    fixture.first = fixture.make_group(fixture.connector);
+    for (const auto* name : {"a", "d", "e", "f"}) {
+        fixture.connector.at(name).answer_delay = seconds{60};
+    }
+    fixture.connector.at("a").fails_probes = true;
+    const auto failover = fixture.start_failover(0);
+    const auto deadline = steady_clock::now() + seconds{5};
+    while (fixture.store.value_of(lock_row).empty() && steady_clock::now() < deadline) {
+        fixture.run_for(milliseconds{20});
+    }
+    failover->stop();
+    REQUIRE(fixture.first_asked_at);
+    CHECK_FALSE(fixture.store.value_of(lock_row).empty());
+    CHECK(steady_clock::now() - *fixture.first_asked_at < seconds{1});
+}
+
+// A group whose replicas were overloaded was not failed over: refusals counted as silence.
+TEST_CASE("replicas that refuse a status request show that this host is connected") {
+    partitioned_fixture fixture;
+    fixture.hosts_without_evidence = 3;
+    // Refusals don't tell the term, which hosts with traffic know.
+    fixture.first->set_primary(instance_id{"a"}, term_number{1}, "test");
+    SUBCASE("they are busy") {
+        for (const auto* name : {"b", "c"}) {
+            fixture.connector.at(name).is_busy = true;
+        }
+    }
+    SUBCASE("they are at their connection limit") {
+        for (const auto* name : {"b", "c"}) {
+            fixture.connector.at(name).at_connection_limit = true;
+        }
+    }
+    const auto failover = fixture.start_failover(0);
+    const auto deadline = steady_clock::now() + seconds{5};
+    while (fixture.store.value_of(lock_row).empty() && steady_clock::now() < deadline) {
+        fixture.run_for(milliseconds{20});
+    }
+    CHECK_FALSE(fixture.store.value_of(lock_row).empty());
+    for (const auto* name : {"b", "c"}) {
+        fixture.connector.at(name).at_connection_limit = false;
+    }
+    fixture.run_until_promoted();
+    failover->stop();
+    CHECK(fixture.promotions.orders.size() == 1);
+}
+
+// An instance with another id at the address of a replica does not show that a replica could be
+// promoted.
+TEST_CASE("a refusal by an instance with another id is no answer of a replica") {
+    partitioned_fixture fixture;
+    fixture.hosts_without_evidence = 3;
+    for (const auto* name : {"b", "c"}) {
+        fixture.connector.at(name).has_other_id = true;
+    }
+    const auto failover = fixture.start_failover(0);
+    fixture.run_for(seconds{1});
+    failover->stop();
+    REQUIRE(fixture.first_asked_at);
+    CHECK(fixture.store.value_of(lock_row).empty());
+}
+
+// Replicas are busy for moments in an overload; each such round started the limit anew.
+TEST_CASE("a round in which all replicas are busy does not delay the failover") {
+    partitioned_fixture fixture;
+    fixture.silent_when_asked = 5;
+    unsigned rounds = 0;
+    fixture.on_asked = [&] {
+        ++rounds;
+        for (const auto* name : {"b", "c"}) {
+            fixture.connector.at(name).is_busy = rounds % 2 == 0;
+        }
+    };
+    const auto failover = fixture.start_failover(0);
+    fixture.run_until_promoted();
+    failover->stop();
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    CHECK(rounds >= 3);
+    CHECK(steady_clock::now() - *fixture.first_asked_at < inconclusive_limit + seconds{1});
+}
+
+// A busy primary was replaced when a row had been left open: its refusal counted only if this host
+// had found it dead before.
+TEST_CASE("a refusal by a primary that was not found dead shows that it is alive") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.connector.at("a").is_busy = true;
+    fixture.update();
+    const failover_record abandoned{4, true, {}, {}};
+    fixture.store.put(lock_row, encode_failover_row(abandoned, host_id{"host-2"}));
+    fixture.group->on_failover_row(abandoned, boot_clock::now());
+    REQUIRE_FALSE(fixture.group->primary_is_dead(steady_clock::now()));
+    fixture.run_until([&] { return fixture.group->may_lead(instance_id{"a"}, boot_clock::now()); });
+    CHECK(fixture.promotions.orders.empty());
+    CHECK(fixture.group->may_lead(instance_id{"a"}, boot_clock::now()));
+}
+
+// Rounds of a host that reaches nothing load the link that is full.
+TEST_CASE("a host that reaches neither hosts nor replicas asks again after the usual delay") {
+    partitioned_fixture fixture;
+    fixture.silent_when_asked = 5;
+    fixture.connector.at("b").refuses_connections = true;
+    fixture.connector.at("c").refuses_connections = true;
+    unsigned rounds = 0;
+    fixture.on_asked = [&] { ++rounds; };
+    const auto failover = fixture.start_failover(0);
+    fixture.run_for(seconds{2});
+    failover->stop();
+    CHECK(rounds >= 2);
+    CHECK(rounds <= 5);
+}
+
+// Guards against a second attempt without a verdict: the primary may have answered others
+// meanwhile.
+TEST_CASE("an attempt that ended without a promotion is followed by a new verdict") {
+    partitioned_fixture fixture;
+    fixture.silent_when_asked = 5;
+    std::vector<time_point> ordered_at;
+    fixture.promotions.outcomes = {promotion_outcome::refused};
+    fixture.promotions.on_promote = [&] { ordered_at.push_back(steady_clock::now()); };
+    const auto failover = fixture.start_failover(0);
+    fixture.run_until_promoted();
+    const auto deadline = steady_clock::now() + seconds{5};
+    while (ordered_at.size() < 2 && steady_clock::now() < deadline) {
+        fixture.run_for(milliseconds{20});
+    }
+    failover->stop();
+    REQUIRE(ordered_at.size() >= 2);
+    CHECK(ordered_at[1] - ordered_at[0] >= inconclusive_limit);
+}
+
 // A group must not remain without a primary because the hosts that could confirm its death have
 // failed with it.
 TEST_CASE("a primary is replaced in time although no other host replies") {
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -1,6 +1,9 @@
 #include "fakes.hpp"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <sstream>
 
 namespace masticgrade::test {
@@ -9,6 +12,20 @@
 
 namespace {
 
+/// Waits for the instance's answer. Throws connection_error at `deadline` if it is later.
+asio::awaitable<void> delay_answer(const fake_instance& instance, time_point deadline) {
+    if (instance.answer_delay == milliseconds{0}) {
+        co_return;
+    }
+    const auto answers_at = steady_clock::now() + instance.answer_delay;
+    const auto name = instance.entry.id.str();
+    asio::steady_timer timer{co_await asio::this_coro::executor, std::min(answers_at, deadline)};
+    co_await timer.async_wait(asio::use_awaitable);
+    if (answers_at > deadline) {
+        throw connection_error("answer", name, "too late for the test", true);
+    }
+}
+
 bool is_write_text(const std::string& text) { return text.rfind("write", 0) == 0; }
 
 }  // namespace
@@ -20,7 +37,8 @@
 }
 
 asio::awaitable<std::vector<statement_answer>> fake_link::run(std::vector<backend_request> requests,
-                                                              time_point /*deadline*/) {
+                                                              time_point deadline) {
+    co_await delay_answer(instance_, deadline);
     std::vector<statement_answer> answers;
     for (const auto& request : requests) {
         std::string text;
@@ -153,6 +171,8 @@
             instance_.is_primary = false;
         }
         return status();
+    } else if (instance_.is_busy) {
+        return refusal(answer_code::busy);
     } else {
         return status();
     }
@@ -183,14 +203,18 @@
 
 asio::awaitable<instance_connection_ptr> fake_connector::connect(instance_entry instance,
                                                                  customer_id /*customer*/,
-                                                                 time_point /*deadline*/) {
+                                                                 time_point deadline) {
     auto& found = instances_.at(instance.id.str());
+    co_await delay_answer(found, deadline);
     if (found.refuses_connections) {
         throw connection_error("connect", instance.id.str(), "refused for the test", false);
     }
     if (found.at_connection_limit) {
         throw connection_refused_error(instance.id.str(), answer_code::connection_limit);
     }
+    if (found.has_other_id) {
+        throw connection_refused_error(instance.id.str(), answer_code::wrong_instance);
+    }
     ++found.connections;
     co_return std::make_shared<fake_link>(found);
 }
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -43,6 +43,12 @@
     bool is_listed = true;
     /// Answers new connections with `connection_limit`.
     bool at_connection_limit = false;
+    /// Answers new connections with `wrong_instance`.
+    bool has_other_id = false;
+    /// Answers status requests with `busy`.
+    bool is_busy = false;
+    /// Time until a new connection is ready, and until each answer on it.
+    milliseconds answer_delay{0};
     /// Probes fail, as when the queue of new connections overflows.
     bool fails_probes = false;
     std::vector<executed_statement> executed;
