Gateway: instances that started, recovered or were promoted get a measured pace

Cause: a pool owner sent slots + 2 statements to an instance from its first moment; warmup-per-s was decoded and not enforced. Change: the sender keeps an instance_pace for each instance where the settings file states no warm-up terms, and a warmup_limiter where an entry reports warm-up and warmup-per-s is above zero. Leases that break with their pool owner do not count.

--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -57,6 +57,7 @@
     const auto now = steady_clock::now();
     settings_ = settings;
     std::set<instance_id> listed;
+    const bool is_first_read = last_generation_ == 0;
     for (const auto& entry : entries) {
         listed.insert(entry.id);
         auto [found, added] = instances_.try_emplace(entry.id);
@@ -89,6 +90,8 @@
             instance.connect_after = {};
             instance.failures = 0;
         }
+        const bool new_start = !is_first_read && (restarted || (added && is_new_start(entry)));
+        pace_entry(instance, entry, new_start, now);
         instance.entry = entry;
         instance.evacuated = evacuated.contains(entry.failure_domain);
         if (!entry.leaving && !instance.evacuated) {
@@ -111,7 +114,8 @@
         }
         event_line{"instance_gone"}.field("group", name_).field("instance", item->first).write();
         lost_instances_[item->first] = {now, item->second.entry.address,
-                                        last_failover().log_holders.contains(item->first)};
+                                        last_failover().log_holders.contains(item->first),
+                                        item->second.entry.start_time};
         auto idle = std::move(item->second.idle);
         item = instances_.erase(item);
         for (auto& connection : idle) {
@@ -202,6 +206,10 @@
            now - instance.position_at < position_lifetime;
 }
 
+unsigned backend_group::max_in_flight(const instance_state& instance) {
+    return instance.entry.slots + statements_in_transit;
+}
+
 pool_limits backend_group::limits_for(const instance_pool_owner& owner) const {
     if (owner.is_self) {
         return pool_owner_connections(settings_.max_connections, settings_.customers);
@@ -229,8 +237,8 @@
         item.has_free_connection = true;
         return item;
     }
-    if (instance.outstanding - instance.idle_in_transaction >=
-        instance.entry.slots + statements_in_transit) {
+    const unsigned in_flight = instance.outstanding - instance.idle_in_transaction;
+    if (in_flight >= max_in_flight(instance) || !instance.pace.admits(in_flight, now)) {
         return item;
     }
     item.has_free_connection =
@@ -250,12 +258,15 @@
                                                                time_point now) {
     std::vector<placement_candidate> candidates;
     std::map<instance_id, instance_pool_owner> owners;
-    for (const auto& [id, instance] : instances_) {
+    for (auto& [id, instance] : instances_) {
         if (!is_eligible(instance, request, now)) {
             continue;
         }
         const auto owner = request.leased_instance ? instance_pool_owner{true, {}}
                                                    : environment_.pool_owner_of(instance.entry);
+        if (!warmup_admits(instance, owner, now)) {
+            continue;
+        }
         const auto item = make_candidate(instance, owner, request.queue_entry.customer, now);
         if (item.has_free_connection || !only_free_connections) {
             candidates.push_back(item);
@@ -353,6 +364,7 @@
     if (answer.code == answer_code::done && answer.text != "-") {
         found->second.service_time = moving_average(found->second.service_time, elapsed);
     }
+    pace_answer(found->second, answer, elapsed, now);
 }
 
 void backend_group::on_no_answer(const instance_id& instance, bool is_commit) {
@@ -381,6 +393,7 @@
     for (auto& [id, instance] : instances_) {
         trim_idle(instance, now);
         measure_release_rate(instance, now);
+        pace_tick(instance, now);
     }
     if (primary_ && !probe_in_progress_ && failure_detector_.should_probe(now)) {
         const auto found = instances_.find(*primary_);
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -22,6 +22,8 @@
 #include "masticgrade/gateway/session_state.hpp"
 #include "masticgrade/gateway/topology.hpp"
 #include "masticgrade/gateway/wait_queue.hpp"
+#include "masticgrade/pacing/instance_pace.hpp"
+#include "masticgrade/pacing/warmup_limiter.hpp"
 
 namespace masticgrade {
 
@@ -180,6 +182,9 @@
     /// Whether another host currently supplies the position proofs, so that they are only queried
     /// when a read finds none.
     std::function<bool()> positions_are_relayed = [] { return false; };
+    /// Whether to limit the concurrent statements on instances that have started, recovered or
+    /// been promoted.
+    bool paces_instances = false;
 };
 
 /// This host's state of one database group: its instances and their connection pools, the
@@ -275,10 +280,21 @@
     void on_answer(const instance_id& instance, bool is_commit, duration elapsed,
                    const statement_answer& answer);
     void on_no_answer(const instance_id& instance, bool is_commit);
+    /// A connection of the local pool was lost before its answer.
+    void on_connection_lost(const instance_id& instance);
+    /// Whether the operators' warm-up limit applies to the instance.
+    [[nodiscard]] bool is_warming_up(const instance_id& instance) const;
+    /// Waits until the operators' warm-up limit admits the statements on a connection of the local
+    /// pool. Throws connection_error if that would take too long.
+    boost::asio::awaitable<void> await_warmup(instance_id instance, std::size_t statements,
+                                              time_point deadline);
     void add_proof(const instance_id& instance, boot_time sent_at, log_index position);
     void on_acknowledged(log_index position);
     void on_primary_denied(const instance_id& instance);
 
+    /// Number of instances whose concurrent statements are limited.
+    [[nodiscard]] std::size_t paced_instances(time_point now) const;
+
 private:
     struct instance_state {
         instance_entry entry;
@@ -313,6 +329,10 @@
         /// Measured only over periods in which operations were always waiting; 0 if unknown.
         double releases_per_second = 0;
         bool had_waiters_throughout = false;
+        instance_pace pace;
+        time_point warmup_until{};
+        /// Set while the operators' warm-up limit applies.
+        std::optional<warmup_limiter> warmup;
     };
     struct pending_acquire;
     struct assignment {
@@ -324,6 +344,26 @@
         std::unique_ptr<pooled_connection> connection;
     };
 
+    // ---- Pace of instances, see docs/design/instance-pace.md ----
+    /// Applies a directory entry that is `new_start` if the instance has started while this host
+    /// was running. Call before the entry is stored.
+    void pace_entry(instance_state& instance, const instance_entry& entry, bool new_start,
+                    time_point now);
+    /// Whether the instance has started since this host first read the directory.
+    [[nodiscard]] bool is_new_start(const instance_entry& entry) const;
+    void start_pace(instance_state& instance, std::string_view cause, time_point now);
+    void pace_answer(instance_state& instance, const statement_answer& answer, duration elapsed,
+                     time_point now);
+    void pace_failure(instance_state& instance, time_point now);
+    void pace_tick(instance_state& instance, time_point now);
+    void log_pace_start(const instance_state& instance, std::string_view cause) const;
+    void log_pace_end(const instance_state& instance, std::string_view reason) const;
+    /// The shortest statement time of the group's other instances, if known.
+    [[nodiscard]] std::optional<duration> usual_time(const instance_id& except,
+                                                     time_point now) const;
+    /// Whether the operators' warm-up limit admits one more operation.
+    bool warmup_admits(instance_state& instance, const instance_pool_owner& owner, time_point now);
+
     std::optional<assignment> assign(const acquire_request& request, bool only_free_connections,
                                      time_point now);
     [[nodiscard]] placement_candidate make_candidate(const instance_state& instance,
@@ -334,6 +374,9 @@
                                    time_point now) const;
     [[nodiscard]] static bool lags_behind(const instance_state& instance, log_index needed,
                                           time_point now);
+    /// The most statements that this host keeps in flight on an instance without a pool owner of
+    /// another host.
+    [[nodiscard]] static unsigned max_in_flight(const instance_state& instance);
     [[nodiscard]] pool_limits limits_for(const instance_pool_owner& owner) const;
     /// Leases the assigned connection from the pool owner. If this returns null and leaves
     /// `failure` at `lease_unavailable`, the operation should be assigned again.
@@ -374,9 +417,12 @@
         endpoint_address address;
         /// It was among the recorded log holders when it disappeared.
         bool recorded = false;
+        std::int64_t start_time = 0;
     };
     std::map<instance_id, lost_instance> lost_instances_;
     std::optional<instance_id> primary_;
+    /// The primary, also after it was lost, until there is another one.
+    std::optional<instance_id> last_primary_;
     time_point primary_since_{};
     term_number newest_term_;
     std::optional<log_index> acknowledged_;
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <utility>
@@ -9,6 +10,19 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Number of requests that run a caller's statement on the instance.
+std::size_t count_statements(const std::vector<backend_request>& requests) {
+    return static_cast<std::size_t>(
+        std::count_if(requests.begin(), requests.end(), [](const backend_request& request) {
+            return std::holds_alternative<backend_statement>(request) ||
+                   std::holds_alternative<backend_execute>(request);
+        }));
+}
+
+}  // namespace
+
 connection_lease::connection_lease(std::shared_ptr<backend_group> group,
                                    std::unique_ptr<pooled_connection> connection)
     : group_(std::move(group)), connection_(std::move(connection)) {}
@@ -52,6 +66,9 @@
 
 asio::awaitable<std::vector<statement_answer>> connection_lease::run_observed(
     std::vector<backend_request> requests, bool is_commit, time_point deadline) {
+    if (!connection_->remote && group_->is_warming_up(connection_->instance)) {
+        co_await group_->await_warmup(connection_->instance, count_statements(requests), deadline);
+    }
     check_leadership(is_commit);
     const auto sent_at = steady_clock::now();
     group_->on_request_sent(connection_->instance, is_commit);
@@ -60,6 +77,9 @@
         answers = co_await run(std::move(requests), deadline);
     } catch (const connection_error&) {
         group_->on_no_answer(connection_->instance, is_commit);
+        if (!connection_->remote) {
+            group_->on_connection_lost(connection_->instance);
+        }
         throw;
     }
     group_->on_answer(connection_->instance, is_commit, steady_clock::now() - sent_at,
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 #include <map>
+#include <numeric>
 #include <random>
 #include <set>
 #include <utility>
@@ -206,6 +207,14 @@
                            static_cast<double>(sessions_.size()));
         metrics_.set_gauge("masticgrade_live_hosts", "Hosts heard of lately, this one counted.",
                            static_cast<double>(live_hosts()));
+        const auto paced = std::accumulate(
+            groups_.begin(), groups_.end(), std::size_t{0}, [](std::size_t sum, const auto& entry) {
+                return sum +
+                       (entry.second ? entry.second->paced_instances(steady_clock::now()) : 0);
+            });
+        metrics_.set_gauge("masticgrade_paced_instances",
+                           "Instances whose concurrent statements are limited after a start.",
+                           static_cast<double>(paced));
         metrics_.set_gauge("masticgrade_log_lines_suppressed", "Log lines dropped.",
                            static_cast<double>(suppressed_event_lines()));
         return metrics_.scrape();
@@ -284,7 +293,8 @@
                     return leases_->query_position(std::move(owner), name, std::move(customer),
                                                    deadline);
                 },
-                [this] { return steady_clock::now() < positions_relayed_until_; }};
+                [this] { return steady_clock::now() < positions_relayed_until_; },
+                !settings_.has_warmup_terms};
             group = std::make_shared<backend_group>(name, std::move(environment));
             failover_environment failover{executor_,
                                           settings_.host,
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -269,9 +269,13 @@
     if (code == answer_code::connection_limit || code == answer_code::busy) {
         state->connection_limit_until = now + connection_limit_backoff;
         state->connect_after = now + initial_connect_backoff / 4;
+        if (code == answer_code::busy) {
+            state->pace.on_refusal(now, now);
+        }
         return;
     }
     ++state->failures;
+    pace_failure(*state, now);
     state->connect_after =
         now + std::min(max_connect_backoff,
                        initial_connect_backoff * (1U << std::min(state->failures, 4U)));
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -72,7 +72,11 @@
     failure_detector_.reset(primary_since_);
     if (const auto found = instances_.find(instance); found != instances_.end()) {
         found->second.denied_until = {};
+        if (last_primary_ && last_primary_ != instance) {
+            start_pace(found->second, "became_primary", primary_since_);
+        }
     }
+    last_primary_ = instance;
     dispatch_waiting();
 }
 
