--- a/libs/pacing/include/masticgrade/pacing/instance_pace.hpp
+++ b/libs/pacing/include/masticgrade/pacing/instance_pace.hpp
@@ -23,7 +23,7 @@
     static constexpr seconds max_length{10};
 
     struct answer {
-        duration elapsed;
+        duration elapsed{};
         /// The time of a statement on the group's other instances, if known.
         std::optional<duration> usual;
         /// Statements in flight on the instance, this one included.
--- a/libs/pacing/test/instance_pace_test.cpp
+++ b/libs/pacing/test/instance_pace_test.cpp
@@ -200,9 +200,9 @@
     CAPTURE(paced.served);
     CAPTURE(unpaced.served);
     CHECK(paced.refused * 20 < unpaced.refused);
-    for (const auto& [second, refused] : paced.refused_in_second) {
-        CAPTURE(second);
-        CHECK(refused <= 20);
+    for (const auto& entry : paced.refused_in_second) {
+        CAPTURE(entry.first);
+        CHECK(entry.second <= 20);
     }
     // The refused statements were no work that the instance could have done.
     CHECK(paced.served * 10 >= unpaced.served * 9);
