Pacing: findings of the review of the measured pace and the warm-up limit

Cause and change: - Statements of open transactions lost their place to new operations while they were idle or waited for the warm-up limit, and were aborted. A run is counted before it waits, waiting statements are admitted in turn, and a new operation starts only if the limit leaves a statement for each operation that has a connection. - The limiter had a rate of zero until an operation was assigned. One function computes the share for entries, ticks and assignments. Known instances whose warm-up begins are not closed for a second. - When the pool owner or the number of hosts changed, the sum over the hosts exceeded the rate. A new owner sends nothing for a second, and larger shares are used a second later. Leased requests no longer count as ownership. - Position proofs waited for the limit although they run no statement. - Failures extended the limit without an end. Only failed connections extend it; failures of requests sent before the limit started or fell and of connections from before a restart are ignored; any answer shows that the instance is reachable. - Connections refused together halved the limit once each. - Without an owner, fractions of the rate were lost. Hosts that rank first for the instance get one statement more. - Single reads refused by the warm-up limit are answered BUSY, with the reason warmup_limit in the log.

No test covers the ignored connections from before a restart and the BUSY answer.

--- a/libs/gateway/include/masticgrade/gateway/connections.hpp
+++ b/libs/gateway/include/masticgrade/gateway/connections.hpp
@@ -28,6 +28,13 @@
     bool may_have_run_;
 };
 
+/// A statement was not sent because the operators' limit of an instance in warm-up was reached.
+class warmup_limit_error : public connection_error {
+public:
+    explicit warmup_limit_error(const std::string& instance)
+        : connection_error("send", instance, "its warm-up limit is reached", false) {}
+};
+
 /// The connection of one caller. Thread safety: none; one executor.
 class caller_connection {
 public:
--- a/libs/gateway/include/masticgrade/gateway/gateway.hpp
+++ b/libs/gateway/include/masticgrade/gateway/gateway.hpp
@@ -22,8 +22,9 @@
     unsigned link_mbps = 0;
     /// Time from the stop request until the process is killed.
     milliseconds stop_grace{6000};
-    /// The operators state terms for the warm-up of instances. Only their limit applies then,
-    /// without a pace measured from the instances' answers.
+    /// The operators state terms for the warm-up of instances. Their limit (the rate in a group's
+    /// settings) then applies without a pace measured from the instances' answers. Without terms,
+    /// both apply.
     bool has_warmup_terms = false;
 };
 
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -88,6 +88,7 @@
             instance.log_term = {};
             instance.denied_until = {};
             instance.connect_after = {};
+            instance.restarted_at = now;
             instance.failures = 0;
         }
         const bool new_start = !is_first_read && (restarted || (added && is_new_start(entry)));
@@ -264,7 +265,7 @@
         }
         const auto owner = request.leased_instance ? instance_pool_owner{true, {}}
                                                    : environment_.pool_owner_of(instance.entry);
-        if (!warmup_admits(instance, owner, now)) {
+        if (!request.sends_no_statement && !warmup_admits(instance, owner, now)) {
             continue;
         }
         const auto item = make_candidate(instance, owner, request.queue_entry.customer, now);
@@ -466,6 +467,7 @@
     request.queue_entry.needs_primary = true;
     request.queue_entry.deadline = deadline;
     request.queue_entry.latest_start = deadline;
+    request.sends_no_statement = true;
     try {
         auto result = co_await acquire(std::move(request));
         if (auto* lease = std::get_if<connection_lease>(&result)) {
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -57,6 +58,7 @@
     customer_id customer;
     /// The generation of the instance_state that counts this connection.
     std::uint64_t generation = 0;
+    time_point opened_at{};
     time_point last_used;
     /// A transaction is open.
     bool in_transaction = false;
@@ -133,6 +135,8 @@
     std::optional<log_index> at_least = {};
     /// Set if the connection is to be leased to another host: the instance that it asked for.
     std::optional<instance_id> leased_instance = {};
+    /// The operation runs no statement of a caller, so that the warm-up limit doesn't apply.
+    bool sends_no_statement = false;
 };
 
 enum class acquire_failure { overloaded, timed_out, lease_unavailable };
@@ -185,6 +189,10 @@
     /// Whether to limit the concurrent statements on instances that have started, recovered or
     /// been promoted.
     bool paces_instances = false;
+    /// Number of live hosts that come before this one in an order of their own for each instance.
+    std::function<std::size_t(const instance_id&)> host_rank = [](const instance_id&) {
+        return std::size_t{0};
+    };
 };
 
 /// This host's state of one database group: its instances and their connection pools, the
@@ -280,12 +288,13 @@
     void on_answer(const instance_id& instance, bool is_commit, duration elapsed,
                    const statement_answer& answer);
     void on_no_answer(const instance_id& instance, bool is_commit);
-    /// A connection of the local pool was lost before its answer.
-    void on_connection_lost(const instance_id& instance);
+    /// A connection of the local pool was lost before it answered a request sent at `sent_at`.
+    void on_connection_lost(const pooled_connection& connection, time_point sent_at);
     /// Whether the operators' warm-up limit applies to the instance.
     [[nodiscard]] bool is_warming_up(const instance_id& instance) const;
     /// Waits until the operators' warm-up limit admits the statements on a connection of the local
-    /// pool. Throws connection_error if that would take too long.
+    /// pool, in the order of the calls for an instance. Throws warmup_limit_error if that would
+    /// take too long.
     boost::asio::awaitable<void> await_warmup(instance_id instance, std::size_t statements,
                                               time_point deadline);
     void add_proof(const instance_id& instance, boot_time sent_at, log_index position);
@@ -296,6 +305,18 @@
     [[nodiscard]] std::size_t paced_instances(time_point now) const;
 
 private:
+    /// Who sends statements to an instance.
+    enum class sender { unknown, other_host, every_host, this_host };
+    struct warmup_state {
+        warmup_limiter limiter;
+        sender last_sender = sender::unknown;
+        /// This host's part of the rate.
+        std::optional<double> share;
+        /// Set while a larger share is delayed.
+        std::optional<time_point> share_grows_at;
+        /// Runs that wait for the limit, in the order in which they are admitted.
+        std::deque<std::uint64_t> waiting;
+    };
     struct instance_state {
         instance_entry entry;
         /// Distinguishes this state from a later one with the same id.
@@ -329,10 +350,11 @@
         /// Measured only over periods in which operations were always waiting; 0 if unknown.
         double releases_per_second = 0;
         bool had_waiters_throughout = false;
+        time_point restarted_at{};
         instance_pace pace;
         time_point warmup_until{};
         /// Set while the operators' warm-up limit applies.
-        std::optional<warmup_limiter> warmup;
+        std::optional<warmup_state> warmup;
     };
     struct pending_acquire;
     struct assignment {
@@ -354,13 +376,17 @@
     void start_pace(instance_state& instance, std::string_view cause, time_point now);
     void pace_answer(instance_state& instance, const statement_answer& answer, duration elapsed,
                      time_point now);
-    void pace_failure(instance_state& instance, time_point now);
+    void pace_failure(instance_state& instance, instance_pace::failure kind, time_point sent_at,
+                      time_point now);
     void pace_tick(instance_state& instance, time_point now);
     void log_pace_start(const instance_state& instance, std::string_view cause) const;
     void log_pace_end(const instance_state& instance, std::string_view reason) const;
     /// The shortest statement time of the group's other instances, if known.
     [[nodiscard]] std::optional<duration> usual_time(const instance_id& except,
                                                      time_point now) const;
+    /// Configures the instance's warm-up limit for this host's part of the rate.
+    /// Precondition: the limit is set.
+    void update_warmup_share(instance_state& instance, const instance_entry& entry, time_point now);
     /// Whether the operators' warm-up limit admits one more operation.
     bool warmup_admits(instance_state& instance, const instance_pool_owner& owner, time_point now);
 
@@ -392,7 +418,7 @@
                                                                     customer_id customer,
                                                                     time_point deadline);
     void on_connect_failed(const instance_id& instance, std::uint64_t generation,
-                           std::optional<answer_code> code);
+                           time_point started, std::optional<answer_code> code);
     instance_state* find_state(const instance_id& instance, std::uint64_t generation);
     void end_operation(const customer_id& customer);
     boost::asio::awaitable<void> roll_back(std::unique_ptr<pooled_connection> connection);
@@ -420,6 +446,8 @@
         std::int64_t start_time = 0;
     };
     std::map<instance_id, lost_instance> lost_instances_;
+    /// Distinguishes the runs in `warmup_state::waiting`.
+    std::uint64_t last_warmup_ticket_ = 0;
     std::optional<instance_id> primary_;
     /// The primary, also after it was lost, until there is another one.
     std::optional<instance_id> last_primary_;
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -37,8 +37,6 @@
 
 asio::awaitable<std::vector<statement_answer>> connection_lease::run(
     std::vector<backend_request> requests, time_point deadline) {
-    group_->on_run_started(*connection_);
-    const scope_guard ended{[this] { group_->on_run_ended(*connection_); }};
     std::vector<statement_answer> answers;
     if (connection_->remote) {
         answers = co_await connection_->remote->run(std::move(requests), deadline);
@@ -66,6 +64,10 @@
 
 asio::awaitable<std::vector<statement_answer>> connection_lease::run_observed(
     std::vector<backend_request> requests, bool is_commit, time_point deadline) {
+    // A statement that waits for the warm-up limit has to be counted, or new operations take its
+    // place.
+    group_->on_run_started(*connection_);
+    const scope_guard ended{[this] { group_->on_run_ended(*connection_); }};
     if (!connection_->remote && group_->is_warming_up(connection_->instance)) {
         co_await group_->await_warmup(connection_->instance, count_statements(requests), deadline);
     }
@@ -78,7 +80,7 @@
     } catch (const connection_error&) {
         group_->on_no_answer(connection_->instance, is_commit);
         if (!connection_->remote) {
-            group_->on_connection_lost(connection_->instance);
+            group_->on_connection_lost(*connection_, sent_at);
         }
         throw;
     }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -294,7 +294,10 @@
                                                    deadline);
                 },
                 [this] { return steady_clock::now() < positions_relayed_until_; },
-                !settings_.has_warmup_terms};
+                !settings_.has_warmup_terms,
+                [this](const instance_id& instance) {
+                    return failover_rank(group_id{instance.str()}, settings_.host, live_host_ids());
+                }};
             group = std::make_shared<backend_group>(name, std::move(environment));
             failover_environment failover{executor_,
                                           settings_.host,
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -170,8 +170,8 @@
                                                                         customer_id customer,
                                                                         time_point deadline) {
     std::optional<answer_code> refused;
+    const auto started = steady_clock::now();
     if (const auto* state = find_state(instance, generation)) {
-        const auto started = steady_clock::now();
         const auto entry = state->entry;
         try {
             on_request_sent(instance, false);
@@ -190,6 +190,7 @@
             connection->instance = instance;
             connection->customer = customer;
             connection->generation = generation;
+            connection->opened_at = started;
             connection->last_used = steady_clock::now();
             environment_.metrics.count("masticgrade_backend_connections_opened_total",
                                        "Connections opened to instances.");
@@ -204,7 +205,7 @@
                 .write();
         }
     }
-    on_connect_failed(instance, generation, refused);
+    on_connect_failed(instance, generation, started, refused);
     end_operation(customer);
     dispatch_waiting();
     co_return nullptr;
@@ -252,7 +253,7 @@
 }
 
 void backend_group::on_connect_failed(const instance_id& instance, std::uint64_t generation,
-                                      std::optional<answer_code> code) {
+                                      time_point started, std::optional<answer_code> code) {
     environment_.metrics.count("masticgrade_backend_connections_failed_total",
                                "Connections that an instance refused or that failed.",
                                code ? std::string{to_string(*code)} : "silent");
@@ -270,12 +271,12 @@
         state->connection_limit_until = now + connection_limit_backoff;
         state->connect_after = now + initial_connect_backoff / 4;
         if (code == answer_code::busy) {
-            state->pace.on_refusal(now, now);
+            state->pace.on_refusal(started, now);
         }
         return;
     }
     ++state->failures;
-    pace_failure(*state, now);
+    pace_failure(*state, instance_pace::failure::no_connection, started, now);
     state->connect_after =
         now + std::min(max_connect_backoff,
                        initial_connect_backoff * (1U << std::min(state->failures, 4U)));
--- a/libs/gateway/src/group_pacing.cpp
+++ b/libs/gateway/src/group_pacing.cpp
@@ -4,6 +4,7 @@
 
 #include "backend_group.hpp"
 #include "masticgrade/base/event_log.hpp"
+#include "masticgrade/base/scope_guard.hpp"
 
 namespace masticgrade {
 
@@ -31,11 +32,14 @@
     }
     if (settings_.warmup_rate <= 0 || now >= instance.warmup_until) {
         instance.warmup.reset();
-    } else if (!instance.warmup) {
-        instance.warmup.emplace();
-        if (!new_start) {
-            instance.warmup->close_until(now + warmup_limiter::window);
+    } else {
+        if (!instance.warmup) {
+            instance.warmup = warmup_state{};
+            if (added && !new_start) {
+                instance.warmup->limiter.close_until(now + warmup_limiter::window);
+            }
         }
+        update_warmup_share(instance, entry, now);
     }
     if (new_start || (added && entry.warmup_remaining.count() > 0)) {
         // The new entry is not stored yet, and log lines name the instance.
@@ -65,6 +69,7 @@
         return;
     }
     if (answer.code != answer_code::done || answer.text == "-") {
+        instance.pace.on_other_answer();
         return;
     }
     instance_pace::answer observed;
@@ -72,9 +77,7 @@
     if (instance.pace.is_limiting(now)) {
         observed.usual = usual_time(instance.entry.id, now);
         observed.full = max_in_flight(instance);
-        // The answered statement of an open transaction is counted as idle already.
-        observed.in_flight = instance.outstanding - instance.idle_in_transaction +
-                             (answer.phase == transaction_phase::none ? 0 : 1);
+        observed.in_flight = instance.outstanding - instance.idle_in_transaction;
     }
     if (instance.pace.on_answer(observed, now)) {
         if (!instance.pace.is_limiting(now)) {
@@ -84,18 +87,21 @@
     }
 }
 
-void backend_group::on_connection_lost(const instance_id& instance) {
-    if (const auto found = instances_.find(instance); found != instances_.end()) {
-        pace_failure(found->second, steady_clock::now());
+void backend_group::on_connection_lost(const pooled_connection& connection, time_point sent_at) {
+    auto* state = find_state(connection.instance, connection.generation);
+    // Connections to the process before a restart say nothing about the new one.
+    if (state != nullptr && connection.opened_at >= state->restarted_at) {
+        pace_failure(*state, instance_pace::failure::no_answer, sent_at, steady_clock::now());
     }
 }
 
-void backend_group::pace_failure(instance_state& instance, time_point now) {
+void backend_group::pace_failure(instance_state& instance, instance_pace::failure kind,
+                                 time_point sent_at, time_point now) {
     if (!environment_.paces_instances) {
         return;
     }
     const bool was_limiting = instance.pace.is_limiting(now);
-    if (instance.pace.on_failure(now) && !was_limiting) {
+    if (instance.pace.on_failure(kind, sent_at, now) && !was_limiting) {
         log_pace_start(instance, "unreachable");
     }
 }
@@ -108,8 +114,8 @@
     if (instance.warmup && now >= instance.warmup_until) {
         instance.warmup.reset();
     }
-    if (instance.warmup && !environment_.pool_owner_of(instance.entry).host.empty()) {
-        instance.warmup->close_until(now + warmup_limiter::window);
+    if (instance.warmup) {
+        update_warmup_share(instance, instance.entry, now);
     }
 }
 
@@ -159,22 +165,60 @@
         .write();
 }
 
+void backend_group::update_warmup_share(instance_state& instance, const instance_entry& entry,
+                                        time_point now) {
+    auto& warmup = *instance.warmup;
+    const auto owner = environment_.pool_owner_of(entry);
+    const auto last_sender = warmup.last_sender;
+    if (!owner.host.empty()) {
+        warmup.last_sender = sender::other_host;
+    } else {
+        warmup.last_sender = owner.is_self ? sender::this_host : sender::every_host;
+    }
+    const bool changed = last_sender != sender::unknown && last_sender != warmup.last_sender;
+    if (warmup.last_sender == sender::other_host ||
+        (changed &&
+         (last_sender == sender::other_host || warmup.last_sender == sender::this_host))) {
+        // The other hosts may have used the rate within the last window.
+        warmup.limiter.close_until(now + warmup_limiter::window);
+    }
+    double share = settings_.warmup_rate;
+    if (warmup.last_sender != sender::this_host) {
+        // Fractions of a statement per second cannot be divided among hosts without messages, so
+        // the hosts that rank first get what is left over.
+        const auto hosts = std::max<std::size_t>(1, environment_.live_host_count());
+        const auto rank = environment_.host_rank(entry.id);
+        const auto whole = static_cast<std::size_t>(settings_.warmup_rate);
+        if (hosts > 1 && whole == 0) {
+            share = rank == 0 ? settings_.warmup_rate : 0;
+        } else if (hosts > 1) {
+            const std::size_t statements = whole / hosts + (rank < whole % hosts ? 1 : 0);
+            share = static_cast<double>(statements);
+        }
+    }
+    if (warmup.share && share > *warmup.share) {
+        // Other hosts may not know yet that their share has fallen.
+        if (!warmup.share_grows_at) {
+            warmup.share_grows_at = now + warmup_limiter::window;
+        }
+        if (now < *warmup.share_grows_at) {
+            return;
+        }
+    }
+    warmup.share_grows_at.reset();
+    warmup.share = share;
+    warmup.limiter.configure(share);
+}
+
 bool backend_group::warmup_admits(instance_state& instance, const instance_pool_owner& owner,
                                   time_point now) {
-    if (!instance.warmup || now >= instance.warmup_until) {
+    // The limit of another host's pool is applied there.
+    if (!instance.warmup || now >= instance.warmup_until || !owner.host.empty()) {
         return true;
     }
-    if (!owner.host.empty()) {
-        instance.warmup->close_until(now + warmup_limiter::window);
-        return true;
-    }
-    // Fractions of a statement per second cannot be divided among hosts without messages.
-    const auto hosts = std::max<std::size_t>(1, environment_.live_host_count());
-    instance.warmup->configure(
-        owner.is_self ? settings_.warmup_rate
-                      : std::floor(settings_.warmup_rate / static_cast<double>(hosts)));
-    const unsigned in_flight = instance.outstanding - instance.idle_in_transaction;
-    return instance.warmup->available(now) > in_flight;
+    update_warmup_share(instance, instance.entry, now);
+    // Each operation, also one whose transaction is idle, may have to send another statement.
+    return instance.warmup->limiter.available(now) > instance.outstanding;
 }
 
 bool backend_group::is_warming_up(const instance_id& instance) const {
@@ -186,18 +230,36 @@
                                                   time_point deadline) {
     const auto self = shared_from_this();
     const auto latest = std::min(deadline, steady_clock::now() + max_warmup_wait);
+    const auto limit = [&]() -> warmup_state* {
+        const auto found = instances_.find(instance);
+        return found == instances_.end() || !found->second.warmup ? nullptr
+                                                                  : &*found->second.warmup;
+    };
+    std::uint64_t ticket = 0;
+    const scope_guard leave_queue{[&] {
+        if (auto* warmup = limit()) {
+            std::erase(warmup->waiting, ticket);
+        }
+    }};
     for (;;) {
         const auto now = steady_clock::now();
-        const auto found = instances_.find(instance);
-        if (found == instances_.end() || !found->second.warmup ||
-            found->second.warmup->take(statements, now)) {
+        auto* warmup = limit();
+        if (warmup == nullptr || statements == 0) {
+            co_return;
+        }
+        if (std::find(warmup->waiting.begin(), warmup->waiting.end(), ticket) ==
+            warmup->waiting.end()) {
+            ticket = ++last_warmup_ticket_;
+            warmup->waiting.push_back(ticket);
+        }
+        if (warmup->waiting.front() == ticket && warmup->limiter.take(statements, now)) {
             co_return;
         }
-        const auto ready = std::max(found->second.warmup->ready_at(now), now + milliseconds{1});
+        const auto ready = std::max(warmup->limiter.ready_at(now), now + milliseconds{1});
         if (ready >= latest) {
             environment_.metrics.count("masticgrade_warmup_refusals_total",
                                        "Statements not sent because of the warm-up limit.");
-            throw connection_error("send", instance.str(), "its warm-up limit is reached", false);
+            throw warmup_limit_error(instance.str());
         }
         asio::steady_timer pause{environment_.executor, ready};
         co_await pause.async_wait(asio::use_awaitable);
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -273,6 +273,10 @@
             excluded.insert(lease.instance());
             on_primary = on_primary || excluded.size() >= max_replica_attempts;
             last = std::move(answer);
+        } catch (const warmup_limit_error&) {
+            op.reason = "warmup_limit";
+            excluded.insert(lease.instance());
+            last = refuse(answer_code::busy, retry_text(busy_retry_delay));
         } catch (const connection_error& failure) {
             op.reason = "connection_lost";
             excluded.insert(lease.instance());
@@ -315,6 +319,9 @@
                 co_return answer;
             }
             last = std::move(answer);
+        } catch (const warmup_limit_error&) {
+            op.reason = "warmup_limit";
+            last = refuse(answer_code::busy, retry_text(busy_retry_delay));
         } catch (const connection_error& failure) {
             op.reason = "connection_lost";
             if (sent && failure.may_have_run()) {
--- a/libs/pacing/include/masticgrade/pacing/instance_pace.hpp
+++ b/libs/pacing/include/masticgrade/pacing/instance_pace.hpp
@@ -43,10 +43,15 @@
     /// busy.
     void on_refusal(time_point sent_at, time_point now);
 
-    /// A statement got no answer, or a connection could not be opened. The second failure without
-    /// an answer in between makes the instance unreachable: the limit starts again at one. Returns
-    /// whether it did.
-    bool on_failure(time_point now);
+    /// The instance answered otherwise, for example with an error of the statement.
+    void on_other_answer() noexcept { failures_ = 0; }
+
+    enum class failure { no_answer, no_connection };
+    /// A statement or an attempt to connect, begun at `sent_at`, failed. The second failure without
+    /// an answer in between makes the instance unreachable: the limit starts again at one. Only
+    /// failed connections also extend it, so that it ends although statements keep failing. Ignores
+    /// requests begun before the limit last started or fell. Returns whether the limit started.
+    bool on_failure(failure kind, time_point sent_at, time_point now);
 
     [[nodiscard]] bool is_limiting(time_point now) const noexcept {
         return limit_ != unlimited && now < ends_at_;
@@ -62,15 +67,19 @@
     void reset() noexcept { limit_ = unlimited; }
 
 private:
+    void halve(time_point now);
+
     static constexpr unsigned unlimited = std::numeric_limits<unsigned>::max();
 
     unsigned limit_ = unlimited;
-    /// From this limit on, the growth is one per round trip.
+    /// Half the limit at which the instance last refused, or `unlimited`. From here on, the growth
+    /// is one per round trip.
     unsigned fast_growth_end_ = unlimited;
     /// Answers since the last change of the limit that did not change it.
     unsigned answers_ = 0;
     unsigned failures_ = 0;
     time_point ends_at_{};
+    /// When the limit last started or fell.
     time_point halved_at_{};
 };
 
--- a/libs/pacing/src/instance_pace.cpp
+++ b/libs/pacing/src/instance_pace.cpp
@@ -46,23 +46,37 @@
 }
 
 void instance_pace::on_refusal(time_point sent_at, time_point now) {
-    if (!is_limiting(now) || sent_at < halved_at_) {
-        return;
+    failures_ = 0;
+    if (is_limiting(now) && sent_at >= halved_at_) {
+        halve(now);
     }
-    limit_ = std::max(1U, limit_ / 2);
-    fast_growth_end_ = limit_;
-    answers_ = 0;
-    halved_at_ = now;
 }
 
-bool instance_pace::on_failure(time_point now) {
+bool instance_pace::on_failure(failure kind, time_point sent_at, time_point now) {
+    if (sent_at < halved_at_) {
+        return false;
+    }
     ++failures_;
+    const bool was_limiting = is_limiting(now);
     if (failures_ >= failures_until_unreachable) {
+        const auto ends_at = ends_at_;
         start(now);
+        if (was_limiting && kind == failure::no_answer) {
+            ends_at_ = ends_at;
+        }
         return true;
     }
-    on_refusal(now, now);
+    if (was_limiting) {
+        halve(now);
+    }
     return false;
 }
 
+void instance_pace::halve(time_point now) {
+    limit_ = std::max(1U, limit_ / 2);
+    fast_growth_end_ = limit_;
+    answers_ = 0;
+    halved_at_ = now;
+}
+
 }  // namespace masticgrade
--- a/libs/pacing/test/instance_pace_test.cpp
+++ b/libs/pacing/test/instance_pace_test.cpp
@@ -122,7 +122,7 @@
             case outcome::lost:
                 ++result_.lost;
                 if (paced_) {
-                    pace_.on_failure(now_);
+                    pace_.on_failure(instance_pace::failure::no_answer, done.sent_at, now_);
                 }
                 retry_after_ = now_ + milliseconds{100};
                 break;
@@ -287,15 +287,71 @@
 // Guards against a healthy instance that is slowed by one lost answer.
 TEST_CASE("a single failure does not limit an instance and the second one in a row does") {
     instance_pace pace;
-    CHECK_FALSE(pace.on_failure(begin_time));
+    constexpr auto lost = instance_pace::failure::no_answer;
+    CHECK_FALSE(pace.on_failure(lost, begin_time, begin_time));
     CHECK(pace.admits(100, begin_time));
     pace.on_answer({usual_time, usual_time, 1, 4}, begin_time);
-    CHECK_FALSE(pace.on_failure(begin_time));
-    CHECK(pace.on_failure(begin_time));
+    CHECK_FALSE(pace.on_failure(lost, begin_time, begin_time));
+    CHECK(pace.on_failure(lost, begin_time, begin_time));
     CHECK(pace.admits(0, begin_time));
     CHECK_FALSE(pace.admits(1, begin_time));
 }
 
+// Guards against failures that do not depend on the load and start the limit again and again.
+TEST_CASE("the limit ends after its maximum length although statements keep failing at random") {
+    instance_pace pace;
+    pace.start(begin_time);
+    std::mt19937 random{20261206};
+    std::bernoulli_distribution fails{0.4};
+    unsigned failures = 0;
+    const auto end = begin_time + instance_pace::max_length;
+    constexpr milliseconds step{20};
+    for (auto now = begin_time + step; now < end; now += step) {
+        if (fails(random)) {
+            ++failures;
+            pace.on_failure(instance_pace::failure::no_answer, now - milliseconds{10}, now);
+        } else {
+            pace.on_answer({milliseconds{10}, usual_time, 1, 64}, now);
+        }
+    }
+    CHECK(failures > 100);
+    CHECK_FALSE(pace.is_limiting(end));
+}
+
+TEST_CASE("failed connections extend the limit") {
+    instance_pace pace;
+    pace.start(begin_time);
+    const auto late = begin_time + seconds{9};
+    pace.on_failure(instance_pace::failure::no_connection, late, late);
+    CHECK(pace.on_failure(instance_pace::failure::no_connection, late, late));
+    CHECK(pace.is_limiting(begin_time + seconds{15}));
+}
+
+// Guards against statements that were lost with the process before a restart, or in one event.
+TEST_CASE("failures of requests that were sent before the limit started are ignored") {
+    instance_pace pace;
+    pace.start(begin_time);
+    auto now = begin_time + usual_time;
+    REQUIRE(pace.on_answer({usual_time, usual_time, 1, 4}, now));
+    now += milliseconds{1};
+    for (int i = 0; i < 4; ++i) {
+        CHECK_FALSE(
+            pace.on_failure(instance_pace::failure::no_answer, begin_time - usual_time, now));
+    }
+    CHECK(pace.admits(1, now));
+}
+
+// Guards against an instance that answers with errors and refusals and is taken for unreachable.
+TEST_CASE("any answer between two failures shows that the instance is reachable") {
+    instance_pace pace;
+    constexpr auto lost = instance_pace::failure::no_answer;
+    CHECK_FALSE(pace.on_failure(lost, begin_time, begin_time));
+    SUBCASE("busy") { pace.on_refusal(begin_time, begin_time); }
+    SUBCASE("an error of the statement") { pace.on_other_answer(); }
+    CHECK_FALSE(pace.on_failure(lost, begin_time, begin_time));
+    CHECK_FALSE(pace.is_limiting(begin_time));
+}
+
 // Guards against one burst of refusals that lowers the limit as often as it has answers.
 TEST_CASE("refusals of statements that were sent before the limit fell do not lower it again") {
     instance_pace pace;
@@ -327,7 +383,7 @@
             } else if (event == 1) {
                 pace.on_refusal(now - milliseconds{5}, now);
             } else if (event == 2) {
-                pace.on_failure(now);
+                pace.on_failure(instance_pace::failure::no_answer, now - milliseconds{5}, now);
             } else {
                 pace.on_answer({usual_time * event, usual_time, full, full}, now);
             }
