--- a/libs/gateway/include/masticgrade/gateway/gateway.hpp
+++ b/libs/gateway/include/masticgrade/gateway/gateway.hpp
@@ -25,6 +25,10 @@
     milliseconds stop_grace{6000};
     /// Usage is accounted for and reported if set.
     std::optional<usage_settings> usage = {};
+    /// Limits the concurrent statements on instances that have started, recovered or been promoted
+    /// to a pace measured from their answers. The warm-up rate in a group's settings applies in any
+    /// case.
+    bool paces_instances = false;
 };
 
 /// External services that the gateway uses. They must outlive it.
