Usage: mend review findings about restores, cut-off hosts and takeovers

- After a restore a host with a slow clock could compute a window that was already reported.
It now takes the maximum of its own clock and the newest totals of other hosts, and skips one more window.
- A host that hears no peers recorded windows with its own counts only.
Completeness now covers the hosts heard during the window.
With fewer than half of the registered hosts heard, a host takes over and records only 2 s before the report is late.
The model gives a cut-off host a list of itself.
- Collectors took over while the live holder waited for totals.
They now need the totals of the window themselves, or wait until the holder's wait is over.
The holder says so in its acknowledgements and gets totals each second.
- Unconfirmed reports are repeated by another collector 2 s before they are late; a holder without a rank sends reports while its commit is valid.
A holder removes confirmed reports from the row before that time.
- A restarted collector took a partial update for a full one.
Updates name their base, and partial ones for another process do not complete a host.
- One window is recorded a commit, and failures of the store are repeated after 0.3, 0.6 and 1.2 s.

The step tests' host now sends its totals to itself, as the real one does: a host without any totals no longer counts as one that hears the fleet.

That hosts send to the holder each second has no test of its own.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -290,7 +290,8 @@
                                       *services_.usage_reports,
                                       *leases_,
                                       metrics_,
-                                      [this] { return live_candidates(); }};
+                                      [this] { return live_candidates(); },
+                                      [this] { return hosts_.others().size() + 1; }};
         usage_ = std::make_unique<usage_accounting>(std::move(environment), *settings_.usage);
         sessions_environment_.on_operation_run = [this](const customer_id& customer,
                                                         wall_time began_at) {
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -255,12 +255,15 @@
         }
         const auto list = out.CreateVector(windows);
         return {wire::Call::CountUsage,
-                wire::CreateCountUsage(out, list, call.revision, milliseconds_of(call.taken_at))
+                wire::CreateCountUsage(out, list, call.revision, milliseconds_of(call.taken_at),
+                                       call.base_incarnation.value(), call.base_revision)
                     .Union()};
     }
     std::pair<wire::Call, Offset<void>> operator()(const usage_acknowledgement& call) const {
-        return {wire::Call::UsageCounted,
-                wire::CreateUsageCounted(out, call.revision, call.incarnation.value()).Union()};
+        return {
+            wire::Call::UsageCounted,
+            wire::CreateUsageCounted(out, call.revision, call.incarnation.value(), call.is_holder)
+                .Union()};
     }
     std::pair<wire::Call, Offset<void>> operator()(const primary_query& call) const {
         const auto group = out.CreateString(call.group.str());
@@ -475,6 +478,8 @@
     result.revision = call.revision();
     result.taken_at = wall_time{milliseconds{
         static_cast<milliseconds::rep>(std::min(call.taken_ms(), max_time_of_day_ms))}};
+    result.base_incarnation = incarnation_number{call.base_incarnation()};
+    result.base_revision = call.base_revision();
     if (call.windows() != nullptr) {
         for (const auto* item : *call.windows()) {
             result.windows.push_back({window_number{item->window()}, read_counts(*item)});
@@ -601,8 +606,8 @@
             break;
         case wire::Call::UsageCounted: {
             const auto& call = *message.call_as_UsageCounted();
-            result.call =
-                usage_acknowledgement{call.revision(), incarnation_number{call.incarnation()}};
+            result.call = usage_acknowledgement{
+                call.revision(), incarnation_number{call.incarnation()}, call.is_holder()};
             break;
         }
         case wire::Call::NONE:
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -177,6 +177,8 @@
 struct usage_acknowledgement {
     std::uint64_t revision = 0;
     incarnation_number incarnation;
+    /// Whether the collector reports usage to the platform.
+    bool is_holder = false;
 
     friend bool operator==(const usage_acknowledgement&, const usage_acknowledgement&) = default;
 };
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -225,8 +225,12 @@
         if (!may_commit && !transaction_) {
             deadline = interpolate(steady_clock::now(), op.deadline, first_attempt_fraction);
         }
-        auto answer = co_await execute_counted(lease, std::move(request), may_commit,
-                                               proves_position, deadline);
+        // Callers of a fleet without usage reports do not pay for another coroutine.
+        auto execution =
+            environment_.on_operation_run
+                ? execute_counted(lease, std::move(request), may_commit, proves_position, deadline)
+                : lease.execute(std::move(request), may_commit, proves_position, deadline);
+        auto answer = co_await std::move(execution);
         const bool still_open = !transaction_ || answer.phase == transaction_phase::open;
         if (answer.code != answer_code::busy || attempts == max_busy_attempts || !still_open ||
             steady_clock::now() + busy_retry_delay >= op.deadline) {
--- a/libs/gateway/src/usage_accounting.cpp
+++ b/libs/gateway/src/usage_accounting.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-/// Interval of the updates to the first collector. Operations counted since the last update are
-/// lost if the host dies.
+/// Interval of the updates to the first collector and to the holder. Operations counted since the
+/// last update are lost if the host dies.
 constexpr milliseconds update_interval{1000};
 /// The other collectors get every third update: each exchange costs more in headers than in counts.
 constexpr std::size_t other_collector_rounds = 3;
@@ -67,7 +67,7 @@
 usage_accounting::usage_accounting(usage_environment environment, usage_settings settings)
     : environment_(std::move(environment)),
       counter_(settings.window),
-      collector_(settings.window),
+      collector_(settings.window, environment_.self.incarnation),
       reporter_(environment_.self, settings, boot_clock::now(), wall_clock::now()) {}
 
 void usage_accounting::count(const customer_id& customer, wall_time began_at) {
@@ -78,7 +78,7 @@
                                                 incarnation_number incarnation,
                                                 const usage_update& update) {
     collector_.on_update(sender, incarnation, update, wall_clock::now());
-    return {update.revision, environment_.self.incarnation};
+    return {update.revision, environment_.self.incarnation, reporter_.is_holder()};
 }
 
 asio::awaitable<void> usage_accounting::run_exchange() {
@@ -86,7 +86,8 @@
         update_fleet();
         std::vector<host_id> recipients;
         for (std::size_t i = 0; i < collectors_.size(); ++i) {
-            if (i == 0 || i % other_collector_rounds == round % other_collector_rounds) {
+            if (i == 0 || collectors_[i] == holder_ ||
+                i % other_collector_rounds == round % other_collector_rounds) {
                 recipients.push_back(collectors_[i]);
             }
         }
@@ -98,9 +99,10 @@
 asio::awaitable<void> usage_accounting::run_reports() {
     for (;;) {
         const auto own_rank = rank();
-        co_await sleep(own_rank ? step_interval : update_interval);
-        usage_reporter::view state{boot_clock::now(), wall_clock::now(), own_rank, live_hosts_,
-                                   collector_};
+        co_await sleep(own_rank || reporter_.is_holder() ? step_interval : update_interval);
+        usage_reporter::view state{boot_clock::now(), wall_clock::now(),
+                                   own_rank,          live_hosts_,
+                                   collector_,        environment_.registered_hosts()};
         while (auto step = reporter_.next(state)) {
             if (auto* reading = std::get_if<read_record_step>(&*step)) {
                 co_await perform(*reading);
@@ -157,6 +159,9 @@
         co_await environment_.leases.send_usage(collector, std::move(update), deadline);
     if (answer) {
         counter_.on_acknowledged(collector, answer->incarnation, answer->revision);
+        if (answer->is_holder) {
+            holder_ = collector;
+        }
     } else {
         environment_.metrics.count("masticgrade_usage_updates_failed_total",
                                    "Usage totals that a collector did not acknowledge.");
--- a/libs/gateway/src/usage_accounting.hpp
+++ b/libs/gateway/src/usage_accounting.hpp
@@ -24,6 +24,8 @@
     gateway_metrics& metrics;
     /// All live hosts, including this one.
     std::function<std::vector<collector_candidate>()> live_hosts;
+    /// Number of hosts in the store's list, including this one.
+    std::function<std::size_t()> registered_hosts;
 };
 
 /// Counts this host's operations, exchanges totals with the other hosts, and carries out the steps
@@ -60,6 +62,8 @@
     usage_environment environment_;
     std::vector<host_id> live_hosts_;
     std::vector<host_id> collectors_;
+    /// The collector that last said that it reports usage.
+    std::optional<host_id> holder_;
     operation_counter counter_;
     usage_collector collector_;
     usage_reporter reporter_;
--- a/libs/gateway/test/lease_messages_test.cpp
+++ b/libs/gateway/test/lease_messages_test.cpp
@@ -60,9 +60,11 @@
         RC_ASSERT(std::get<positions_reply>(transmit(known)) == known);
         const usage_update totals{{{window_number{number}, {{customer_id{text}, 7}}}},
                                   number,
-                                  wall_time{milliseconds{number % 1'000'000'000}}};
+                                  wall_time{milliseconds{number % 1'000'000'000}},
+                                  incarnation_number{number},
+                                  number};
         RC_ASSERT(std::get<usage_update>(transmit(totals)) == totals);
-        const usage_acknowledgement stored{number, incarnation_number{number}};
+        const usage_acknowledgement stored{number, incarnation_number{number}, number % 2 == 0};
         RC_ASSERT(std::get<usage_acknowledgement>(transmit(stored)) == stored);
         const row_query rows{text, number};
         RC_ASSERT(std::get<row_query>(transmit(rows)) == rows);
--- a/libs/gateway/test/usage_accounting_test.cpp
+++ b/libs/gateway/test/usage_accounting_test.cpp
@@ -73,15 +73,16 @@
         usage_settings settings;
         settings.window = milliseconds{500};
         settings.lease = milliseconds{0};
-        accounting =
-            std::make_unique<usage_accounting>(usage_environment{context.get_executor(),
-                                                                 {host_id{name}, incarnation_},
-                                                                 store,
-                                                                 reports,
-                                                                 *leases_,
-                                                                 metrics_,
-                                                                 [this] { return candidates(); }},
-                                               settings);
+        accounting = std::make_unique<usage_accounting>(
+            usage_environment{context.get_executor(),
+                              {host_id{name}, incarnation_},
+                              store,
+                              reports,
+                              *leases_,
+                              metrics_,
+                              [this] { return candidates(); },
+                              [this] { return addresses_.size(); }},
+            settings);
         asio::co_spawn(context, accounting->run_exchange(), asio::detached);
         asio::co_spawn(context, accounting->run_reports(), asio::detached);
     }
@@ -148,6 +149,14 @@
         context.run_for(milliseconds{50});
     }
     CHECK(total_of(reports) == 3 * operations);
+    // Hosts send their totals each second to the one that says that it is the holder.
+    unsigned holders = 0;
+    for (auto* host : {&first, &second, &third}) {
+        const auto answer =
+            host->accounting->receive(host_id{"first"}, incarnation_number{1}, usage_update{});
+        holders += answer.is_holder ? 1 : 0;
+    }
+    CHECK(holders == 1);
     std::map<window_number, usage_counts> reported;
     for (const auto& call : reports.calls) {
         CHECK(call.fence == reports.calls.front().fence);
--- a/libs/usage/include/masticgrade/usage/operation_counter.hpp
+++ b/libs/usage/include/masticgrade/usage/operation_counter.hpp
@@ -17,6 +17,10 @@
     std::uint64_t revision = 0;
     /// Operations that were run before this time are contained.
     wall_time taken_at;
+    /// The collector's process that has acknowledged what the update leaves out.
+    incarnation_number base_incarnation = {};
+    /// The acknowledged revision; 0 if the update contains all totals.
+    std::uint64_t base_revision = 0;
 
     friend bool operator==(const usage_update&, const usage_update&) = default;
 };
--- a/libs/usage/include/masticgrade/usage/usage_collector.hpp
+++ b/libs/usage/include/masticgrade/usage/usage_collector.hpp
@@ -29,7 +29,8 @@
 /// Does not read the clock. Thread safety: none.
 class usage_collector {
 public:
-    explicit usage_collector(milliseconds window_length) : window_length_(window_length) {}
+    explicit usage_collector(milliseconds window_length, incarnation_number self = {})
+        : window_length_(window_length), self_(self) {}
 
     /// Stores an update. Updates may arrive repeatedly and in any order. Windows that ended long
     /// before `now`, or begin after it by more than clocks may differ, are ignored.
@@ -40,6 +41,10 @@
     /// The hosts of which no update was taken at `moment` or later.
     [[nodiscard]] std::vector<host_id> missing(const std::vector<host_id>& hosts,
                                                wall_time moment) const;
+    /// The hosts of which an update was taken at `moment` or later.
+    [[nodiscard]] std::vector<host_id> heard_since(wall_time moment) const;
+    /// When the newest update was taken; `limit` bounds the influence of wrong clocks.
+    [[nodiscard]] wall_time newest_taken_at(wall_time limit) const;
 
 private:
     struct process {
@@ -50,8 +55,10 @@
     };
 
     milliseconds window_length_;
+    /// The collecting process.
+    incarnation_number self_;
     std::map<window_number, std::map<process, usage_counts>> windows_;
-    /// When the newest update of each host was taken.
+    /// When the newest update that completed a host's totals was taken.
     std::map<host_id, wall_time> taken_at_;
 };
 
--- a/libs/usage/include/masticgrade/usage/usage_reporter.hpp
+++ b/libs/usage/include/masticgrade/usage/usage_reporter.hpp
@@ -65,6 +65,13 @@
     static constexpr milliseconds patience{4000};
     /// Time from one collector's turn to take over to the next one's.
     static constexpr milliseconds takeover_interval{1500};
+    /// A host that hears less than half of the fleet acts only this long before a report is late.
+    static constexpr milliseconds last_resort_time{2000};
+    /// Most by which a clock of another host may be ahead.
+    static constexpr seconds max_clock_lead{20};
+    /// A report that is not known to be confirmed is repeated by another host this long before it
+    /// is late.
+    static constexpr milliseconds repeat_time{2000};
     /// A call is sent within this time of a commit of the record.
     static constexpr milliseconds commit_validity{1000};
     /// A host takes over a record that has not changed for this long, when the previous holder's
@@ -94,6 +101,8 @@
         /// All live hosts, including this one.
         const std::vector<host_id>& live_hosts;
         const usage_collector& collector;
+        /// Number of hosts in the store's list, including this one.
+        std::size_t registered_hosts = 1;
     };
     /// The next step, or nullopt if there is nothing to do now.
     [[nodiscard]] std::optional<usage_step> next(const view& state);
@@ -114,14 +123,28 @@
     /// The newest window that was due at `moment`, plus one.
     [[nodiscard]] window_number due_until(wall_time moment) const;
     [[nodiscard]] bool is_late(window_number window, wall_time now) const;
+    /// Whether this host hears at least half of the registered hosts.
+    [[nodiscard]] static bool hears_fleet(const view& state);
+    /// Whether the totals of all hosts but `ignored` that were heard or are live contain the
+    /// window.
+    [[nodiscard]] bool has_all_totals(window_number window, const view& state,
+                                      const host_id* ignored) const;
+    /// When a window is recorded although totals are missing.
+    [[nodiscard]] wall_time patience_end(window_number window, const view& state) const;
     [[nodiscard]] bool is_complete(window_number window, const view& state) const;
     std::optional<usage_step> next_as_holder(const view& state);
+    /// The next recorded report, if this host may send it now. Precondition: `is_holder()`.
+    [[nodiscard]] std::optional<usage_step> next_report(const view& state) const;
     std::optional<usage_step> next_as_candidate(const view& state);
     /// Whether it is this host's turn to take over.
     [[nodiscard]] bool takeover_is_due(const view& state) const;
     write_record_step take_over(const view& state);
-    /// Adds the windows that are due and complete to the step's record.
-    void add_due_windows(write_record_step& step, const view& state);
+    /// Adds the next window to the step's record if it is due and complete. One window a commit, so
+    /// that the record fits in a row of the store after an outage.
+    void add_due_window(write_record_step& step, const view& state);
+    /// Whether one of the reports is late within `remaining`, but not yet.
+    [[nodiscard]] bool is_nearly_late(const std::vector<window_usage>& reports,
+                                      milliseconds remaining, wall_time now) const;
     [[nodiscard]] const window_usage* first_unsent(const usage_record& record) const;
     void forget_old_windows(wall_time now);
 
@@ -131,6 +154,8 @@
     wall_time started_wall_;
     /// No step is taken before.
     boot_time wait_until_;
+    /// Steps in a row that failed at the store.
+    unsigned store_failures_ = 0;
     /// The record as known; absent if it has to be read.
     std::optional<stored_usage_record> known_;
     boot_time known_at_;
--- a/libs/usage/src/operation_counter.cpp
+++ b/libs/usage/src/operation_counter.cpp
@@ -14,14 +14,16 @@
 usage_update operation_counter::next_update(const host_id& collector, wall_time now) {
     forget_old_windows(now);
     const auto known = acknowledged_.find(collector);
-    const auto acknowledged = known == acknowledged_.end() ? 0 : known->second.revision;
+    const auto base = known == acknowledged_.end() ? acknowledgement{} : known->second;
     usage_update result;
+    result.base_incarnation = base.incarnation;
+    result.base_revision = base.revision;
     result.revision = revision_;
     result.taken_at = now;
     for (const auto& [window, customers] : windows_) {
         window_usage changed{window, {}};
         for (const auto& [customer, entry] : customers) {
-            if (entry.revision > acknowledged) {
+            if (entry.revision > base.revision) {
                 changed.counts.emplace(customer, entry.count);
             }
         }
--- a/libs/usage/src/usage_collector.cpp
+++ b/libs/usage/src/usage_collector.cpp
@@ -55,6 +55,10 @@
             total = std::max(total, count);
         }
     }
+    // What an earlier process of this collector acknowledged is missing here.
+    if (update.base_revision != 0 && update.base_incarnation != self_) {
+        return;
+    }
     auto& taken_at = taken_at_[host];
     taken_at = std::max(taken_at, update.taken_at);
 }
@@ -84,4 +88,22 @@
     return result;
 }
 
+std::vector<host_id> usage_collector::heard_since(wall_time moment) const {
+    std::vector<host_id> result;
+    for (const auto& [host, taken_at] : taken_at_) {
+        if (taken_at >= moment) {
+            result.push_back(host);
+        }
+    }
+    return result;
+}
+
+wall_time usage_collector::newest_taken_at(wall_time limit) const {
+    wall_time result;
+    for (const auto& [host, taken_at] : taken_at_) {
+        result = std::max(result, std::min(taken_at, limit));
+    }
+    return result;
+}
+
 }  // namespace masticgrade
--- a/libs/usage/src/usage_reporter.cpp
+++ b/libs/usage/src/usage_reporter.cpp
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr milliseconds retry_delay{300};
+/// The delay doubles with each failure of the store in a row, this often at most.
+constexpr unsigned max_doublings = 2;
+/// Time that a holder needs to record a window once it stops waiting for totals.
+constexpr milliseconds record_time{500};
 /// A record that was read longer ago is read again before a takeover.
 constexpr milliseconds max_record_age{100};
 /// Windows that ended longer ago are forgotten. Their reports are late under any settings.
@@ -48,38 +52,76 @@
     return end_of(window, settings_.window) + settings_.late <= now;
 }
 
-bool usage_reporter::is_complete(window_number window, const view& state) const {
+bool usage_reporter::hears_fleet(const view& state) {
+    return 2 * state.live_hosts.size() >= state.registered_hosts;
+}
+
+bool usage_reporter::has_all_totals(window_number window, const view& state,
+                                    const host_id* ignored) const {
+    const auto end = end_of(window, settings_.window);
+    auto hosts = state.collector.heard_since(end - settings_.window);
+    hosts.insert(hosts.end(), state.live_hosts.begin(), state.live_hosts.end());
+    if (ignored != nullptr) {
+        std::erase(hosts, *ignored);
+    }
+    return state.collector.missing(hosts, end + answer_time).empty() &&
+           2 * state.collector.heard_since(end + answer_time).size() >= state.registered_hosts;
+}
+
+wall_time usage_reporter::patience_end(window_number window, const view& state) const {
     const auto end = end_of(window, settings_.window);
-    return state.wall >= end + settling_time + patience ||
-           state.collector.missing(state.live_hosts, end + answer_time).empty();
+    const auto heard = state.collector.heard_since(end + answer_time).size();
+    const milliseconds usual = settling_time + patience;
+    return end + (2 * heard >= state.registered_hosts
+                      ? usual
+                      : std::max(usual, settings_.late - last_resort_time));
+}
+
+bool usage_reporter::is_complete(window_number window, const view& state) const {
+    return state.wall >= patience_end(window, state) || has_all_totals(window, state, nullptr);
 }
 
 std::optional<usage_step> usage_reporter::next(const view& state) {
     forget_old_windows(state.wall);
-    if (state.now < wait_until_ || !state.rank) {
+    if (state.now < wait_until_) {
         return std::nullopt;
     }
+    if (!state.rank) {
+        return is_holder() ? next_report(state) : std::nullopt;
+    }
     return is_holder() ? next_as_holder(state) : next_as_candidate(state);
 }
 
 std::optional<usage_step> usage_reporter::next_as_holder(const view& state) {
     const auto& record = *known_->record;
     write_record_step step{record, known_->version, known_->era};
-    const auto* unsent = first_unsent(record);
-    if (unsent != nullptr && committed_at_ && state.now - *committed_at_ <= commit_validity) {
-        return send_report_step{*unsent, record.fence};
+    if (auto report = next_report(state)) {
+        return report;
     }
-    add_due_windows(step, state);
+    add_due_window(step, state);
     if (step.record.next_window > record.next_window) {
         step.cause = write_record_step::reason::windows;
         return step;
     }
-    if (unsent != nullptr) {
+    const bool is_unsent = first_unsent(record) != nullptr;
+    // Other hosts repeat reports that stay in the record.
+    const bool is_outdated =
+        step.record.unconfirmed.size() < record.unconfirmed.size() &&
+        is_nearly_late(record.unconfirmed, repeat_time + record_time, state.wall);
+    if (is_unsent || is_outdated) {
         return step;
     }
     return std::nullopt;
 }
 
+std::optional<usage_step> usage_reporter::next_report(const view& state) const {
+    const auto* unsent = first_unsent(*known_->record);
+    if (unsent != nullptr && committed_at_ && state.now - *committed_at_ <= commit_validity) {
+        return send_report_step{*unsent, known_->record->fence};
+    }
+    return std::nullopt;
+}
+
 std::optional<usage_step> usage_reporter::next_as_candidate(const view& state) {
     if (!known_) {
         return read_record_step{};
@@ -100,13 +142,28 @@
     const auto rank = static_cast<milliseconds::rep>(*state.rank);
     const bool is_own = known_->record && known_->record->holder == self_.host;
     const bool is_vacant = is_own || is_lost(*known_);
-    const auto wait = (is_own ? milliseconds{0} : handover_time) +
-                      (is_vacant ? rank * takeover_interval : milliseconds{0});
+    auto wait = (is_own ? milliseconds{0} : handover_time) +
+                (is_vacant ? rank * takeover_interval : milliseconds{0});
+    if (is_vacant && !hears_fleet(state)) {
+        wait += std::max(settling_time + patience, settings_.late - last_resort_time);
+    }
     if (state.now - unchanged_since_ < wait) {
         return false;
     }
-    return is_vacant ||
-           due_until(state.wall - (rank + 1) * takeover_interval) > known_->record->next_window;
+    if (is_vacant) {
+        return true;
+    }
+    if (is_nearly_late(known_->record->unconfirmed, repeat_time - rank * record_time, state.wall)) {
+        return true;
+    }
+    const auto window = known_->record->next_window;
+    if (due_until(state.wall - (rank + 1) * takeover_interval) <= window) {
+        return false;
+    }
+    // The holder may be waiting for totals that this host lacks too. A dead holder sends none.
+    const auto& holder = known_->record->holder;
+    return (hears_fleet(state) && has_all_totals(window, state, &holder)) ||
+           state.wall >= patience_end(window, state) + (rank + 1) * record_time;
 }
 
 write_record_step usage_reporter::take_over(const view& state) {
@@ -129,7 +186,12 @@
         // Another host may have reported any window that has ended, under a record that is lost.
         const bool is_first = !stored.record && stored.version == fleet_version{} &&
                               stored.era <= store_era{1} && recorded_.empty();
-        const auto open = window_at(is_first ? started_wall_ : state.wall, settings_.window);
+        // This host's clock may be behind that of the other host, and the newest update of that
+        // host is some seconds old: one more window is skipped.
+        const auto latest =
+            std::max(state.wall, state.collector.newest_taken_at(state.wall + max_clock_lead));
+        const auto open = is_first ? window_at(started_wall_, settings_.window)
+                                   : window_at(latest, settings_.window).next();
         const auto next = std::max({record.next_window, recorded_until_, open});
         if (stored.record) {
             step.skipped = next.value() - std::max(record.next_window, recorded_until_).value();
@@ -144,11 +206,11 @@
             }
         }
     }
-    add_due_windows(step, state);
+    add_due_window(step, state);
     return step;
 }
 
-void usage_reporter::add_due_windows(write_record_step& step, const view& state) {
+void usage_reporter::add_due_window(write_record_step& step, const view& state) {
     auto& record = step.record;
     std::erase_if(record.unconfirmed, [&](const auto& report) {
         return confirmed_.contains(report.window) || is_late(report.window, state.wall);
@@ -160,7 +222,7 @@
         step.skipped += first_in_time.value() - record.next_window.value();
         record.next_window = first_in_time;
     }
-    while (record.next_window < until && is_complete(record.next_window, state)) {
+    if (record.next_window < until && is_complete(record.next_window, state)) {
         const auto window = record.next_window;
         const auto [entry, added] = computed_.try_emplace(window);
         if (added) {
@@ -171,6 +233,13 @@
     }
 }
 
+bool usage_reporter::is_nearly_late(const std::vector<window_usage>& reports,
+                                    milliseconds remaining, wall_time now) const {
+    return std::any_of(reports.begin(), reports.end(), [&](const auto& report) {
+        return !is_late(report.window, now) && is_late(report.window, now + remaining);
+    });
+}
+
 const window_usage* usage_reporter::first_unsent(const usage_record& record) const {
     const auto found =
         std::find_if(record.unconfirmed.begin(), record.unconfirmed.end(),
@@ -199,7 +268,8 @@
 
 void usage_reporter::on_store_failed(boot_time now) {
     known_.reset();
-    wait_until_ = now + retry_delay;
+    wait_until_ = now + retry_delay * (1U << std::min(store_failures_, max_doublings));
+    ++store_failures_;
 }
 
 void usage_reporter::on_commit(const write_record_step& step, bool committed, fleet_version version,
@@ -209,6 +279,7 @@
         known_.reset();
         return;
     }
+    store_failures_ = 0;
     committed_at_ = sent_at;
     on_record({step.record, version, era}, sent_at);
 }
--- a/libs/usage/test/fleet_model.cpp
+++ b/libs/usage/test/fleet_model.cpp
@@ -85,7 +85,7 @@
     item.frozen_until = now_;
     item.pending.reset();
     item.counter = std::make_unique<operation_counter>(settings.window);
-    item.collector = std::make_unique<usage_collector>(settings.window);
+    item.collector = std::make_unique<usage_collector>(settings.window, item.incarnation);
     item.reporter = std::make_unique<usage_reporter>(
         usage_reporter::identity{item.host, item.incarnation}, settings, now_, wall_);
 }
@@ -251,19 +251,18 @@
         }
         return;
     }
-    const auto hosts = live_hosts();
+    // A host that is cut off hears only itself.
+    const auto hosts =
+        item.is_cut_off ? std::vector<collector_candidate>{{item.host, {}, 10}} : live_hosts();
     std::vector<host_id> live;
     for (const auto& host : hosts) {
         live.push_back(host.host);
     }
     const auto collectors = choose_collectors(hosts);
     const auto found = std::find(collectors.begin(), collectors.end(), item.host);
-    usage_reporter::view state{now_, wall_, std::nullopt, live, *item.collector};
+    usage_reporter::view state{now_, wall_, std::nullopt, live, *item.collector, members.size()};
     if (found != collectors.end()) {
         state.rank = static_cast<std::size_t>(found - collectors.begin());
-    } else if (item.is_cut_off) {
-        // A host that hears nobody ranks first in its own view.
-        state.rank = 0;
     }
     if (auto decided = item.reporter->next(state)) {
         begin(item, std::move(*decided));
--- a/libs/usage/test/fleet_model.hpp
+++ b/libs/usage/test/fleet_model.hpp
@@ -90,7 +90,7 @@
         bool is_refused = false;
         /// Its calls to the platform get lost.
         bool misses_platform = false;
-        /// Its messages and calls don't arrive anywhere.
+        /// It exchanges no messages with the other hosts, but reaches the store and the platform.
         bool is_cut_off = false;
         std::unique_ptr<operation_counter> counter;
         std::unique_ptr<usage_collector> collector;
--- a/libs/usage/test/usage_reporter_test.cpp
+++ b/libs/usage/test/usage_reporter_test.cpp
@@ -106,6 +106,30 @@
     check_reports(fleet, started);
 }
 
+// Guards against reports with the counts of one host only, by a host that hears no other.
+TEST_CASE("a host that is cut off from the others does not report its own counts only") {
+    for (unsigned begin = 0; begin < 50; ++begin) {
+        CAPTURE(begin);
+        fleet_model fleet{5, begin};
+        const auto started = fleet.wall();
+        run_with_work(fleet, seconds{20});
+        fleet.run(milliseconds{100 * begin});
+        const auto holder = fleet.holder();
+        REQUIRE(holder);
+        fleet.members[*holder].is_cut_off = true;
+        run_with_work(fleet, seconds{40});
+        CHECK(fleet.platform.violations.empty());
+        const customer_id anna{"anna"};
+        for (const auto window : windows_since(fleet, started, fleet.settings.late)) {
+            CAPTURE(window.value());
+            REQUIRE(fleet.platform.reports.contains(window));
+            const auto& counts = fleet.platform.reports.at(window);
+            REQUIRE(counts.contains(anna));
+            CHECK(2 * counts.at(anna) > fleet.truth.at(window).at(anna));
+        }
+    }
+}
+
 // Guards against a holder that keeps the lock while it reaches the store and not the platform.
 TEST_CASE("a holder that does not reach the platform is replaced") {
     for (unsigned begin = 0; begin < 50; ++begin) {
--- a/libs/usage/test/usage_steps_test.cpp
+++ b/libs/usage/test/usage_steps_test.cpp
@@ -20,6 +20,8 @@
     void pass(milliseconds time) {
         state.now += time;
         state.wall += time;
+        // The host is one of its own collectors.
+        collector.on_update(self, incarnation, {{}, 1, state.wall}, state.wall);
     }
     /// Passes the time in which a new process takes no step.
     void pass_start() { pass(settings.lease + usage_reporter::lease_margin); }
@@ -127,6 +129,125 @@
     CHECK(host.next_as<write_record_step>().record.fence > std::uint64_t{2} << 32U);
 }
 
+// Guards against a second, different report for a window that another host with a faster clock
+// reported under a record that a restore erased.
+TEST_CASE("after a restore a host with a slow clock skips windows that may have been reported") {
+    driven_reporter host;
+    host.pass_start();
+    const auto lead = seconds{7};
+    const auto taken_at = host.state.wall + lead;
+    host.collector.on_update(other, incarnation, {{}, 0, taken_at}, host.state.wall);
+    host.next_as<read_record_step>();
+    const auto old = record_of(other, 20, window_at(host.state.wall, host.settings.window));
+    host.reporter.on_record({old, fleet_version{21}, store_era{2}}, host.state.now);
+    host.pass(usage_reporter::handover_time);
+    host.next_as<read_record_step>();
+    host.reporter.on_record({old, fleet_version{21}, store_era{2}}, host.state.now);
+    const auto step = host.next_as<write_record_step>();
+    CHECK(step.record.next_window == window_at(taken_at, host.settings.window).next());
+}
+
+// Guards against a host that hears no other and records windows with its own counts only.
+TEST_CASE("a host that hears less than half of the fleet acts only before the report is late") {
+    driven_reporter host;
+    host.state.registered_hosts = 5;
+    host.pass_start();
+    const auto next = window_at(host.state.wall, host.settings.window);
+    const auto record = record_of(other, 20, next);
+    const auto limit =
+        end_of(next, host.settings.window) + host.settings.late - usage_reporter::last_resort_time;
+    for (; host.state.wall < limit; host.pass(milliseconds{100})) {
+        if (const auto step = host.next()) {
+            REQUIRE(std::holds_alternative<read_record_step>(*step));
+            host.reporter.on_record({record, fleet_version{21}, era}, host.state.now);
+        }
+    }
+    host.pass(seconds{1});
+    host.read(record, 21);
+    const auto step = host.next_as<write_record_step>();
+    CHECK(step.record.next_window == next.next());
+}
+
+// Guards against a holder that is replaced while it waits for the totals of a slow host.
+TEST_CASE("a collector that lacks totals itself does not take over from the waiting holder") {
+    driven_reporter host;
+    const host_id slow{"host-c"};
+    host.live = {self, other, slow};
+    host.state.registered_hosts = 3;
+    host.pass_start();
+    const auto next = window_at(host.state.wall, host.settings.window);
+    const auto record = record_of(other, 20, next);
+    const auto end = end_of(next, host.settings.window);
+    const auto update = [&](const host_id& sender) {
+        host.collector.on_update(sender, incarnation, {{}, 0, host.state.wall}, host.state.wall);
+    };
+    update(slow);
+    for (; host.state.wall < end + usage_reporter::settling_time + usage_reporter::patience;
+         host.pass(milliseconds{100})) {
+        update(self);
+        update(other);
+        if (const auto step = host.next()) {
+            REQUIRE(std::holds_alternative<read_record_step>(*step));
+            host.reporter.on_record({record, fleet_version{21}, era}, host.state.now);
+        }
+    }
+    update(slow);
+    host.read(record, 21);
+    CHECK(std::holds_alternative<write_record_step>(*host.next()));
+}
+
+// Guards against a recorded report that stays unsent until the next window is overdue.
+TEST_CASE("another host repeats an unconfirmed report before it is late") {
+    driven_reporter host;
+    host.pass_start();
+    const auto window = window_at(host.state.wall, host.settings.window);
+    auto record = record_of(other, 20, window_number{window.value() + 9});
+    record.unconfirmed = {{window, {{customer, 3}}}};
+    const auto limit =
+        end_of(window, host.settings.window) + host.settings.late - usage_reporter::repeat_time;
+    for (; host.state.wall < limit; host.pass(milliseconds{100})) {
+        if (const auto step = host.next()) {
+            REQUIRE(std::holds_alternative<read_record_step>(*step));
+            host.reporter.on_record({record, fleet_version{21}, era}, host.state.now);
+        }
+    }
+    host.read(record, 21);
+    const auto step = host.next_as<write_record_step>();
+    CHECK(step.record.unconfirmed == record.unconfirmed);
+    host.commit(step, 22);
+    CHECK(host.next_as<send_report_step>().report == record.unconfirmed.front());
+}
+
+// Guards against a recorded report that nobody sends because the holder lost its rank.
+TEST_CASE("a holder without a rank sends recorded reports while its commit is valid") {
+    driven_reporter host;
+    const auto sent = host.send_first_report();
+    host.state.rank.reset();
+    CHECK(host.next_as<send_report_step>().report == sent.report);
+    host.pass(usage_reporter::commit_validity + milliseconds{1});
+    CHECK(!host.next());
+}
+
+// Guards against a record that outgrows a row of the store after an outage, and is retried often.
+TEST_CASE("one window is recorded a commit, and failed commits are repeated less and less often") {
+    driven_reporter host;
+    const auto sent = host.send_first_report();
+    host.reporter.on_sent(sent, report_outcome::done, host.state.now);
+    host.pass(2 * host.settings.window);
+    const auto first = host.next_as<write_record_step>();
+    CHECK(first.record.unconfirmed.size() == 1);
+    host.reporter.on_store_failed(host.state.now);
+    const usage_record before{self, incarnation, sent.fence, era, sent.report.window.next(), {}};
+    for (const auto delay : {300, 600, 1200, 1200}) {
+        host.pass(milliseconds{delay - 1});
+        CHECK(!host.next());
+        host.pass(milliseconds{1});
+        host.read(before, 20);
+        host.next_as<write_record_step>();
+        host.reporter.on_store_failed(host.state.now);
+    }
+}
+
 // Guards against a token that is used again after the platform has refused it.
 TEST_CASE("a refused token is not used again") {
     driven_reporter host;
--- a/libs/usage/test/usage_totals_test.cpp
+++ b/libs/usage/test/usage_totals_test.cpp
@@ -61,6 +61,29 @@
     CHECK(counter.next_update(collector_host, later).windows.empty());
 }
 
+// Guards against a restarted collector that takes a host's last changes for all of its totals.
+TEST_CASE("a partial update for an earlier process of the collector does not complete a host") {
+    operation_counter counter{window_length};
+    counter.count(anna, start);
+    const auto first = counter.next_update(collector_host, start);
+    CHECK(first.base_revision == 0);
+    counter.on_acknowledged(collector_host, incarnation_number{1}, first.revision);
+    counter.count(parish, start);
+    const auto partial = counter.next_update(collector_host, start);
+    usage_collector earlier{window_length, incarnation_number{1}};
+    earlier.on_update(host, incarnation_number{5}, partial, start);
+    CHECK(earlier.missing({host}, start).empty());
+    usage_collector restarted{window_length, incarnation_number{2}};
+    restarted.on_update(host, incarnation_number{5}, partial, start);
+    CHECK(restarted.missing({host}, start) == std::vector{host});
+    counter.on_acknowledged(collector_host, incarnation_number{2}, partial.revision);
+    restarted.on_update(host, incarnation_number{5}, counter.next_update(collector_host, start),
+                        start);
+    CHECK(restarted.missing({host}, start).empty());
+    CHECK(restarted.totals(window_at(start, window_length)) ==
+          usage_counts{{anna, 1}, {parish, 1}});
+}
+
 // Guards against counts that are added twice or lost by repeated, lost and reordered messages.
 TEST_CASE("a collector's totals do not depend on the order of updates") {
     CHECK(rc::check([](const std::vector<bool>& customers, std::uint32_t seed) {
