--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -288,7 +288,6 @@
     if (!result.pool_owner.empty()) {
         return result;
     }
-    instance.pace.on_sent(now);
     // The most recently used connection is the most likely to be open and to match the session.
     const auto free =
         std::find_if(instance.idle.rbegin(), instance.idle.rend(), [&](const auto& connection) {
--- a/libs/pacing/include/masticgrade/pacing/instance_pace.hpp
+++ b/libs/pacing/include/masticgrade/pacing/instance_pace.hpp
@@ -21,8 +21,6 @@
     /// Bounds the harm of refusals that do not depend on the load, such as those of a faulty
     /// instance.
     static constexpr seconds max_length{10};
-    /// A statement without an answer must not keep a recovered instance idle until its deadline.
-    static constexpr milliseconds probe_interval{200};
 
     struct answer {
         duration elapsed{};
@@ -53,13 +51,10 @@
     [[nodiscard]] bool is_limiting(time_point now) const noexcept {
         return limit_ != unlimited && now < ends_at_;
     }
-    /// Whether another statement may be sent. At least one may always be in flight, and one more
-    /// in each `probe_interval`.
+    /// Whether another statement may be sent. At least one may always be in flight.
     [[nodiscard]] bool admits(unsigned in_flight, time_point now) const noexcept {
-        return !is_limiting(now) || in_flight < limit_ || now - sent_at_ >= probe_interval;
+        return !is_limiting(now) || in_flight < limit_;
     }
-    /// A statement that was admitted is sent.
-    void on_sent(time_point now) noexcept { sent_at_ = now; }
     /// Whether the limit ended because of `max_length`; `reset` acknowledges that.
     [[nodiscard]] bool has_expired(time_point now) const noexcept {
         return limit_ != unlimited && now >= ends_at_;
@@ -77,7 +72,6 @@
     unsigned failures_ = 0;
     time_point ends_at_{};
     time_point halved_at_{};
-    time_point sent_at_{};
 };
 
 }  // namespace masticgrade
