--- a/libs/gateway/test/usage_accounting_test.cpp
+++ b/libs/gateway/test/usage_accounting_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 
 #include "fakes.hpp"
 
@@ -137,8 +138,8 @@
     store.failures = 2;
     store.answers_to_lose = 1;
     reports.outcomes = {report_outcome::unknown, report_outcome::done, report_outcome::unknown};
-    constexpr unsigned operations = 20;
-    for (unsigned i = 0; i < operations; ++i) {
+    constexpr std::uint64_t operations = 20;
+    for (std::uint64_t i = 0; i < operations; ++i) {
         first.accounting->count(customer, wall_clock::now());
         second.accounting->count(customer, wall_clock::now());
         third.accounting->count(customer, wall_clock::now());
