--- a/libs/usage/test/fleet_model.cpp
+++ b/libs/usage/test/fleet_model.cpp
@@ -255,6 +255,7 @@
     const auto hosts =
         item.is_cut_off ? std::vector<collector_candidate>{{item.host, {}, 10}} : live_hosts();
     std::vector<host_id> live;
+    live.reserve(hosts.size());
     for (const auto& host : hosts) {
         live.push_back(host.host);
     }
