Gateway: a stop doesn't close a session that has just received a statement

Cause: a receive that finds its bytes at once takes them from the socket and queues its completion. Until that has run, the statement is neither unread input nor known to the session. A check of the stop in between closed the connection, and the completion then executed the statement.

Change: a stop ends the wait for a request and leaves the connection open. A received request is returned and answered; the session closes only after a read that ended without one. New log lines session_closed and answer_undelivered.

--- a/libs/gateway/include/masticgrade/gateway/connections.hpp
+++ b/libs/gateway/include/masticgrade/gateway/connections.hpp
@@ -54,8 +54,13 @@
     /// was closed.
     virtual boost::asio::awaitable<std::optional<caller_statement>> next() = 0;
     virtual boost::asio::awaitable<void> answer(const statement_answer& answer) = 0;
-    /// Whether bytes of a request have arrived that neither `open` nor `next` has returned.
+    /// Whether bytes of a request have arrived that neither `open` nor `next` has returned. Does
+    /// not count what a pending call has just received.
     [[nodiscard]] virtual bool has_pending_input() = 0;
+    /// Ends the wait of a pending `open` or `next`: it returns nullopt, or the request if bytes of
+    /// it have arrived. The connection stays open, so that the request can be answered.
+    virtual void stop_waiting() = 0;
+    /// Precondition: no call is pending, since its result could no longer be answered.
     virtual void close() = 0;
 };
 
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -49,9 +49,17 @@
             busy_ = true;
             first_request_deadline_ = {};
             const auto answer = co_await handle(*statement);
-            co_await link_->answer(answer);
+            co_await deliver(*statement, answer);
             busy_ = false;
         }
+        if (closing_) {
+            event_line{"session_closed"}
+                .field("customer", customer_)
+                .field("database", database_)
+                .field("has_pending_input", link_->has_pending_input())
+                .field_ms("idle_ms", steady_clock::now() - idle_since_)
+                .write();
+        }
     } catch (const connection_error& failure) {
         event_line{"caller_lost"}
             .field("customer", customer_)
@@ -64,6 +72,24 @@
     link_->close();
 }
 
+asio::awaitable<void> caller_session::deliver(const caller_statement& statement,
+                                              const statement_answer& answer) {
+    try {
+        co_await link_->answer(answer);
+    } catch (const connection_error& failure) {
+        event_line{"answer_undelivered"}
+            .field("request", statement.id)
+            .field("customer", customer_)
+            .field("database", database_)
+            .field("code", to_string(answer.code))
+            .field("closing", closing_)
+            .field_ms("took_ms", steady_clock::now() - idle_since_)
+            .field("reason", failure.reason())
+            .write();
+        throw;
+    }
+}
+
 asio::awaitable<bool> caller_session::open() {
     const auto request = co_await link_->open(steady_clock::now() + open_timeout);
     if (!request) {
@@ -177,7 +203,7 @@
 void caller_session::close_when_idle() {
     closing_ = true;
     if (!busy_ && !has_work()) {
-        link_->close();
+        link_->stop_waiting();
     }
 }
 
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -89,6 +89,9 @@
 
     boost::asio::awaitable<bool> open();
     boost::asio::awaitable<statement_answer> handle(const caller_statement& statement);
+    /// Sends the answer. Throws connection_error, and logs the statement that got no answer.
+    boost::asio::awaitable<void> deliver(const caller_statement& statement,
+                                         const statement_answer& answer);
     statement_answer handle_locally(const caller_statement& statement);
     boost::asio::awaitable<statement_answer> serve(const caller_statement& statement);
     boost::asio::awaitable<statement_answer> serve_single(operation& op);
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -281,13 +281,23 @@
     if (action != before.end()) {
         action->second();
     }
+    if (!waits_ && !pipelines) {
+        co_return std::nullopt;
+    }
+    const auto received = on_received.find(sent_);
     ++sent_;
     auto statement = std::move(statements_.front());
     statements_.pop_front();
+    if (received != on_received.end()) {
+        received->second();
+    }
     co_return std::move(statement);
 }
 
 asio::awaitable<void> fake_caller::answer(const statement_answer& answer) {
+    if (closed) {
+        throw connection_error("answer caller", "", "the connection is closed", true);
+    }
     answers.push_back(answer);
     co_return;
 }
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -145,6 +145,7 @@
     boost::asio::awaitable<std::optional<caller_statement>> next() override;
     boost::asio::awaitable<void> answer(const statement_answer& answer) override;
     [[nodiscard]] bool has_pending_input() override { return pipelines && !statements_.empty(); }
+    void stop_waiting() override { waits_ = false; }
     void close() override { closed = true; }
 
     std::vector<statement_answer> answers;
@@ -154,11 +155,14 @@
     bool pipelines = false;
     /// Called before the statement with this index is sent.
     std::map<std::size_t, std::function<void()>> before;
+    /// Called when the statement with this index has been received and `next` has not returned it.
+    std::map<std::size_t, std::function<void()>> on_received;
 
 private:
     session_request request_;
     std::deque<caller_statement> statements_;
     std::size_t sent_ = 0;
+    bool waits_ = true;
 };
 
 /// An in-memory table service whose commits can lose their answers.
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -407,6 +407,22 @@
     CHECK(caller->closed);
 }
 
+// A stop closed the connection between the receipt of a statement and its execution: the statement
+// ran, and its caller got no answer.
+TEST_CASE("a statement received just before its session closes is answered") {
+    session_fixture fixture;
+    auto caller = std::make_shared<fake_caller>(
+        session_request{"current", key},
+        std::vector<caller_statement>{write("w1"), write("w2"), write("w3")});
+    caller->on_received[1] = [&] { fixture.session->close_when_idle(); };
+    fixture.run(caller);
+    REQUIRE(caller->answers.size() == 2);
+    CHECK(caller->answers[1].code == answer_code::done);
+    CHECK(fixture.runs_of("w2") == 1);
+    CHECK(fixture.runs_of("w3") == 0);
+    CHECK(caller->closed);
+}
+
 TEST_CASE("a session closes after its answer if nothing more has arrived") {
     session_fixture fixture;
     auto caller = std::make_shared<fake_caller>(
