Gateway: a commit that was received is not preceded by the abort of its transaction

Callers saw: nothing wrong, but a commit that had reached the host could be refused as aborted, at a stop or when the limit of idle time passed.

A received statement whose completion is queued is not unread input, so the abort took place in between. The abort is now requested, and takes place when the pending read has ended without a statement.

Test: "a commit received just before its transaction is aborted is executed" failed with the abort in place (answer aborted, 0 commits) and passes.

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -43,9 +43,14 @@
         while (!closing_ || has_work()) {
             idle_since_ = steady_clock::now();
             const auto statement = co_await link_->next();
+            if (!statement && requested_abort_) {
+                abort_requested();
+                continue;
+            }
             if (!statement) {
                 break;
             }
+            requested_abort_.reset();
             busy_ = true;
             first_request_deadline_ = {};
             const auto answer = co_await handle(*statement);
@@ -187,15 +192,21 @@
     }
 }
 
-void caller_session::abort_transaction(std::string_view reason) {
+void caller_session::abort_transaction(std::string reason) {
     if (busy_ || !transaction_ || transaction_->failed || link_->has_pending_input()) {
         return;
     }
+    requested_abort_ = std::move(reason);
+    link_->stop_waiting();
+}
+
+void caller_session::abort_requested() {
     event_line{"transaction_aborted"}
         .field("customer", customer_)
         .field("database", database_)
-        .field("reason", reason)
+        .field("reason", *requested_abort_)
         .write();
+    requested_abort_.reset();
     transaction_->failed = true;
     transaction_->lease.reset();
 }
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -63,8 +63,9 @@
     /// Closes the session as soon as the caller waits for no answer and no transaction is open. A
     /// caller that has just connected is given time for a request.
     void close_when_idle();
-    /// Aborts an open transaction unless a statement is running or has arrived.
-    void abort_transaction(std::string_view reason);
+    /// Aborts an open transaction unless a statement is running or has arrived. Takes effect when
+    /// the pending read has ended without a statement.
+    void abort_transaction(std::string reason);
 
 private:
     /// The state of one statement during its execution.
@@ -120,6 +121,8 @@
                                                              time_point deadline);
     /// Counts a single statement, or the first of a transaction.
     void count_operation(wall_time began_at);
+    /// Precondition: an abort is requested and the transaction is open.
+    void abort_requested();
     /// Whether the caller, or this host on its behalf, still has to do something before the session
     /// may be closed.
     [[nodiscard]] bool has_work();
@@ -142,6 +145,8 @@
     std::optional<log_index> last_commit_;
     bool busy_ = false;
     bool closing_ = false;
+    /// Reason for the abort that follows unless a statement has been received.
+    std::optional<std::string> requested_abort_;
     time_point idle_since_;
     /// Until then the first request of a caller that has connected is awaited.
     time_point first_request_deadline_;
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -279,9 +279,11 @@
     }
     const auto action = before.find(sent_);
     if (action != before.end()) {
-        action->second();
+        const auto call = std::move(action->second);
+        before.erase(action);
+        call();
     }
-    if (!waits_ && !pipelines) {
+    if (!std::exchange(waits_, true) && !pipelines) {
         co_return std::nullopt;
     }
     const auto received = on_received.find(sent_);
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -423,6 +423,33 @@
     CHECK(caller->closed);
 }
 
+// An abort, by a stop or by the limit of idle time, came between the receipt of a commit and its
+// execution.
+TEST_CASE("a commit received just before its transaction is aborted is executed") {
+    session_fixture fixture;
+    auto caller = std::make_shared<fake_caller>(
+        session_request{"current", key},
+        std::vector<caller_statement>{begin(), write("w1"), commit("c1")});
+    caller->on_received[2] = [&] { fixture.session->abort_transaction("idle_limit"); };
+    fixture.run(caller);
+    REQUIRE(caller->answers.size() == 3);
+    CHECK(caller->answers[2].code == answer_code::done);
+    CHECK(fixture.primary->commits == 1);
+}
+
+TEST_CASE("an abandoned transaction is aborted, and its session goes on") {
+    session_fixture fixture;
+    auto caller = std::make_shared<fake_caller>(
+        session_request{"current", key},
+        std::vector<caller_statement>{begin(), write("w1"), commit("c1"), write("w2")});
+    caller->before[2] = [&] { fixture.session->abort_transaction("idle_limit"); };
+    fixture.run(caller);
+    REQUIRE(caller->answers.size() == 4);
+    CHECK(caller->answers[2].code == answer_code::aborted);
+    CHECK(caller->answers[3].code == answer_code::done);
+    CHECK(fixture.primary->commits == 1);
+}
+
 TEST_CASE("a session closes after its answer if nothing more has arrived") {
     session_fixture fixture;
     auto caller = std::make_shared<fake_caller>(
