Gateway: a statement that ends with an unexpected error is answered

An error of another type than connection_error, thrown after the statement ran, ended the session without an answer. A connection to an instance could return to its pool with an answer still to come.

Change: such a statement is answered as in doubt, its transaction is rolled back, its session closes, and the host logs statement_failed.

Test: "a statement that ends with an unexpected error is in doubt ..." failed before (the error left the session) and passes.

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -53,7 +53,12 @@
             requested_abort_.reset();
             busy_ = true;
             first_request_deadline_ = {};
-            const auto answer = co_await handle(*statement);
+            statement_answer answer;
+            try {
+                answer = co_await handle(*statement);
+            } catch (const std::exception& failure) {
+                answer = on_unexpected_error(*statement, failure.what());
+            }
             co_await deliver(*statement, answer);
             busy_ = false;
         }
@@ -77,6 +82,25 @@
     link_->close();
 }
 
+statement_answer caller_session::on_unexpected_error(const caller_statement& statement,
+                                                     std::string_view reason) {
+    event_line{"statement_failed"}
+        .field("request", statement.id)
+        .field("customer", customer_)
+        .field("database", database_)
+        .field("reason", reason)
+        .write();
+    environment_.metrics.count("masticgrade_statement_failures_total",
+                               "Statements that ended with an unexpected error.");
+    closing_ = true;
+    if (transaction_ && transaction_->lease) {
+        // The state of the connection is unknown.
+        transaction_->lease->discard();
+    }
+    transaction_.reset();
+    return refuse(answer_code::in_doubt, "unexpected error, the statement may have run");
+}
+
 asio::awaitable<void> caller_session::deliver(const caller_statement& statement,
                                               const statement_answer& answer) {
     try {
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -90,6 +90,9 @@
 
     boost::asio::awaitable<bool> open();
     boost::asio::awaitable<statement_answer> handle(const caller_statement& statement);
+    /// Ends the transaction and the session after the answer, which promises nothing.
+    statement_answer on_unexpected_error(const caller_statement& statement,
+                                         std::string_view reason);
     /// Sends the answer. Throws connection_error, and logs the statement that got no answer.
     boost::asio::awaitable<void> deliver(const caller_statement& statement,
                                          const statement_answer& answer);
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <sstream>
+#include <stdexcept>
+#include <utility>
 
 namespace masticgrade::test {
 
@@ -56,6 +58,9 @@
             open_ = false;
             throw connection_error("answer", instance_.entry.id.str(), "lost for the test", true);
         }
+        if (!text.empty() && instance_.unexpected_errors.contains(text)) {
+            throw std::runtime_error("unexpected for the test");
+        }
     }
     co_return answers;
 }
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -36,6 +36,8 @@
     term_number held;
     /// Texts of statements whose answer is lost after they ran.
     std::set<std::string> lost_answers;
+    /// Texts of statements after which the connection throws an error of another type.
+    std::set<std::string> unexpected_errors;
     /// Texts of statements before which the connection breaks, once per entry.
     std::multiset<std::string> breaks_before;
     bool refuses_connections = false;
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -450,6 +450,23 @@
     CHECK(fixture.primary->commits == 1);
 }
 
+// An error of an unforeseen type ended the session, and the statement that had run got no answer.
+TEST_CASE("a statement that ends with an unexpected error is in doubt, and its session closes") {
+    session_fixture fixture;
+    fixture.primary->unexpected_errors = {"write x"};
+    const auto single = fixture.run("current", {write("w1"), write("w2")});
+    REQUIRE(single->answers.size() == 1);
+    CHECK(single->answers[0].code == answer_code::in_doubt);
+    CHECK(single->closed);
+    CHECK(fixture.runs_of("w1") == 1);
+
+    const auto transaction = fixture.run("current", {begin(), write("w3"), commit("c1")});
+    REQUIRE(transaction->answers.size() == 2);
+    CHECK(transaction->answers[1].code == answer_code::in_doubt);
+    CHECK(transaction->closed);
+    CHECK(fixture.primary->commits == 1);
+}
+
 TEST_CASE("a session closes after its answer if nothing more has arrived") {
     session_fixture fixture;
     auto caller = std::make_shared<fake_caller>(
