Gateway: a statement that outlasts the stop of its host is answered as in doubt

Callers saw: a statement that began before a planned stop and still ran at its end (5 s of a grace of 6 s) lost its connection without an answer.

Change: at the end of a stop, each statement that still runs is answered as in doubt, which promises nothing, and logged as statement_abandoned. A host whose loop is so late that its stop ends before it has begun to refuse work, refuses what arrives from then on.

Test: "a statement that outlasts the stop of its host is in doubt"; there was no such answer before, so it can't be built on the old code.

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -44,7 +44,7 @@
             idle_since_ = steady_clock::now();
             const auto statement = co_await link_->next();
             if (!statement && requested_abort_) {
-                abort_requested();
+                perform_requested_abort();
                 continue;
             }
             if (!statement) {
@@ -53,13 +53,20 @@
             requested_abort_.reset();
             busy_ = true;
             first_request_deadline_ = {};
+            running_ = statement->id;
             statement_answer answer;
             try {
                 answer = co_await handle(*statement);
             } catch (const std::exception& failure) {
                 answer = on_unexpected_error(*statement, failure.what());
             }
-            co_await deliver(*statement, answer);
+            if (!running_) {
+                // `abandon_statement` has answered and closes the connection.
+                transaction_.reset();
+                co_return;
+            }
+            running_.reset();
+            co_await deliver(statement->id, answer);
             busy_ = false;
         }
         if (closing_) {
@@ -101,13 +108,13 @@
     return refuse(answer_code::in_doubt, "unexpected error, the statement may have run");
 }
 
-asio::awaitable<void> caller_session::deliver(const caller_statement& statement,
+asio::awaitable<void> caller_session::deliver(const statement_id& statement,
                                               const statement_answer& answer) {
     try {
         co_await link_->answer(answer);
     } catch (const connection_error& failure) {
         event_line{"answer_undelivered"}
-            .field("request", statement.id)
+            .field("request", statement)
             .field("customer", customer_)
             .field("database", database_)
             .field("code", to_string(answer.code))
@@ -224,7 +231,7 @@
     link_->stop_waiting();
 }
 
-void caller_session::abort_requested() {
+void caller_session::perform_requested_abort() {
     event_line{"transaction_aborted"}
         .field("customer", customer_)
         .field("database", database_)
@@ -242,6 +249,28 @@
     }
 }
 
+asio::awaitable<void> caller_session::abandon_statement() {
+    const auto self = shared_from_this();
+    const auto statement = std::exchange(running_, std::nullopt);
+    if (!statement) {
+        co_return;
+    }
+    const auto answer =
+        refuse(answer_code::in_doubt, "this host stops, the statement may have run");
+    try {
+        co_await deliver(*statement, answer);
+        event_line{"statement_abandoned"}
+            .field("request", *statement)
+            .field("customer", customer_)
+            .field("database", database_)
+            .field_ms("took_ms", steady_clock::now() - idle_since_)
+            .write();
+    } catch (const connection_error&) {
+        // `deliver` has logged the failure.
+    }
+    link_->close();
+}
+
 bool caller_session::has_work() {
     return transaction_ || steady_clock::now() < first_request_deadline_ ||
            link_->has_pending_input();
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -67,6 +67,10 @@
     /// the pending read has ended without a statement.
     void abort_transaction(std::string reason);
 
+    /// Answers a statement that still runs as in doubt and closes the connection. For a process
+    /// that ends before the statement does.
+    boost::asio::awaitable<void> abandon_statement();
+
 private:
     /// The state of one statement during its execution.
     struct operation {
@@ -94,7 +98,7 @@
     statement_answer on_unexpected_error(const caller_statement& statement,
                                          std::string_view reason);
     /// Sends the answer. Throws connection_error, and logs the statement that got no answer.
-    boost::asio::awaitable<void> deliver(const caller_statement& statement,
+    boost::asio::awaitable<void> deliver(const statement_id& statement,
                                          const statement_answer& answer);
     statement_answer handle_locally(const caller_statement& statement);
     boost::asio::awaitable<statement_answer> serve(const caller_statement& statement);
@@ -125,7 +129,7 @@
     /// Counts a single statement, or the first of a transaction.
     void count_operation(wall_time began_at);
     /// Precondition: an abort is requested and the transaction is open.
-    void abort_requested();
+    void perform_requested_abort();
     /// Whether the caller, or this host on its behalf, still has to do something before the session
     /// may be closed.
     [[nodiscard]] bool has_work();
@@ -148,6 +152,8 @@
     std::optional<log_index> last_commit_;
     bool busy_ = false;
     bool closing_ = false;
+    /// The statement that is executed and has not been answered.
+    std::optional<statement_id> running_;
     /// Reason for the abort that follows unless a statement has been received.
     std::optional<std::string> requested_abort_;
     time_point idle_since_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -202,9 +202,12 @@
             }
             co_await sleep(tick_interval);
         }
-        if (!sessions_environment_.refuses_work) {
+        if (!std::exchange(sessions_environment_.refuses_work, true)) {
             close_listener();
         }
+        for (const auto& session : sessions_) {
+            asio::co_spawn(executor_, session->abandon_statement(), asio::detached);
+        }
         if (usage_) {
             usage_->send_totals();
         }
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "caller_session.hpp"
 #include "fakes.hpp"
 #include "local_group.hpp"
@@ -69,6 +72,16 @@
         control_.apply({std::move(configuration), {}}, proven_at);
     }
 
+    /// Ends the wait for the answer of the running statement, as a process that ends does.
+    void abandon_statement_after(milliseconds delay) {
+        const auto abandon = [this, delay]() -> boost::asio::awaitable<void> {
+            boost::asio::steady_timer timer{context_, delay};
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            co_await session->abandon_statement();
+        };
+        boost::asio::co_spawn(context_, abandon, boost::asio::detached);
+    }
+
     void refuse_work() { environment_.refuses_work = true; }
 
     void limit(rate_limit value) { limiter_.configure({{customer, value}}, boot_clock::now()); }
@@ -467,6 +480,21 @@
     CHECK(fixture.primary->commits == 1);
 }
 
+// A process that ended before its statements did dropped them without an answer.
+TEST_CASE("a statement that outlasts the stop of its host is in doubt") {
+    session_fixture fixture;
+    fixture.primary->answer_delay = milliseconds{200};
+    auto caller = std::make_shared<fake_caller>(
+        session_request{"current", key}, std::vector<caller_statement>{write("w1"), write("w2")});
+    caller->on_received[0] = [&] { fixture.abandon_statement_after(milliseconds{300}); };
+    fixture.run(caller);
+    REQUIRE(caller->answers.size() == 1);
+    CHECK(caller->answers[0].code == answer_code::in_doubt);
+    CHECK(caller->closed);
+    CHECK(fixture.runs_of("w1") == 1);
+    CHECK(fixture.runs_of("w2") == 0);
+}
+
 TEST_CASE("a session closes after its answer if nothing more has arrived") {
     session_fixture fixture;
     auto caller = std::make_shared<fake_caller>(
