Tests: the other holder of a failover's lock renews it

Cause: the other holder wrote its row once, and a lock that is not renewed for 5 s may be taken over.

The other holder now renews the row before each read of it, as a live holder does; the check is the same.

--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -465,12 +465,21 @@
 TEST_CASE("a holder whose lock was taken while it was suspended sends no promotion request") {
     failover_fixture fixture;
     bool taken = false;
+    const auto renew = [&] {
+        fixture.store.put(
+            lock_row,
+            R"({"fence":2,"holder":"host-2","target":"","term":0,"open":true,"mark":"1"})");
+    };
     fixture.on_directory_read = [&] {
         if (!std::exchange(taken, true)) {
             std::this_thread::sleep_for(seconds{4});
-            fixture.store.put(
-                lock_row,
-                R"({"fence":2,"holder":"host-2","target":"","term":0,"open":true,"mark":"1"})");
+            renew();
+        }
+    };
+    // A lock that is not renewed may be taken over.
+    fixture.store.on_scan = [&] {
+        if (taken) {
+            renew();
         }
     };
     unsigned checks = 0;
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -311,6 +311,7 @@
 
 asio::awaitable<scan_result> fake_store::scan(std::string prefix, fleet_version /*modified_after*/,
                                               time_point /*deadline*/) {
+    on_scan();
     fail_if_requested();
     scan_result result;
     result.version = fleet_version{version_};
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -183,6 +183,8 @@
     /// Replaces the rows and the version counter with the copy, and starts a new era.
     void restore();
 
+    /// Called before rows are read.
+    std::function<void()> on_scan = [] {};
     unsigned answers_to_lose = 0;
     /// Calls that fail without effect.
     unsigned failures = 0;
