Soak: a rolled-back write is not kept by the stand-in's next plain write

Cause: the stand-in's ROLLBACK kept the transaction's writes until the next BEGIN, so a single write on the same connection committed them too.

Shown by a session on an instance of a running soak: BEGIN, WRITE probe 1, ROLLBACK, WRITE other 2, READ probe answered 1 before and none after. The check is unchanged.

--- a/tests/soak/database_cluster.cpp
+++ b/tests/soak/database_cluster.cpp
@@ -291,6 +291,7 @@
         }
     } else if (word == "ROLLBACK") {
         caller.open = caller.failed = false;
+        caller.writes.clear();
     } else if (word == "STATUS" || word == "PAUSE" || word == "RESUME" || word == "STEPDOWN") {
         result = order(server, word, text);
     }
