Gateway: answers that an instance sends twice are told from those to later requests

Callers got the answer to the statement that ran before theirs on the connection; transactions stayed open on connections of the pool; commits were acknowledged by the answer to an earlier write, and lost when the primary crashed.

Cause: answers were paired with requests by their order alone. An instance that sends an answer again after the next request has arrived shifts all later answers on the connection.

A connection that answered an order, or on which an answer was repeated, serves no further operation.

--- a/libs/gateway/include/masticgrade/gateway/connections.hpp
+++ b/libs/gateway/include/masticgrade/gateway/connections.hpp
@@ -36,6 +36,14 @@
         : connection_error("send", instance, "its warm-up limit is reached", false) {}
 };
 
+/// The answers on a connection could not be matched with the requests, since the instance sent one
+/// of them again. The instance is alive, and the connection is closed.
+class answer_mismatch_error : public connection_error {
+public:
+    answer_mismatch_error(const std::string& peer, const std::string& reason, bool may_have_run)
+        : connection_error("answer", peer, reason, may_have_run) {}
+};
+
 /// The connection of one caller. Thread safety: none; one executor.
 class caller_connection {
 public:
@@ -73,11 +81,15 @@
     virtual ~instance_connection() = default;
 
     /// Pipelines the requests and returns their answers in order.
-    /// Throws connection_error and closes the connection when it breaks or the deadline passes.
+    /// Throws connection_error and closes the connection when it breaks or the deadline passes, and
+    /// answer_mismatch_error when an answer cannot be matched with its request.
     /// Precondition: `is_open()`, and no other call is in progress.
     virtual boost::asio::awaitable<std::vector<statement_answer>> run(
         std::vector<backend_request> requests, time_point deadline) = 0;
     [[nodiscard]] virtual bool is_open() const = 0;
+    /// Whether the answers to another operation's requests could be told from repeated ones. If
+    /// not, the connection must be closed at the end of the operation.
+    [[nodiscard]] virtual bool is_reusable() const = 0;
     virtual void close() = 0;
     /// The end of the instance's log when it accepted the connection.
     [[nodiscard]] virtual std::optional<log_index> initial_position() const = 0;
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -418,6 +418,14 @@
     }
 }
 
+void backend_group::on_answer_mismatch(const instance_id& instance) {
+    environment_.metrics.count("masticgrade_answer_mismatches_total",
+                               "Connections closed since an answer could not be matched.");
+    if (primary_ == instance) {
+        failure_detector_.on_answer(steady_clock::now());
+    }
+}
+
 void backend_group::on_acknowledged(log_index position) {
     if (!acknowledged_ || *acknowledged_ < position) {
         acknowledged_ = position;
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -290,6 +290,8 @@
     void on_answer(const instance_id& instance, bool is_commit, duration elapsed,
                    const statement_answer& answer);
     void on_no_answer(const instance_id& instance, bool is_commit);
+    /// The instance answered, but not in a way that could be matched with the requests.
+    void on_answer_mismatch(const instance_id& instance);
     /// A connection of the local pool was lost before it answered a request sent at `sent_at`.
     void on_connection_lost(const pooled_connection& connection, time_point sent_at);
     /// Whether the operators' warm-up limit applies to the instance.
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -77,6 +77,9 @@
     std::vector<statement_answer> answers;
     try {
         answers = co_await run(std::move(requests), deadline);
+    } catch (const answer_mismatch_error&) {
+        group_->on_answer_mismatch(connection_->instance);
+        throw;
     } catch (const connection_error&) {
         group_->on_no_answer(connection_->instance, is_commit);
         if (!connection_->remote) {
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -299,6 +299,10 @@
         dispatch_waiting();
         return;
     }
+    if (!connection->link->is_reusable()) {
+        // The instance rolls back what is open.
+        connection->link->close();
+    }
     if (connection->in_transaction && connection->link->is_open()) {
         asio::co_spawn(environment_.executor, roll_back(std::move(connection)), asio::detached);
         return;
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -238,6 +238,12 @@
         }
         asio::steady_timer pause{environment_.executor, busy_retry_delay};
         co_await pause.async_wait(asio::use_awaitable);
+        if (may_commit && !transaction_) {
+            // A second refusal on this connection could be the first one repeated, after the write
+            // has run.
+            lease.discard();
+            co_return answer;
+        }
     }
 }
 
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -69,6 +69,7 @@
     boost::asio::awaitable<std::vector<statement_answer>> run(std::vector<backend_request> requests,
                                                               time_point deadline) override;
     [[nodiscard]] bool is_open() const override { return open_; }
+    [[nodiscard]] bool is_reusable() const override { return open_; }
     void close() override { open_ = false; }
     [[nodiscard]] std::optional<log_index> initial_position() const override {
         return instance_.end_of_log();
