Gateway: a write in a transaction is in doubt if its answer could not be matched

A caller could be told ABORTED, which promises that nothing is kept, about a write that had taken effect by itself: the begin of its transaction was answered by the repeated answer to an earlier begin and was in truth refused. The error of that begin then stands where the write's answer is expected. answer_matcher does not believe such an error; the session now answers a write in doubt, and a pool owner reports the mismatch to the borrower, which does not count it against the instance.

Without the change, "a write in a transaction is in doubt if its answer cannot be matched" and "a borrower is told that an answer could not be matched" fail. A host of an earlier release rejects the new value of a reply and takes the connection for lost, as before.

--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -413,7 +413,7 @@
 
 lease_payload read(const wire::StepsRun& call) {
     run_reply result;
-    result.failure = enum_of(call.failure(), lease_failure::broken_may_have_run);
+    result.failure = enum_of(call.failure(), lease_failure::mismatched);
     result.reason = text_of(call.reason());
     if (call.answers() != nullptr) {
         for (const auto* item : *call.answers()) {
@@ -541,7 +541,7 @@
         case wire::Call::LeaseOpened: {
             const auto& call = *message.call_as_LeaseOpened();
             result.call = lease_reply{lease_id{call.lease()},
-                                      enum_of(call.failure(), lease_failure::broken_may_have_run)};
+                                      enum_of(call.failure(), lease_failure::mismatched)};
             break;
         }
         case wire::Call::RunSteps:
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -34,6 +34,9 @@
     broken,
     /// The connection failed, and the steps may have been executed.
     broken_may_have_run,
+    /// The instance sent an answer that could not be matched with its step, which may have been
+    /// executed.
+    mismatched,
 };
 
 /// Requests the use of a connection to an instance.
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -62,6 +62,10 @@
         call.prepared = prepared_;
         call.steps = std::move(requests);
         auto result = co_await service_->run(owner_, std::move(call), deadline);
+        if (result.failure == lease_failure::mismatched) {
+            open_ = false;
+            throw answer_mismatch_error(instance_, result.reason, true);
+        }
         if (result.failure != lease_failure::none || result.answers.size() != count) {
             open_ = false;
             throw connection_error("leased connection", instance_, result.reason,
@@ -546,6 +550,10 @@
             result.answers =
                 co_await lease.connection->execute_all(std::move(call.steps), deadline);
         }
+    } catch (const answer_mismatch_error& failure) {
+        result.failure =
+            sent && failure.may_have_run() ? lease_failure::mismatched : lease_failure::broken;
+        result.reason = failure.what();
     } catch (const connection_error& failure) {
         result.failure = sent && failure.may_have_run() ? lease_failure::broken_may_have_run
                                                         : lease_failure::broken;
--- a/libs/gateway/src/session_transactions.cpp
+++ b/libs/gateway/src/session_transactions.cpp
@@ -76,6 +76,11 @@
     try {
         answer = co_await execute_on(lease, op, std::nullopt, transaction_->on_primary);
         op.reason = answer.code == answer_code::done ? "none" : "instance_refused";
+    } catch (const answer_mismatch_error& failure) {
+        // The transaction may not have begun, so that a write took effect by itself.
+        op.reason = "answer_mismatch";
+        const bool in_doubt = op.access == access_kind::write && failure.may_have_run();
+        answer = refuse(in_doubt ? answer_code::in_doubt : answer_code::aborted, failure.reason());
     } catch (const connection_error& failure) {
         // The instance rolls back the open transaction of a closed connection.
         op.reason = "connection_lost";
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -58,6 +58,10 @@
             open_ = false;
             throw connection_error("answer", instance_.entry.id.str(), "lost for the test", true);
         }
+        if (!text.empty() && instance_.mismatched_answers.contains(text)) {
+            open_ = false;
+            throw answer_mismatch_error(instance_.entry.id.str(), "repeated for the test", true);
+        }
         if (!text.empty() && instance_.unexpected_errors.contains(text)) {
             throw std::runtime_error("unexpected for the test");
         }
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -38,6 +38,8 @@
     std::set<std::string> lost_answers;
     /// Texts of statements after which the connection throws an error of another type.
     std::set<std::string> unexpected_errors;
+    /// Texts of statements whose answer cannot be told from a repeated one.
+    std::set<std::string> mismatched_answers;
     /// Texts of statements before which the connection breaks, once per entry.
     std::multiset<std::string> breaks_before;
     bool refuses_connections = false;
--- a/libs/gateway/test/lease_service_test.cpp
+++ b/libs/gateway/test/lease_service_test.cpp
@@ -230,3 +230,19 @@
     CHECK(fixture.connector.at("a").runs_of("x1") == 0);
     CHECK(fixture.run(lease, "r1", "read"));
 }
+
+// The borrower took an answer that was sent twice for a lost connection, and promised its caller
+// that nothing was kept.
+TEST_CASE("a borrower is told that an answer could not be matched") {
+    lease_fixture fixture;
+    fixture.report(*fixture.borrower, "borrower");
+    const auto lease = fixture.acquire(*fixture.borrower, "parish");
+    fixture.connector.at("a").mismatched_answers = {"write x"};
+    run_request call;
+    call.lease = fixture.owner->service->active_lease_ids().front();
+    call.steps.emplace_back(backend_statement{statement_id{"w1"}, "write x", {}});
+    const auto reply = fixture.wait_for(fixture.borrower->service->run(
+        host_id{"owner"}, std::move(call), steady_clock::now() + seconds{2}));
+    REQUIRE(reply.has_value());
+    CHECK(reply->failure == lease_failure::mismatched);
+}
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -480,6 +480,19 @@
     CHECK(fixture.primary->commits == 1);
 }
 
+// The caller was told that nothing was kept, and the write had run outside of a transaction whose
+// begin was answered by a repeated answer.
+TEST_CASE("a write in a transaction is in doubt if its answer cannot be matched") {
+    session_fixture fixture;
+    fixture.primary->mismatched_answers = {"write x", "read x"};
+    const auto writer = fixture.run("current", {begin(), write("w1")});
+    REQUIRE(writer->answers.size() == 2);
+    CHECK(writer->answers[1].code == answer_code::in_doubt);
+    const auto reader = fixture.run("current", {begin(), read("r1")});
+    REQUIRE(reader->answers.size() == 2);
+    CHECK(reader->answers[1].code == answer_code::aborted);
+}
+
 // A process that ended before its statements did dropped them without an answer.
 TEST_CASE("a statement that outlasts the stop of its host is in doubt") {
     session_fixture fixture;
