Gateway: refusals of a lagging instance are not taken for a fault of it

Cause: any error seen before at the same position counted as ambiguous. Only reads with a minimum position can be refused as lagging, and to refuse one wrongly does no harm. answer_matcher now gets to know whether a request may lag; it believes the refusal, and the connection is not used again, since the answer to the read could be still to come. LAGGING to any other request stays ambiguous, also a late one to a BEGIN. The new test fails before.

--- a/libs/gateway/include/masticgrade/gateway/answer_matcher.hpp
+++ b/libs/gateway/include/masticgrade/gateway/answer_matcher.hpp
@@ -23,6 +23,13 @@
     order,
 };
 
+/// What decides which answers a request can get.
+struct request_traits {
+    request_kind kind = request_kind::statement;
+    /// The instance refuses it as lagging if its log ends too early. Never true for writes.
+    bool may_lag = false;
+};
+
 /// The name of a kind in logs. Thread safety: reentrant.
 std::string_view to_string(request_kind kind) noexcept;
 
@@ -41,7 +48,8 @@
 /// tell them apart:
 /// - A signature that was not received before belongs to the only statement without an answer.
 /// - An error belongs to the request unless the same error was received before at the same position
-///   of the instance's log.
+///   of the instance's log. A refusal of a lagging instance, which only reads get, is believed once
+///   more, but the connection is not used again.
 /// - Other successes must have the form and the transaction phase that the request leads to, and a
 ///   position that does not go back. An answer to an order looks like that to another one, so a
 ///   connection that has answered one is not used again.
@@ -49,16 +57,16 @@
 /// One object per connection. Thread safety: none.
 class answer_matcher {
 public:
-    /// Decides about the next answer while a request of this kind waits for one.
-    answer_match match(request_kind kind, const statement_answer& answer);
+    /// Decides about the next answer while the request waits for one.
+    answer_match match(request_traits request, const statement_answer& answer);
     /// Part of an earlier answer was received again, or bytes that answer no request.
     void on_surplus() { reusable_ = false; }
     /// Whether the connection may serve another operation.
     [[nodiscard]] bool is_reusable() const { return reusable_; }
 
 private:
-    [[nodiscard]] answer_match judge(request_kind kind, const statement_answer& answer) const;
-    [[nodiscard]] bool is_own_error(const statement_answer& answer) const;
+    [[nodiscard]] answer_match judge(request_traits request, const statement_answer& answer) const;
+    [[nodiscard]] bool is_own_error(request_traits request, const statement_answer& answer) const;
     [[nodiscard]] answer_match judge_unsigned(request_kind kind,
                                               const statement_answer& answer) const;
     [[nodiscard]] transaction_phase phase_after(request_kind kind) const;
--- a/libs/gateway/src/answer_matcher.cpp
+++ b/libs/gateway/src/answer_matcher.cpp
@@ -51,19 +51,20 @@
     return "unknown";
 }
 
-answer_match answer_matcher::match(request_kind kind, const statement_answer& answer) {
-    const auto result = judge(kind, answer);
+answer_match answer_matcher::match(request_traits request, const statement_answer& answer) {
+    const auto result = judge(request, answer);
     if (result == answer_match::belongs) {
-        accept(kind, answer);
+        accept(request.kind, answer);
     } else {
         reusable_ = false;
     }
     return result;
 }
 
-answer_match answer_matcher::judge(request_kind kind, const statement_answer& answer) const {
+answer_match answer_matcher::judge(request_traits request, const statement_answer& answer) const {
+    const auto kind = request.kind;
     if (answer.code != answer_code::done) {
-        return is_own_error(answer) ? answer_match::belongs : answer_match::ambiguous;
+        return is_own_error(request, answer) ? answer_match::belongs : answer_match::ambiguous;
     }
     if (!is_signed(answer)) {
         return judge_unsigned(kind, answer);
@@ -76,11 +77,12 @@
     return fits ? answer_match::belongs : answer_match::ambiguous;
 }
 
-bool answer_matcher::is_own_error(const statement_answer& answer) const {
-    // An instance that refuses to begin a transaction for one of these reasons refuses its
-    // statements, too.
-    const bool holds_for_all =
-        answer.code == answer_code::read_only || answer.code == answer_code::lagging;
+bool answer_matcher::is_own_error(request_traits request, const statement_answer& answer) const {
+    if (answer.code == answer_code::lagging) {
+        return request.may_lag;
+    }
+    // An instance that lost the lead refuses to begin a transaction, and each write.
+    const bool holds_for_all = answer.code == answer_code::read_only;
     return !has_seen(digest(answer)) && (!is_unconfirmed_ || holds_for_all);
 }
 
@@ -112,6 +114,7 @@
 
 void answer_matcher::accept(request_kind kind, const statement_answer& answer) {
     if (answer.code != answer_code::done || is_signed(answer)) {
+        reusable_ = reusable_ && !has_seen(digest(answer));
         digests_.at(digest_count_ % digests_.size()) = digest(answer);
         ++digest_count_;
     }
--- a/libs/gateway/test/answer_matcher_test.cpp
+++ b/libs/gateway/test/answer_matcher_test.cpp
@@ -113,10 +113,10 @@
 TEST_CASE("a signature that was received before is not taken for the next answer") {
     answer_matcher matcher;
     const auto first = success("a", idle);
-    REQUIRE(matcher.match(request_kind::statement, first) == answer_match::belongs);
+    REQUIRE(matcher.match({request_kind::statement}, first) == answer_match::belongs);
     CHECK(matcher.is_reusable());
-    CHECK(matcher.match(request_kind::statement, first) == answer_match::repeats_earlier);
-    CHECK(matcher.match(request_kind::statement, success("b", idle)) == answer_match::belongs);
+    CHECK(matcher.match({request_kind::statement}, first) == answer_match::repeats_earlier);
+    CHECK(matcher.match({request_kind::statement}, success("b", idle)) == answer_match::belongs);
     CHECK_FALSE(matcher.is_reusable());
 }
 
@@ -125,78 +125,93 @@
 TEST_CASE("a transaction counts as begun only after an answer that shows it open") {
     answer_matcher matcher;
     const auto write = success("a", idle);
-    REQUIRE(matcher.match(request_kind::statement, write) == answer_match::belongs);
-    CHECK(matcher.match(request_kind::begin, write) == answer_match::repeats_earlier);
-    CHECK(matcher.match(request_kind::begin, success("-", idle)) == answer_match::repeats_earlier);
-    CHECK(matcher.match(request_kind::begin, success("-", open)) == answer_match::belongs);
+    REQUIRE(matcher.match({request_kind::statement}, write) == answer_match::belongs);
+    CHECK(matcher.match({request_kind::begin}, write) == answer_match::repeats_earlier);
+    CHECK(matcher.match({request_kind::begin}, success("-", idle)) ==
+          answer_match::repeats_earlier);
+    CHECK(matcher.match({request_kind::begin}, success("-", open)) == answer_match::belongs);
 }
 
 // A commit was acknowledged by the repeated answer to the last write before it, and was lost.
 TEST_CASE("a commit is not acknowledged by an earlier answer") {
     answer_matcher matcher;
-    REQUIRE(matcher.match(request_kind::begin, success("-", open)) == answer_match::belongs);
+    REQUIRE(matcher.match({request_kind::begin}, success("-", open)) == answer_match::belongs);
     const auto write = success("a", open);
-    REQUIRE(matcher.match(request_kind::statement, write) == answer_match::belongs);
-    CHECK(matcher.match(request_kind::commit, write) == answer_match::repeats_earlier);
-    CHECK(matcher.match(request_kind::commit, success("-", open)) == answer_match::repeats_earlier);
-    CHECK(matcher.match(request_kind::commit, success("b", open)) == answer_match::ambiguous);
+    REQUIRE(matcher.match({request_kind::statement}, write) == answer_match::belongs);
+    CHECK(matcher.match({request_kind::commit}, write) == answer_match::repeats_earlier);
+    CHECK(matcher.match({request_kind::commit}, success("-", open)) ==
+          answer_match::repeats_earlier);
+    CHECK(matcher.match({request_kind::commit}, success("b", open)) == answer_match::ambiguous);
 }
 
 // A refusal promises that the statement has not run.
 TEST_CASE("an error that was received before at this position is not believed again") {
     answer_matcher matcher;
     const auto busy = error(answer_code::busy, idle);
-    REQUIRE(matcher.match(request_kind::statement, busy) == answer_match::belongs);
-    CHECK(matcher.match(request_kind::statement, busy) == answer_match::ambiguous);
+    REQUIRE(matcher.match({request_kind::statement}, busy) == answer_match::belongs);
+    CHECK(matcher.match({request_kind::statement}, busy) == answer_match::ambiguous);
     const auto later = error(answer_code::busy, idle, first_position + 1);
-    CHECK(matcher.match(request_kind::statement, later) == answer_match::belongs);
+    CHECK(matcher.match({request_kind::statement}, later) == answer_match::belongs);
+}
+
+// Each read that an idle replica refused a second time looked like a fault of the instance.
+TEST_CASE("a lagging instance may refuse reads at the same position again") {
+    answer_matcher matcher;
+    const auto lagging = error(answer_code::lagging, idle);
+    REQUIRE(matcher.match({request_kind::statement, true}, lagging) == answer_match::belongs);
+    CHECK(matcher.is_reusable());
+    CHECK(matcher.match({request_kind::statement, true}, lagging) == answer_match::belongs);
+    CHECK_FALSE(matcher.is_reusable());
+    CHECK(matcher.match({request_kind::statement}, lagging) == answer_match::ambiguous);
 }
 
 // The error of a SET whose answer was taken from an earlier SET arrived as that of the write.
 TEST_CASE("an error is not believed while the answer to an earlier request may be still to come") {
     answer_matcher matcher;
     const auto set = success("-", idle);
-    REQUIRE(matcher.match(request_kind::context, set) == answer_match::belongs);
+    REQUIRE(matcher.match({request_kind::context}, set) == answer_match::belongs);
     const auto refused = error(answer_code::busy, idle);
     SUBCASE("a repeated success was accepted") {
-        REQUIRE(matcher.match(request_kind::context, set) == answer_match::belongs);
-        CHECK(matcher.match(request_kind::statement, refused) == answer_match::ambiguous);
+        REQUIRE(matcher.match({request_kind::context}, set) == answer_match::belongs);
+        CHECK(matcher.match({request_kind::statement}, refused) == answer_match::ambiguous);
     }
     SUBCASE("a signature came after it") {
-        REQUIRE(matcher.match(request_kind::context, set) == answer_match::belongs);
-        REQUIRE(matcher.match(request_kind::statement, success("a", idle)) ==
+        REQUIRE(matcher.match({request_kind::context}, set) == answer_match::belongs);
+        REQUIRE(matcher.match({request_kind::statement}, success("a", idle)) ==
                 answer_match::belongs);
-        CHECK(matcher.match(request_kind::statement, refused) == answer_match::belongs);
+        CHECK(matcher.match({request_kind::statement}, refused) == answer_match::belongs);
     }
     SUBCASE("the position shows that the success is new") {
-        REQUIRE(matcher.match(request_kind::context, success("-", idle, first_position + 1)) ==
+        REQUIRE(matcher.match({request_kind::context}, success("-", idle, first_position + 1)) ==
                 answer_match::belongs);
-        CHECK(matcher.match(request_kind::statement, refused) == answer_match::belongs);
+        CHECK(matcher.match({request_kind::statement}, refused) == answer_match::belongs);
     }
 }
 
 // A failover was decided by the position that an instance had reported to an earlier order.
 TEST_CASE("a connection answers one order") {
     answer_matcher matcher;
-    REQUIRE(matcher.match(request_kind::statement, success("a", idle)) == answer_match::belongs);
-    CHECK(matcher.match(request_kind::order, success("a", idle)) == answer_match::repeats_earlier);
-    CHECK(matcher.match(request_kind::order, success("-", idle)) == answer_match::repeats_earlier);
-    CHECK(matcher.match(request_kind::order, status()) == answer_match::belongs);
+    REQUIRE(matcher.match({request_kind::statement}, success("a", idle)) == answer_match::belongs);
+    CHECK(matcher.match({request_kind::order}, success("a", idle)) ==
+          answer_match::repeats_earlier);
+    CHECK(matcher.match({request_kind::order}, success("-", idle)) ==
+          answer_match::repeats_earlier);
+    CHECK(matcher.match({request_kind::order}, status()) == answer_match::belongs);
     CHECK_FALSE(matcher.is_reusable());
-    CHECK(matcher.match(request_kind::order, status()) == answer_match::ambiguous);
+    CHECK(matcher.match({request_kind::order}, status()) == answer_match::ambiguous);
 }
 
 TEST_CASE("an answer at an earlier position of the log is not believed") {
     answer_matcher matcher;
-    REQUIRE(matcher.match(request_kind::statement, success("a", idle, first_position + 1)) ==
+    REQUIRE(matcher.match({request_kind::statement}, success("a", idle, first_position + 1)) ==
             answer_match::belongs);
-    CHECK(matcher.match(request_kind::begin, success("-", open)) == answer_match::ambiguous);
+    CHECK(matcher.match({request_kind::begin}, success("-", open)) == answer_match::ambiguous);
 }
 
 TEST_CASE("a statement that ran outside its transaction is not acknowledged") {
     answer_matcher matcher;
-    REQUIRE(matcher.match(request_kind::begin, success("-", open)) == answer_match::belongs);
-    CHECK(matcher.match(request_kind::statement, success("a", idle)) == answer_match::ambiguous);
+    REQUIRE(matcher.match({request_kind::begin}, success("-", open)) == answer_match::belongs);
+    CHECK(matcher.match({request_kind::statement}, success("a", idle)) == answer_match::ambiguous);
 }
 
 // Requests of operations in random order, with answers repeated before, between and after those of
@@ -217,7 +232,7 @@
             while (result == answer_match::repeats_earlier && !instance.stream.empty()) {
                 const auto next = instance.stream.front();
                 instance.stream.pop_front();
-                result = matcher.match(kind, next.answer);
+                result = matcher.match({kind}, next.answer);
                 failed = next.answer.code != answer_code::done;
                 const bool is_data = kind == statement || kind == commit || kind == order;
                 if (result == answer_match::belongs && is_data) {
