Gateway: a position is believed only from an answer that cannot be an earlier one

Bounded reads could run on a replica without commits that were acknowledged for longer than their staleness bound: BEGIN at the primary proves the end of its log, and the answer to an earlier BEGIN on the same connection, sent again, has the position of the earlier time. Where the log had not moved on this connection in between, nothing showed it.

A BEGIN that is sent to refresh the proof and gets none gives up its connection, so that the next one uses another. The new cases of answer_matcher_test and repeated_answers_test guard it; the property also checks that each position that is believed belongs to the last request.

--- a/libs/gateway/include/masticgrade/gateway/answer_matcher.hpp
+++ b/libs/gateway/include/masticgrade/gateway/answer_matcher.hpp
@@ -61,6 +61,9 @@
     answer_match match(request_traits request, const statement_answer& answer);
     /// Part of an earlier answer was received again, or bytes that answer no request.
     void on_surplus() { reusable_ = false; }
+    /// Whether the last accepted answer cannot be an earlier one repeated, so that its position is
+    /// that of the log after its request was sent.
+    [[nodiscard]] bool is_confirmed() const { return !is_unconfirmed_; }
     /// Whether the connection may serve another operation.
     [[nodiscard]] bool is_reusable() const { return reusable_; }
 
--- a/libs/gateway/include/masticgrade/gateway/statement.hpp
+++ b/libs/gateway/include/masticgrade/gateway/statement.hpp
@@ -101,7 +101,8 @@
     std::string text = "-";
     std::vector<std::string> rows;
     transaction_phase phase = transaction_phase::none;
-    /// The end of the backend server's log when it answered.
+    /// The end of the backend server's log when it answered; nullopt if the answer could be an
+    /// earlier one repeated.
     std::optional<log_index> position;
 };
 
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -514,7 +514,11 @@
     try {
         auto result = co_await acquire(std::move(request));
         if (auto* lease = std::get_if<connection_lease>(&result)) {
-            co_await lease->begin(false, std::nullopt, deadline);
+            const auto answer = co_await lease->begin(false, std::nullopt, deadline);
+            if (answer.code == answer_code::done && !answer.position) {
+                // On another connection, the answer to BEGIN may show that it is new.
+                lease->discard();
+            }
         }
     } catch (const connection_error& failure) {
         event_line{"position_unknown"}
--- a/libs/gateway/test/answer_matcher_test.cpp
+++ b/libs/gateway/test/answer_matcher_test.cpp
@@ -82,6 +82,7 @@
     }
 
     statement_answer answer_to(request_kind kind) {
+        position_ += pick(2);
         const bool fails = pick(5) == 0;
         const bool is_data = kind == request_kind::statement || kind == request_kind::commit;
         if (fails && kind != request_kind::order) {
@@ -154,6 +155,20 @@
     CHECK(matcher.match({request_kind::statement}, later) == answer_match::belongs);
 }
 
+// Reads were served by replicas without commits that had been acknowledged for longer than allowed:
+// the position to wait for came from the answer to an earlier BEGIN.
+TEST_CASE("a begin proves the position of the log only if its answer is new") {
+    answer_matcher matcher;
+    const auto begun = success("-", open);
+    REQUIRE(matcher.match({request_kind::begin}, begun) == answer_match::belongs);
+    CHECK(matcher.is_confirmed());
+    REQUIRE(matcher.match({request_kind::rollback}, success("-", idle)) == answer_match::belongs);
+    REQUIRE(matcher.match({request_kind::begin}, begun) == answer_match::belongs);
+    CHECK_FALSE(matcher.is_confirmed());
+    REQUIRE(matcher.match({request_kind::statement}, success("a", open)) == answer_match::belongs);
+    CHECK(matcher.is_confirmed());
+}
+
 // Each read that an idle replica refused a second time looked like a fault of the instance.
 TEST_CASE("a lagging instance may refuse reads at the same position again") {
     answer_matcher matcher;
@@ -215,7 +230,8 @@
 }
 
 // Requests of operations in random order, with answers repeated before, between and after those of
-// later requests, and failures of any request: callers get the answers to their own statements.
+// later requests, failures of any request, and commits on other connections: callers get the
+// answers to their own statements, and positions that are believed belong to the last request.
 TEST_CASE("no statement gets the answer to another request") {
     CHECK(rc::check([] {
         stuttering_instance instance;
@@ -235,7 +251,8 @@
                 result = matcher.match({kind}, next.answer);
                 failed = next.answer.code != answer_code::done;
                 const bool is_data = kind == statement || kind == commit || kind == order;
-                if (result == answer_match::belongs && is_data) {
+                const bool is_certain = is_data || (!failed && matcher.is_confirmed());
+                if (result == answer_match::belongs && is_certain) {
                     RC_ASSERT(next.request == instance.last_request());
                 }
             }
