Gateway: a connection whose earlier refusal may have come late is not used again

A caller could get the answer to another caller's statement. An instance sends its answer to an earlier BEGIN again and refuses the present one. The repeated answer is at the same position of the log and counts as the present one; the refusal is believed as that of the first statement. That statement's own answer is still to come, has a signature that was not received before, and was taken for the answer to the next operation on the connection.

An error that is believed while an earlier success is unconfirmed now ends the use of the connection. READONLY case of the new test fails without the change.

--- a/libs/gateway/src/answer_matcher.cpp
+++ b/libs/gateway/src/answer_matcher.cpp
@@ -130,6 +130,8 @@
         position_ = answer.position;
     }
     if (answer.code != answer_code::done) {
+        // If this is the answer to an earlier request, that to the present one is still to come.
+        reusable_ = reusable_ && !is_unconfirmed_;
         in_transaction_ = in_transaction_ && answer.phase != transaction_phase::none;
         return;
     }
--- a/libs/gateway/test/answer_matcher_test.cpp
+++ b/libs/gateway/test/answer_matcher_test.cpp
@@ -203,6 +203,24 @@
     }
 }
 
+// BEGIN was refused after its answer had been taken from an earlier BEGIN. The refusal was taken
+// for that of the first statement, whose own answer then reached the next operation.
+TEST_CASE("a connection is not used again if the answer to a refused statement may still come") {
+    answer_matcher matcher;
+    const auto begun = success("-", open);
+    REQUIRE(matcher.match({request_kind::begin}, begun) == answer_match::belongs);
+    REQUIRE(matcher.match({request_kind::statement}, success("a", open)) == answer_match::belongs);
+    REQUIRE(matcher.match({request_kind::commit}, success("b", idle)) == answer_match::belongs);
+    REQUIRE(matcher.match({request_kind::begin}, begun) == answer_match::belongs);
+    SUBCASE("the replica lags") {
+        matcher.match({request_kind::statement}, error(answer_code::lagging, idle));
+    }
+    SUBCASE("the instance is no primary") {
+        matcher.match({request_kind::statement}, error(answer_code::read_only, idle));
+    }
+    CHECK_FALSE(matcher.is_reusable());
+}
+
 // A failover was decided by the position that an instance had reported to an earlier order.
 TEST_CASE("a connection answers one order") {
     answer_matcher matcher;
