Gateway: BEGIN with a required position is not answered by an earlier BEGIN

A read could run outside of its transaction, on a replica that lacked commits which it had to see: the replica refuses BEGIN with LAGGING, and sends its answer to an earlier BEGIN again, which was taken for the present one.

Positions of a log only grow, so the earlier answer is below the required position whenever the replica lags, and cannot belong to the request.

--- a/libs/gateway/include/masticgrade/gateway/answer_matcher.hpp
+++ b/libs/gateway/include/masticgrade/gateway/answer_matcher.hpp
@@ -26,8 +26,8 @@
 /// What decides which answers a request can get.
 struct request_traits {
     request_kind kind = request_kind::statement;
-    /// The instance refuses it as lagging if its log ends too early. Never true for writes.
-    bool may_lag = false;
+    /// The instance refuses it as lagging if its log lacks this position. Never set for writes.
+    std::optional<log_index> at_least = {};
 };
 
 /// The name of a kind in logs. Thread safety: reentrant.
@@ -70,7 +70,7 @@
 private:
     [[nodiscard]] answer_match judge(request_traits request, const statement_answer& answer) const;
     [[nodiscard]] bool is_own_error(request_traits request, const statement_answer& answer) const;
-    [[nodiscard]] answer_match judge_unsigned(request_kind kind,
+    [[nodiscard]] answer_match judge_unsigned(request_traits request,
                                               const statement_answer& answer) const;
     [[nodiscard]] transaction_phase phase_after(request_kind kind) const;
     [[nodiscard]] bool has_seen(std::uint64_t digest) const;
--- a/libs/gateway/src/answer_matcher.cpp
+++ b/libs/gateway/src/answer_matcher.cpp
@@ -67,7 +67,7 @@
         return is_own_error(request, answer) ? answer_match::belongs : answer_match::ambiguous;
     }
     if (!is_signed(answer)) {
-        return judge_unsigned(kind, answer);
+        return judge_unsigned(request, answer);
     }
     if (has_seen(digest(answer))) {
         return answer_match::repeats_earlier;
@@ -79,15 +79,16 @@
 
 bool answer_matcher::is_own_error(request_traits request, const statement_answer& answer) const {
     if (answer.code == answer_code::lagging) {
-        return request.may_lag;
+        return request.at_least.has_value();
     }
     // An instance that lost the lead refuses to begin a transaction, and each write.
     const bool holds_for_all = answer.code == answer_code::read_only;
     return !has_seen(digest(answer)) && (!is_unconfirmed_ || holds_for_all);
 }
 
-answer_match answer_matcher::judge_unsigned(request_kind kind,
+answer_match answer_matcher::judge_unsigned(request_traits request,
                                             const statement_answer& answer) const {
+    const auto kind = request.kind;
     const bool is_order = kind == request_kind::order;
     const bool fits = !needs_signature(kind) && answer.rows.size() == (is_order ? 1U : 0U) &&
                       answer.phase == phase_after(kind);
@@ -96,8 +97,9 @@
         return is_new ? answer_match::ambiguous : answer_match::repeats_earlier;
     }
     const bool goes_back = answer.position && position_ && *answer.position < *position_;
-    return goes_back || (is_order && has_answered_order_) ? answer_match::ambiguous
-                                                          : answer_match::belongs;
+    const bool lags = answer.position && request.at_least && *answer.position < *request.at_least;
+    return goes_back || lags || (is_order && has_answered_order_) ? answer_match::ambiguous
+                                                                  : answer_match::belongs;
 }
 
 transaction_phase answer_matcher::phase_after(request_kind kind) const {
--- a/libs/gateway/test/answer_matcher_test.cpp
+++ b/libs/gateway/test/answer_matcher_test.cpp
@@ -173,9 +173,11 @@
 TEST_CASE("a lagging instance may refuse reads at the same position again") {
     answer_matcher matcher;
     const auto lagging = error(answer_code::lagging, idle);
-    REQUIRE(matcher.match({request_kind::statement, true}, lagging) == answer_match::belongs);
+    REQUIRE(matcher.match({request_kind::statement, at(first_position + 1)}, lagging) ==
+            answer_match::belongs);
     CHECK(matcher.is_reusable());
-    CHECK(matcher.match({request_kind::statement, true}, lagging) == answer_match::belongs);
+    CHECK(matcher.match({request_kind::statement, at(first_position + 1)}, lagging) ==
+          answer_match::belongs);
     CHECK_FALSE(matcher.is_reusable());
     CHECK(matcher.match({request_kind::statement}, lagging) == answer_match::ambiguous);
 }
