Net: HTTP responses beyond the requests close the connection

Bytes that arrived together with a response stayed in the buffer of the connection, and a whole response among them was returned for the next request. All later responses on the connection were then shifted by one. The check for stale connections looks only at the socket.

A connection on which more than one response has arrived for a request is closed, and the request fails, since either one may be the answer to it. A repeated response that arrives by itself after the next request was sent is not recognized.

--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -78,6 +78,10 @@
             http::response_parser<http::string_body> parser;
             parser.body_limit(max_response_bytes);
             co_await http::async_read(stream_, buffer_, parser, asio::use_awaitable);
+            if (buffer_.size() > 0) {
+                close_socket();
+                throw request_error("answer", peer_.str(), "more responses than requests", true);
+            }
             auto response = parser.release();
             if (!response.keep_alive()) {
                 close_socket();
