Gateway: log the answers that decide a promotion and acknowledgements without evidence

- replica_hold, unlisted_hold, step_down: instance, fence, term asked for, role, position, held term, and the time from the order to its answer.
- failover_target: the chosen replica, its position, and what was known of the other logs.
- acknowledged_without_evidence: a write or commit whose answer came when its instance might no longer lead.

No change of behaviour.

--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -118,6 +118,8 @@
     /// Throws connection_error if the operation needs the primary and the instance is not known to
     /// lead its group. Statements of an open transaction are allowed, except its commit.
     void check_leadership(bool is_commit);
+    /// Logs the acknowledgement of a write by an instance that may no longer lead its group.
+    void check_acknowledgement(const statement_answer& answer, boot_time sent_at) const;
     /// As `run`, and reports the outcome to the group.
     boost::asio::awaitable<std::vector<statement_answer>> run_observed(
         std::vector<backend_request> requests, bool is_commit, time_point deadline);
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "backend_group.hpp"
+#include "masticgrade/base/event_log.hpp"
 #include "masticgrade/base/scope_guard.hpp"
 
 namespace masticgrade {
@@ -62,6 +63,23 @@
                            false);
 }
 
+void connection_lease::check_acknowledgement(const statement_answer& answer,
+                                             boot_time sent_at) const {
+    if (!connection_->needs_primary || group_->may_lead(connection_->instance, boot_clock::now())) {
+        return;
+    }
+    event_line{"acknowledged_without_evidence"}
+        .field("group", group_->name())
+        .field("instance", connection_->instance)
+        .field("position", answer.position.value_or(log_index{}))
+        .field("leased", connection_->remote != nullptr)
+        .field("fence", group_->last_failover().fence)
+        .field("open", group_->last_failover().open)
+        .field("target", group_->last_failover().target)
+        .field_ms("age_ms", boot_clock::now() - sent_at)
+        .write();
+}
+
 asio::awaitable<std::vector<statement_answer>> connection_lease::run_observed(
     std::vector<backend_request> requests, bool is_commit, time_point deadline) {
     // A statement that waits for the warm-up limit has to be counted, or new operations take its
@@ -130,6 +148,9 @@
     const auto sent_at = boot_clock::now();
     auto answers = co_await run_observed(std::move(requests), is_commit, deadline);
     auto answer = std::move(answers.front());
+    if (is_commit && proves_position && answer.code == answer_code::done) {
+        check_acknowledgement(answer, sent_at);
+    }
     record_answer(answer, proves_position, sent_at);
     if (answer.code == answer_code::unknown_prepared) {
         // The connection lost its context and must not be reused for another session.
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -250,6 +250,23 @@
         .write();
 }
 
+void group_failover::log_order(std::string_view event, const instance_id& instance,
+                               const std::optional<instance_status>& status,
+                               boot_time asked_at) const {
+    event_line line{event};
+    line.field("group", group_->name())
+        .field("fence", lock_.record.fence)
+        .field("instance", instance)
+        .field("term", hold_term_)
+        .field("answered", status.has_value());
+    if (status) {
+        line.field("leads", status->is_primary)
+            .field("position", status->received)
+            .field("held", status->held);
+    }
+    line.field_ms("age_ms", boot_clock::now() - asked_at).write();
+}
+
 asio::awaitable<std::optional<promotion_choice>> group_failover::prepare_target(
     failover_kind kind) {
     auto choice = co_await hold_replicas(kind);
@@ -276,18 +293,22 @@
             co_return std::nullopt;
         }
         const auto others = co_await find_unheld_logs(former_primary);
-        if (contains_acknowledged_commits(choice->position, others)) {
-            co_return choice;
-        }
-        event_line{"failover_waits"}
+        const bool is_complete = contains_acknowledged_commits(choice->position, others);
+        event_line{is_complete ? "failover_target" : "failover_waits"}
             .field("group", group_->name())
+            .field("fence", lock_.record.fence)
             .field("target", choice->target)
             .field("position", choice->position)
             .field("unknown_replicas", others.unknown_replicas)
             .field("primary_known", !others.primary_is_unknown)
             .field("acknowledged", others.acknowledged.value_or(log_index{}))
             .field("sync_replicas", others.sync_replicas)
+            .field("former_primary", others.former_primary.value_or(log_index{}))
+            .field("longest_unlisted", others.longest_unlisted.value_or(log_index{}))
             .write();
+        if (is_complete) {
+            co_return choice;
+        }
         co_await sleep(check_interval);
     }
     co_return std::nullopt;
@@ -315,7 +336,9 @@
             continue;
         }
         if (!group_->is_listed(id)) {
+            const auto asked_at = boot_clock::now();
             const auto answer = co_await orders_.send_unlisted(id, address, request);
+            log_order("unlisted_hold", id, answer.status, asked_at);
             if (answer.status && answer.status->held == hold_term_) {
                 result.longest_unlisted = std::max(result.longest_unlisted.value_or(log_index{}),
                                                    answer.status->received);
@@ -333,13 +356,9 @@
         co_return std::nullopt;
     }
     const backend_request request = backend_step_down{hold_term_};
+    const auto asked_at = boot_clock::now();
     const auto status = co_await orders_.send(*primary, request);
-    event_line{"step_down"}
-        .field("group", group_->name())
-        .field("instance", *primary)
-        .field("term", hold_term_)
-        .field("answered", status.has_value())
-        .write();
+    log_order("step_down", *primary, status, asked_at);
     co_return status && !status->is_primary ? status : std::nullopt;
 }
 
@@ -649,7 +668,9 @@
             }
             promotion_candidate candidate;
             candidate.id = entry.id;
+            const auto asked_at = boot_clock::now();
             candidate.held = co_await orders_.send(entry.id, request);
+            log_order("replica_hold", entry.id, candidate.held, asked_at);
             candidate.is_draining = group_->is_draining(entry.id);
             if (candidate.held) {
                 held_replicas_.push_back(entry.id);
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -137,6 +137,10 @@
     boost::asio::awaitable<std::optional<term_number>> promote(promotion_choice choice);
     boost::asio::awaitable<std::optional<term_number>> wait_until_primary(instance_id target);
     void log_request(const instance_id& target, promotion_outcome outcome) const;
+    /// Logs the answer to an order that decides what may be promoted. Precondition: `event` is a
+    /// string literal.
+    void log_order(std::string_view event, const instance_id& instance,
+                   const std::optional<instance_status>& status, boot_time asked_at) const;
     boost::asio::awaitable<void> sleep(duration length);
 
     std::shared_ptr<backend_group> group_;
