Gateway: acknowledge a commit only if its instance may still lead when the answer arrives

Whether an instance may lead was checked before a write or commit was sent, and not when its answer came. A host confirms a failover at once, or its evidence expires, while a commit waits at the old primary for a replica, since all are held. If one of them is let go on after the target has been chosen (it starts again, joins, or carries out a RESUME late), it receives the commit, the primary acknowledges it, and the host passed that on as a success. Neither the hold nor the choice is repeated before the promotion call, nor while the call is repeated for up to 15 s.

The host of the session now checks its evidence again when the answer of a write, or of a commit that wrote, arrives. Without evidence the caller is told that the outcome is in doubt, and neither the session nor the group takes the position as acknowledged. The same holds for an answer of an earlier term than the one in which the instance leads now: it may have been rolled back in between. So every acknowledgement precedes the confirmation or the expiry, which the holder awaits before it holds the replicas again; one of their logs has the commit by then. The pool owner needs no check of its own: the promoting host waits for the host of the session as well. Reads are unchanged: what they may lack is judged by the time at which they were sent.

Tests, all of which failed before: failover_test "a commit answered after its host confirmed a failover is not acknowledged" (acknowledged, at a position that the promoted log lacks); session_test "a commit of an instance that may no longer lead is in doubt" (6 of 6 variants were acknowledged), "a commit whose answer is later than the evidence of leadership is in doubt", "a commit in doubt does not raise the position of the session's reads". "a commit that waits for a replica is acknowledged while the same instance leads" passes with and without the change. The fake primary can wait for a replica before it answers. gateway_test: 178 of 178.

--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -118,7 +118,9 @@
     /// Throws connection_error if the operation needs the primary and the instance is not known to
     /// lead its group. Statements of an open transaction are allowed, except its commit.
     void check_leadership(bool is_commit);
-    /// Logs the acknowledgement of a write by an instance that may no longer lead its group.
+    /// Throws connection_error if the instance that has acknowledged a write is not known to lead
+    /// its group now. A promotion may have chosen a log without the write: the promoting host only
+    /// waits until no host relies on the old primary, not for statements that are under way.
     void check_acknowledgement(const statement_answer& answer, boot_time sent_at) const;
     /// As `run`, and reports the outcome to the group.
     boost::asio::awaitable<std::vector<statement_answer>> run_observed(
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -65,19 +65,27 @@
 
 void connection_lease::check_acknowledgement(const statement_answer& answer,
                                              boot_time sent_at) const {
-    if (!connection_->needs_primary || group_->may_lead(connection_->instance, boot_clock::now())) {
+    // A commit answered in an earlier term may have been rolled back although its instance leads
+    // again.
+    const auto& failover = group_->last_failover();
+    const bool is_outdated = answer.position && answer.position->term < failover.term;
+    if (!connection_->needs_primary ||
+        (!is_outdated && group_->may_lead(connection_->instance, boot_clock::now()))) {
         return;
     }
-    event_line{"acknowledged_without_evidence"}
+    event_line{"acknowledgement_withheld"}
         .field("group", group_->name())
         .field("instance", connection_->instance)
         .field("position", answer.position.value_or(log_index{}))
         .field("leased", connection_->remote != nullptr)
-        .field("fence", group_->last_failover().fence)
-        .field("open", group_->last_failover().open)
-        .field("target", group_->last_failover().target)
+        .field("fence", failover.fence)
+        .field("open", failover.open)
+        .field("target", failover.target)
+        .field("term", failover.term)
         .field_ms("age_ms", boot_clock::now() - sent_at)
         .write();
+    throw connection_error("acknowledge", connection_->instance.str(),
+                           "it may no longer be the primary", true);
 }
 
 asio::awaitable<std::vector<statement_answer>> connection_lease::run_observed(
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -281,6 +281,8 @@
 
 namespace {
 
+enum class write_outcome { acknowledged, in_doubt, not_run };
+
 /// A group whose primary "a" only the second of two hosts reaches. The first host finds it dead and
 /// runs the failover; the primary continues to lead.
 class partitioned_fixture {
@@ -354,6 +356,40 @@
         }
     }
 
+    /// Sends a write from the second host and sets `outcome` when it ends. Returns when the primary
+    /// has run it.
+    void start_write(std::optional<write_outcome>& outcome) {
+        boost::asio::co_spawn(
+            context, write(second),
+            [&outcome](const std::exception_ptr&, write_outcome result) { outcome = result; });
+        context.restart();
+        while (connector.at("a").commits == 0 && !outcome) {
+            context.run_for(milliseconds{5});
+        }
+    }
+
+    static boost::asio::awaitable<write_outcome> write(std::shared_ptr<backend_group> group) {
+        acquire_request request;
+        request.queue_entry.customer = customer_id{"parish"};
+        request.queue_entry.needs_primary = true;
+        request.queue_entry.deadline = steady_clock::now() + seconds{10};
+        request.queue_entry.latest_start = request.queue_entry.deadline;
+        const auto deadline = request.queue_entry.deadline;
+        auto result = co_await group->acquire(std::move(request));
+        auto* lease = std::get_if<connection_lease>(&result);
+        if (lease == nullptr) {
+            co_return write_outcome::not_run;
+        }
+        try {
+            const backend_statement statement{statement_id{"w"}, "write x", std::nullopt};
+            const auto answer = co_await lease->execute(statement, true, true, deadline);
+            co_return answer.code == answer_code::done ? write_outcome::acknowledged
+                                                       : write_outcome::not_run;
+        } catch (const connection_error& failure) {
+            co_return failure.may_have_run() ? write_outcome::in_doubt : write_outcome::not_run;
+        }
+    }
+
     /// Runs until a promotion was requested, for at most 10 s.
     void run_until_promoted() {
         context.restart();
@@ -460,6 +496,32 @@
     CHECK_FALSE(fixture.second_host_uses_primary());
 }
 
+// A commit that was under way when its host confirmed the failover is not in the promoted log if a
+// replica receives it only after the target has been chosen.
+TEST_CASE("a commit answered after its host confirmed a failover is not acknowledged") {
+    partitioned_fixture fixture;
+    auto& primary = fixture.connector.at("a");
+    auto& target = fixture.connector.at("b");
+    auto& restarted = fixture.connector.at("c");
+    primary.sync_candidates = {&target, &restarted};
+    target.held = term_number{2};
+    restarted.held = term_number{2};
+    std::optional<write_outcome> outcome;
+    fixture.start_write(outcome);
+    // A restart ends the hold of a replica.
+    fixture.promotions.on_promote = [&] { restarted.held = {}; };
+    const auto failover = fixture.start_failover(0);
+    fixture.run_until_promoted();
+    fixture.run_for(milliseconds{100});
+    failover->stop();
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    REQUIRE(fixture.promotions.orders[0].target == instance_id{"b"});
+    REQUIRE(restarted.position == primary.position);
+    REQUIRE(target.position < primary.position);
+    REQUIRE(outcome);
+    CHECK(*outcome == write_outcome::in_doubt);
+}
+
 // A holder that was suspended for longer than its lock lasts would promote a second instance after
 // its successor has promoted one.
 TEST_CASE("a holder whose lock was taken while it was suspended sends no promotion request") {
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -28,6 +28,30 @@
     }
 }
 
+bool replicate(const fake_instance& primary) {
+    for (auto* replica : primary.sync_candidates) {
+        if (replica->held == term_number{}) {
+            replica->position = std::max(replica->position, primary.position);
+            return true;
+        }
+    }
+    return primary.sync_candidates.empty();
+}
+
+/// Waits until a replica has received the last commit. Throws connection_error at `deadline`.
+asio::awaitable<void> await_replication(const fake_instance& primary, time_point deadline) {
+    constexpr milliseconds poll_interval{5};
+    const auto name = primary.entry.id.str();
+    asio::steady_timer timer{co_await asio::this_coro::executor};
+    while (!replicate(primary)) {
+        if (steady_clock::now() >= deadline) {
+            throw connection_error("answer", name, "not replicated for the test", true);
+        }
+        timer.expires_after(poll_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 bool is_write_text(const std::string& text) { return text.rfind("write", 0) == 0; }
 
 }  // namespace
@@ -53,7 +77,11 @@
             open_ = false;
             throw connection_error("answer", instance_.entry.id.str(), "broken for the test", true);
         }
+        const auto commits = instance_.commits;
         answers.push_back(answer_one(request));
+        if (instance_.commits != commits) {
+            co_await await_replication(instance_, deadline);
+        }
         if (!text.empty() && instance_.lost_answers.contains(text)) {
             open_ = false;
             throw connection_error("answer", instance_.entry.id.str(), "lost for the test", true);
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -53,6 +53,9 @@
     milliseconds answer_delay{0};
     /// Probes fail, as when the queue of new connections overflows.
     bool fails_probes = false;
+    /// If not empty, commits are acknowledged once one of these replicas has received them. Held
+    /// replicas receive nothing.
+    std::vector<fake_instance*> sync_candidates;
     std::vector<executed_statement> executed;
     unsigned commits = 0;
     unsigned rollbacks = 0;
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -82,6 +82,31 @@
         boost::asio::co_spawn(context_, abandon, boost::asio::detached);
     }
 
+    /// Keeps commits of the primary unacknowledged until `resume` has been called after the time.
+    void delay_commits(milliseconds delay, std::function<void(backend_group&)> resume) {
+        first_replica->held = term_number{2};
+        primary->sync_candidates = {first_replica};
+        const auto wait = [this, delay,
+                           resume = std::move(resume)]() -> boost::asio::awaitable<void> {
+            boost::asio::steady_timer timer{context_, delay};
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            resume(*group_);
+            first_replica->held = {};
+        };
+        boost::asio::co_spawn(context_, wait, boost::asio::detached);
+    }
+
+    /// Lets the row of the group's failovers be read last at `read_at`.
+    void prove_leadership_at(boot_time read_at) {
+        make_group(read_at);
+        update();
+    }
+
+    /// Records the promotion of an instance.
+    void promote(const instance_id& target, term_number term) {
+        group_->on_failover_row(failover_record{1, false, target, term}, boot_clock::now());
+    }
+
     void refuse_work() { environment_.refuses_work = true; }
 
     void limit(rate_limit value) { limiter_.configure({{customer, value}}, boot_clock::now()); }
@@ -120,12 +145,12 @@
     }
 
 private:
-    void make_group() {
+    void make_group(boot_time leadership_read_at = boot_clock::now()) {
         settings_.name = group_name;
         settings_.max_connections = 20;
         auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
         group_ = std::make_shared<backend_group>(group_name, std::move(environment));
-        prove_leadership(*group_);
+        group_->on_failover_row(std::nullopt, leadership_read_at);
     }
 
     static void add_route(gateway_configuration& configuration, const std::string& database,
@@ -212,6 +237,84 @@
 
 // Before its commit is sent, a failed transaction must be reported as aborted, not as in doubt.
 // After that it must not be reported as aborted, which promises that nothing of it is kept.
+// An instance that no longer leads when its answer arrives may have been replaced by one whose log
+// lacks the commit.
+TEST_CASE("a commit of an instance that may no longer lead is in doubt") {
+    std::function<void(backend_group&)> change;
+    SUBCASE("a failover has begun") {
+        change = [](backend_group& group) { group.on_failover_begun(1); };
+    }
+    SUBCASE("another instance was promoted") {
+        change = [](backend_group& group) {
+            const instance_id leader{"b-replica-with-a-long-name"};
+            group.on_failover_row(failover_record{1, false, leader, term_number{2}},
+                                  boot_clock::now());
+        };
+    }
+    SUBCASE("the instance leads again, in a later term") {
+        change = [](backend_group& group) {
+            const instance_id leader{"a-primary-with-a-long-name"};
+            group.on_failover_row(failover_record{2, false, leader, term_number{3}},
+                                  boot_clock::now());
+        };
+    }
+    const std::vector<std::vector<caller_statement>> operations{
+        {write("w1")}, {begin(), write("w1"), commit("c1")}};
+    for (const auto& statements : operations) {
+        session_fixture fixture;
+        fixture.delay_commits(milliseconds{50}, change);
+        const auto caller = fixture.run("current", statements);
+        REQUIRE(caller->answers.size() == statements.size());
+        CHECK(caller->answers.back().code == answer_code::in_doubt);
+        CHECK(fixture.primary->commits == 1);
+    }
+}
+
+TEST_CASE("a commit whose answer is later than the evidence of leadership is in doubt") {
+    session_fixture fixture;
+    fixture.prove_leadership_at(boot_clock::now() - leadership_evidence::lifetime +
+                                milliseconds{200});
+    fixture.delay_commits(milliseconds{300}, [](backend_group&) {});
+    const auto caller = fixture.run("current", {write("w1")});
+    REQUIRE(caller->answers.size() == 1);
+    CHECK(caller->answers[0].code == answer_code::in_doubt);
+    CHECK(fixture.primary->commits == 1);
+}
+
+// Callers whose commits wait for a replica must not pay for the check.
+TEST_CASE("a commit that waits for a replica is acknowledged while the same instance leads") {
+    session_fixture fixture;
+    fixture.delay_commits(milliseconds{50}, [](backend_group& group) {
+        group.on_failover_begun(1);
+        const instance_id leader{"a-primary-with-a-long-name"};
+        group.on_failover_row(failover_record{1, false, leader, term_number{1}}, boot_clock::now());
+    });
+    const auto caller = fixture.run("session", {write("w1")});
+    REQUIRE(caller->answers.size() == 1);
+    CHECK(caller->answers[0].code == answer_code::done);
+}
+
+// A session would wait for a position that no instance has after a promotion.
+TEST_CASE("a commit in doubt does not raise the position of the session's reads") {
+    session_fixture fixture;
+    fixture.delay_commits(milliseconds{50},
+                          [](backend_group& group) { group.on_failover_begun(1); });
+    const auto caller = std::make_shared<fake_caller>(
+        session_request{"session", key}, std::vector<caller_statement>{write("w1"), read("r1")});
+    caller->before[1] = [&] {
+        // The promoted replica lacks the commit.
+        fixture.primary->is_primary = false;
+        fixture.primary->position = 10;
+        fixture.first_replica->position = 10;
+        fixture.second_replica->is_primary = true;
+        fixture.promote(instance_id{"c-replica-with-a-long-name"}, term_number{1});
+    };
+    fixture.run(caller);
+    REQUIRE(caller->answers.size() == 2);
+    CHECK(caller->answers[0].code == answer_code::in_doubt);
+    CHECK(caller->answers[1].code == answer_code::done);
+}
+
 TEST_CASE("a lost answer to a statement inside a transaction aborts the transaction") {
     session_fixture fixture;
     fixture.primary->lost_answers.insert("write x");
