--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "backend_group.hpp"
+#include "masticgrade/base/event_log.hpp"
 #include "masticgrade/base/scope_guard.hpp"
 
 namespace masticgrade {
@@ -62,6 +63,31 @@
                            false);
 }
 
+void connection_lease::check_acknowledgement(const statement_answer& answer,
+                                             boot_time sent_at) const {
+    // A commit answered in an earlier term may have been rolled back although its instance leads
+    // again.
+    const auto& failover = group_->last_failover();
+    const bool is_outdated = answer.position && answer.position->term < failover.term;
+    if (!connection_->needs_primary ||
+        (!is_outdated && group_->may_lead(connection_->instance, boot_clock::now()))) {
+        return;
+    }
+    event_line{"acknowledgement_withheld"}
+        .field("group", group_->name())
+        .field("instance", connection_->instance)
+        .field("position", answer.position.value_or(log_index{}))
+        .field("leased", connection_->remote != nullptr)
+        .field("fence", failover.fence)
+        .field("open", failover.open)
+        .field("target", failover.target)
+        .field("term", failover.term)
+        .field_ms("age_ms", boot_clock::now() - sent_at)
+        .write();
+    throw connection_error("acknowledge", connection_->instance.str(),
+                           "it may no longer be the primary", true);
+}
+
 asio::awaitable<std::vector<statement_answer>> connection_lease::run_observed(
     std::vector<backend_request> requests, bool is_commit, time_point deadline) {
     // A statement that waits for the warm-up limit has to be counted, or new operations take its
@@ -133,6 +159,9 @@
     const auto sent_at = boot_clock::now();
     auto answers = co_await run_observed(std::move(requests), is_commit, deadline);
     auto answer = std::move(answers.front());
+    if (is_commit && proves_position && answer.code == answer_code::done) {
+        check_acknowledgement(answer, sent_at);
+    }
     record_answer(answer, proves_position, sent_at);
     if (answer.code == answer_code::unknown_prepared) {
         // The connection lost its context and must not be reused for another session.
