Gateway: a promotion asks lost instances that are no longer recorded as log holders

An instance that has left the directory is removed from the failover row's log holders when it does not answer one host and another replica has all of the primary's log. Silence towards one host does not show that it has ended: an instance that is cut off from the store and from that host may still receive commits, and so let the primary acknowledge them. If the primary failed then, no host asked that instance, though hosts remember instances for 20 s after their loss.

Before a promotion, remembered instances that are no longer log holders are asked to hold as well, unless a listed instance has their address. One that answers counts as an unlisted log: nothing shorter is promoted until it is listed again. One that is running and refuses counts as unknown.

failover_test "a running instance that was removed from the log holders is asked before a promotion" failed before with a promotion of the shorter log.

--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -176,6 +176,20 @@
     return result;
 }
 
+std::map<instance_id, endpoint_address> backend_group::lost_instances(time_point now) const {
+    std::map<instance_id, endpoint_address> result;
+    for (const auto& [id, lost] : lost_instances_) {
+        const auto& address = lost.address;
+        const bool is_replaced = std::any_of(
+            instances_.begin(), instances_.end(),
+            [&](const auto& instance) { return instance.second.entry.address == address; });
+        if (!is_replaced && now - lost.lost_at <= lost_instance_lifetime) {
+            result.emplace(id, address);
+        }
+    }
+    return result;
+}
+
 bool backend_group::is_eligible(const instance_state& instance, const acquire_request& request,
                                 time_point now) const {
     const auto& id = instance.entry.id;
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -269,6 +269,9 @@
     /// directory within the last 20 s before they were recorded; without those whose log another
     /// instance has taken over.
     [[nodiscard]] std::map<instance_id, endpoint_address> log_holders(time_point now) const;
+    /// The instances that have disappeared from the directory on this host in the last 20 s, and
+    /// whose addresses no listed instance has.
+    [[nodiscard]] std::map<instance_id, endpoint_address> lost_instances(time_point now) const;
     [[nodiscard]] bool primary_is_dead(time_point now) const;
     /// See group_settings.
     [[nodiscard]] unsigned sync_replicas() const { return settings_.sync_replicas; }
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -347,6 +347,23 @@
         }
         ++result.unknown_replicas;
     }
+    // A host that could not reach an instance may have removed it from the log holders although the
+    // primary still replicated to it.
+    const auto lost = group_->lost_instances(steady_clock::now());
+    for (const auto& [id, address] : lost) {
+        if (holders.contains(id)) {
+            continue;
+        }
+        const auto asked_at = boot_clock::now();
+        const auto answer = co_await orders_.send_unlisted(id, address, request);
+        log_order("unlisted_hold", id, answer.status, asked_at);
+        if (answer.status) {
+            result.longest_unlisted =
+                std::max(result.longest_unlisted.value_or(log_index{}), answer.status->received);
+        } else if (answer.is_running) {
+            ++result.unknown_replicas;
+        }
+    }
     co_return result;
 }
 
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -169,6 +169,33 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
 }
 
+// A host that is cut off from a running instance removes it from the log holders, although the
+// primary still replicates to it.
+TEST_CASE("a running instance that was removed from the log holders is asked before a promotion") {
+    failover_fixture fixture;
+    fixture.connector.add("d", false).position = 14;
+    failover_record recorded;
+    for (const auto* name : {"b", "c", "d"}) {
+        recorded.log_holders[instance_id{name}] =
+            endpoint_address{std::string{name} + ".example:1"};
+    }
+    fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+    fixture.restart_host();
+    fixture.connector.at("d").is_listed = false;
+    fixture.update();
+    recorded.log_holders.erase(instance_id{"d"});
+    fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 50 || !fixture.promotions.orders.empty(); });
+    CHECK(fixture.promotions.orders.empty());
+
+    fixture.connector.at("d").is_listed = true;
+    fixture.update();
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
+}
+
 // Guards against the loss of a new primary's commits: the only replica left ends in the term
 // before, and this host has seen commits of the new term acknowledged.
 TEST_CASE("a replica whose log ends in an earlier term than acknowledged commits is not promoted") {
