Gateway: a key that moves ends the transactions of the earlier customer

What callers saw: after a configuration gave a caller's key to another customer, the caller's open transaction went on, and was committed, on a connection of the customer that no longer held the key. A statement that waited for a connection meanwhile ran for the earlier customer as well.

Cause: check_authorization takes the new holder over, but nothing compared it with the customer of the connection, neither of an open transaction nor of the one that was acquired for the earlier holder.

Fix: an open transaction whose connection is of another customer is refused with ABORTED and rolled back. A connection that was acquired for another customer is returned unused, and the statement is refused with BUSY; its next attempt runs for the holder of the key.

--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -90,6 +90,8 @@
     ~connection_lease();
 
     [[nodiscard]] const instance_id& instance() const { return connection_->instance; }
+    /// The customer that the instance was told when the connection was opened.
+    [[nodiscard]] const customer_id& customer() const { return connection_->customer; }
     [[nodiscard]] bool is_open() const { return connection_->is_open(); }
 
     /// Sets the session's values and prepares the statement, if any, where the connection differs.
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -85,7 +85,14 @@
         op.access = known->second.access;
         op.arguments = execution->arguments;
     }
-    return check_authorization(*op.route, op.reason);
+    if (auto refusal = check_authorization(*op.route, op.reason)) {
+        return refusal;
+    }
+    if (transaction_ && transaction_->lease && transaction_->lease->customer() != customer_) {
+        op.reason = "customer_changed";
+        return refuse(answer_code::aborted, "the customer of the key has changed");
+    }
+    return std::nullopt;
 }
 
 std::optional<statement_answer> caller_session::admit(operation& op) {
@@ -179,10 +186,14 @@
     auto result = co_await op.group->acquire(std::move(request));
     if (auto* lease = std::get_if<connection_lease>(&result)) {
         op.instance = lease->instance();
-        // The key may have been revoked while the statement was queued.
+        // The key may have been revoked or moved while the statement was queued.
         if (auto refusal = check_authorization(*op.route, op.reason)) {
             co_return std::move(*refusal);
         }
+        if (lease->customer() != customer_) {
+            op.reason = "customer_changed";
+            co_return refuse(answer_code::busy, "not run: the customer of the key has changed");
+        }
         co_return std::move(*lease);
     }
     const bool overloaded = std::get<acquire_failure>(result) == acquire_failure::overloaded;
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -144,7 +144,7 @@
     if ((is_write || (in_transaction_ && read_write_)) && !instance_.is_primary) {
         return refusal(answer_code::read_only);
     }
-    instance_.executed.push_back({id, text, values_, at_least, in_transaction_});
+    instance_.executed.push_back({id, text, values_, at_least, in_transaction_, customer_});
     if (is_write && in_transaction_) {
         wrote_ = true;
     } else if (is_write) {
@@ -175,7 +175,8 @@
     }
     if (const auto* plain = std::get_if<backend_statement>(&request)) {
         if (plain->text == "commit") {
-            instance_.executed.push_back({plain->id, plain->text, values_, {}, in_transaction_});
+            instance_.executed.push_back(
+                {plain->id, plain->text, values_, {}, in_transaction_, customer_});
             return end_transaction(true);
         }
         return statement(plain->id, plain->text, plain->at_least, is_write_text(plain->text));
@@ -239,7 +240,7 @@
 }
 
 asio::awaitable<instance_connection_ptr> fake_connector::connect(instance_entry instance,
-                                                                 customer_id /*customer*/,
+                                                                 customer_id customer,
                                                                  time_point deadline) {
     auto& found = instances_.at(instance.id.str());
     co_await delay_answer(found, deadline);
@@ -253,7 +254,7 @@
         throw connection_refused_error(instance.id.str(), answer_code::wrong_instance);
     }
     ++found.connections;
-    co_return std::make_shared<fake_link>(found);
+    co_return std::make_shared<fake_link>(found, std::move(customer));
 }
 
 asio::awaitable<bool> fake_connector::is_reachable(endpoint_address address,
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "masticgrade/gateway/connections.hpp"
@@ -25,6 +26,8 @@
     std::map<std::string, std::string> values;
     std::optional<log_index> at_least;
     bool in_transaction = false;
+    /// The customer of the connection.
+    customer_id customer;
 };
 
 /// An in-memory instance with injectable faults.
@@ -69,7 +72,8 @@
 
 class fake_link final : public instance_connection {
 public:
-    explicit fake_link(fake_instance& instance) : instance_(instance) {}
+    explicit fake_link(fake_instance& instance, customer_id customer = {})
+        : instance_(instance), customer_(std::move(customer)) {}
 
     boost::asio::awaitable<std::vector<statement_answer>> run(std::vector<backend_request> requests,
                                                               time_point deadline) override;
@@ -91,6 +95,7 @@
     [[nodiscard]] statement_answer status() const;
 
     fake_instance& instance_;
+    customer_id customer_;
     std::map<std::string, std::string> values_;
     std::map<std::string, prepared_statement> prepared_;
     bool open_ = true;
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -14,6 +14,7 @@
 
 const std::string key = "key-of-the-parish";
 const customer_id customer{"parish"};
+const customer_id other_customer{"harbour"};
 const group_id group_name{"ledger"};
 
 caller_statement read(const std::string& id, const std::string& text = "read x") {
@@ -43,7 +44,8 @@
         second_replica = &connector.add("c-replica-with-a-long-name", false);
         make_group();
         apply_configuration(1, {key}, proven_at);
-        limiter_.configure({{customer, {1000, 1000}}}, boot_clock::now() - seconds{30});
+        limiter_.configure({{customer, {1000, 1000}}, {other_customer, {1000, 1000}}},
+                           boot_clock::now() - seconds{30});
         environment_.on_operation_run = [this](const customer_id& runner, wall_time) {
             ++counted_operations[runner];
         };
@@ -53,7 +55,8 @@
     void update() { group_->update(settings_, connector.entries(), {}); }
 
     void apply_configuration(std::uint64_t version, const std::vector<std::string>& keys,
-                             boot_time proven_at = boot_clock::now()) {
+                             boot_time proven_at = boot_clock::now(),
+                             const customer_id& holder = customer) {
         auto configuration = std::make_shared<gateway_configuration>();
         configuration->version = version;
         add_route(*configuration, "current", read_consistency::current);
@@ -62,8 +65,8 @@
         add_route(*configuration, "open", read_consistency::bounded);
         configuration->routes["open"].is_public = true;
         masticgrade::configuration owners;
-        auto& owner = owners.customers[customer];
-        owner.name = customer;
+        auto& owner = owners.customers[holder];
+        owner.name = holder;
         for (const auto& text : keys) {
             const auto hash = to_key_hash(digest_key(text));
             owner.keys.push_back({key_id{hash.str()}, hash});
@@ -72,6 +75,20 @@
         control_.apply({std::move(configuration), {}}, proven_at);
     }
 
+    /// The key belongs to another customer from now on.
+    void move_key(const customer_id& holder) {
+        apply_configuration(++version_, {key}, boot_clock::now(), holder);
+    }
+
+    void move_key_after(milliseconds delay, const customer_id& holder) {
+        const auto move = [this, delay, holder]() -> boost::asio::awaitable<void> {
+            boost::asio::steady_timer timer{context_, delay};
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            move_key(holder);
+        };
+        boost::asio::co_spawn(context_, move, boost::asio::detached);
+    }
+
     /// Ends the wait for the answer of the running statement, as a process that ends does.
     void abandon_statement_after(milliseconds delay) {
         const auto abandon = [this, delay]() -> boost::asio::awaitable<void> {
@@ -140,6 +157,17 @@
     /// Operations counted for usage accounting.
     std::map<customer_id, unsigned> counted_operations;
 
+    /// The customer for which the statement ran last; empty if it did not run.
+    [[nodiscard]] customer_id runner_of(const std::string& id) const {
+        customer_id result;
+        for (const auto* instance : {primary, first_replica, second_replica}) {
+            for (const auto& statement : instance->executed) {
+                result = statement.id.str() == id ? statement.customer : result;
+            }
+        }
+        return result;
+    }
+
     [[nodiscard]] std::size_t runs_of(const std::string& id) const {
         return primary->runs_of(id) + first_replica->runs_of(id) + second_replica->runs_of(id);
     }
@@ -172,6 +200,7 @@
     group_settings settings_;
     std::shared_ptr<backend_group> group_;
     session_environment environment_;
+    std::uint64_t version_ = 1;
 };
 
 }  // namespace
@@ -404,6 +433,34 @@
     CHECK(late->refused == answer_code::unauthorized);
 }
 
+// Guards against statements that run for the customer that no longer holds the caller's key.
+TEST_CASE("an open transaction is aborted when the key moves to another customer") {
+    for (const auto& last : {write("w2"), commit("w2")}) {
+        CAPTURE(last.text);
+        session_fixture fixture;
+        auto caller = std::make_shared<fake_caller>(session_request{"current", key},
+                                                    std::vector{begin(), write("w1"), last});
+        caller->before[2] = [&] { fixture.move_key(other_customer); };
+        fixture.run(caller);
+        REQUIRE(caller->answers.size() == 3);
+        CHECK(fixture.runner_of("w1") == customer);
+        CHECK(caller->answers[2].code == answer_code::aborted);
+        CHECK(fixture.runs_of("w2") == 0);
+        CHECK(fixture.primary->commits == 0);
+    }
+}
+
+TEST_CASE("a statement that waits while its key moves does not run for the earlier customer") {
+    session_fixture fixture;
+    fixture.primary->answer_delay = milliseconds{50};
+    fixture.move_key_after(milliseconds{10}, other_customer);
+    const auto caller = fixture.run("current", {write("w1"), write("w2")});
+    REQUIRE(caller->answers.size() == 2);
+    CHECK(caller->answers[0].code == answer_code::busy);
+    CHECK(fixture.runs_of("w1") == 0);
+    CHECK(fixture.runner_of("w2") == other_customer);
+}
+
 // A host that cannot read the store may not know that a key was revoked, so it must not serve.
 TEST_CASE("a host with an outdated configuration runs nothing and closes its sessions") {
     session_fixture fixture{boot_clock::now() - control_state::request_max_age};
