Gateway: public routes do not keep the customer of a withdrawn key

What callers saw: on a public route, an open session whose key had been withdrawn went on under the name of the customer that had held it, and its open transaction was committed under that name.

Cause: check_authorization kept customer_ if the key had no holder.

Evidence: "a public route serves no statement for the customer of a withdrawn key" (ran for the earlier customer) and "a transaction of a public route is aborted when the key is withdrawn" (answer: done, 1 commit) failed before and pass now.

Fix: without a holder, a statement on a public route runs as one of a caller without a key. The check of the transaction's customer aborts the transaction.

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -179,7 +179,7 @@
         customer_ = owner->customer;
     }
     if (route.is_public) {
-        if (customer_.empty()) {
+        if (owner == nullptr) {
             customer_ = anonymous_customer;
         }
         return std::nullopt;
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -461,6 +461,28 @@
     CHECK(fixture.runner_of("w2") == other_customer);
 }
 
+// An open session of a public route kept the customer of a key that had been withdrawn.
+TEST_CASE("a public route serves no statement for the customer of a withdrawn key") {
+    session_fixture fixture;
+    auto caller = std::make_shared<fake_caller>(session_request{"open", key},
+                                                std::vector{read("r1"), read("r2")});
+    caller->before[1] = [&] { fixture.apply_configuration(2, {"another-key"}); };
+    fixture.run(caller);
+    CHECK(fixture.runner_of("r1") == customer);
+    CHECK(fixture.runner_of("r2") == anonymous_customer);
+}
+
+TEST_CASE("a transaction of a public route is aborted when the key is withdrawn") {
+    session_fixture fixture;
+    auto caller = std::make_shared<fake_caller>(session_request{"open", key},
+                                                std::vector{begin(), write("w1"), commit("c1")});
+    caller->before[2] = [&] { fixture.apply_configuration(2, {"another-key"}); };
+    fixture.run(caller);
+    REQUIRE(caller->answers.size() == 3);
+    CHECK(caller->answers[2].code == answer_code::aborted);
+    CHECK(fixture.primary->commits == 0);
+}
+
 // A host that cannot read the store may not know that a key was revoked, so it must not serve.
 TEST_CASE("a host with an outdated configuration runs nothing and closes its sessions") {
     session_fixture fixture{boot_clock::now() - control_state::request_max_age};
