Gateway: shapes with blanks get backend names of one word

What callers saw: nothing reported. The shape is the last field of PREPARE and extends to the end of the line. Its backend name was the shape with a prefix, so "PREPARE s READ x READ y" became "PREPARE r_x READ y READ x READ y": the instance prepared the shape "y READ x READ y" under "r_x", which could also be the name of another session's shape, and read "READ y" as the first arguments of EXECUTE.

Evidence: "the name of a prepared statement is one field of a message" found a blank in the name before and passes now.

Fix: blanks and percent signs of a shape are escaped in the name, so that the name is one field and differs for different shapes.

--- a/libs/gateway/src/backend_context.cpp
+++ b/libs/gateway/src/backend_context.cpp
@@ -12,7 +12,18 @@
 }  // namespace
 
 std::string backend_context::name_of(const prepared_statement& shape) {
-    return (shape.access == access_kind::read ? "r_" : "w_") + shape.shape;
+    std::string name = shape.access == access_kind::read ? "r_" : "w_";
+    // A shape may contain blanks, which end a name.
+    for (const char c : shape.shape) {
+        if (c == ' ') {
+            name += "%20";
+        } else if (c == '%') {
+            name += "%25";
+        } else {
+            name += c;
+        }
+    }
+    return name;
 }
 
 bool backend_context::must_reset(const session_context& session) const {
--- a/libs/gateway/test/backend_context_test.cpp
+++ b/libs/gateway/test/backend_context_test.cpp
@@ -2,6 +2,8 @@
 #include <rapidcheck.h>
 
 #include <map>
+#include <set>
+#include <string>
 
 #include "masticgrade/gateway/session_state.hpp"
 
@@ -68,3 +70,18 @@
     CHECK(context.setup_requests(session, &shape).empty());
     CHECK(context.setup_requests(session, nullptr).empty());
 }
+
+// A shape with blanks, which may end the caller's message, moved the fields of the instance's
+// messages: another shape was prepared, and the rest of the name ran as an argument.
+TEST_CASE("the name of a prepared statement is one field of a message") {
+    const auto name_of = [](const std::string& shape) {
+        return backend_context::name_of({access_kind::read, shape});
+    };
+    CHECK(name_of("q1") == "r_q1");
+    CHECK(name_of("x READ y").find(' ') == std::string::npos);
+    std::set<std::string> names;
+    for (const char* shape : {"a b", "a  b", "a%20b", "a%b", "a%25b", "ab", "a_b"}) {
+        names.insert(name_of(shape));
+    }
+    CHECK(names.size() == 7);
+}
