Tests: released leases, bare line feeds and BYE with real processes

A delayed commit must not run for a caller that has been told that its transaction is over: the pool owner refuses a request that arrives after the release of its lease.

unreadable_input also sends a line with a bare LF and statements behind it and behind BYE, and checks that no instance runs any of them.

--- a/libs/gateway/test/lease_service_test.cpp
+++ b/libs/gateway/test/lease_service_test.cpp
@@ -208,6 +208,29 @@
     CHECK(fixture.run(other, "r2", "read"));
 }
 
+// Guards against a delayed commit of a caller that has been told that its transaction is over.
+TEST_CASE("a request that arrives after the release of its lease is not run") {
+    lease_fixture fixture;
+    fixture.report(*fixture.borrower, "borrower");
+    const auto lease = fixture.acquire(*fixture.borrower, "parish");
+    REQUIRE(fixture.run(lease, backend_begin{}));
+    REQUIRE(fixture.run(lease, "w1", "write"));
+    const lease_id number = fixture.owner->service->active_lease_ids().front();
+    lease->close();
+    fixture.let_messages_arrive();
+
+    run_request call;
+    call.lease = number;
+    call.steps.emplace_back(backend_statement{statement_id{"c1"}, "commit", {}});
+    const auto reply = fixture.wait_for(fixture.borrower->service->run(
+        host_id{"owner"}, std::move(call), steady_clock::now() + seconds{2}));
+    REQUIRE(reply.has_value());
+    CHECK(reply->failure == lease_failure::not_served);
+    CHECK(fixture.connector.at("a").runs_of("c1") == 0);
+    CHECK(fixture.connector.at("a").rollbacks == 1);
+    CHECK(fixture.connector.at("a").commits == 0);
+}
+
 // Guards against statements of one host that run on a connection leased to another.
 TEST_CASE("a lease is used and released only by the process that holds it") {
     lease_fixture fixture;
--- a/tests/edge/edge_run_test.cpp
+++ b/tests/edge/edge_run_test.cpp
@@ -359,5 +359,16 @@
     line_client status{fleet.ports[0]};
     REQUIRE(status.start("db-primary", key) == "READY I -");
     CHECK(status.query("a", "STEPDOWN 99").front().rfind("ERROR MALFORMED", 0) == 0);
+    line_client smuggler{fleet.ports[0]};
+    REQUIRE(smuggler.start("db-primary", key) == "READY I -");
+    smuggler.send("QUERY b1 WRITE x a\nQUERY b2 WRITE x b\r\nQUERY b3 WRITE x c\r\n");
+    CHECK(smuggler.read_line().rfind("ERROR MALFORMED", 0) == 0);
+    line_client leaver{fleet.ports[0]};
+    REQUIRE(leaver.start("db-primary", key) == "READY I -");
+    leaver.send("BYE\r\nQUERY b4 WRITE x d\r\n");
+    CHECK(leaver.read_line().empty());
     CHECK(is_done(other.query("r", "READ x")));
+    for (const auto* id : {"b1", "b2", "b3", "b4"}) {
+        CHECK(fleet.world.runs_of(id) == 0);
+    }
 }
