Tests: processes started together do not choose the same ports

Cause: free_port starts at a port that follows the process id, and a port can be free for two processes before either host listens. Processes that are started together have adjacent ids. Each id has 40 ports now; a soak of four hosts takes 12.

--- a/tests/edge/free_port.cpp
+++ b/tests/edge/free_port.cpp
@@ -8,9 +8,12 @@
 namespace masticgrade::edge_test {
 
 unsigned short free_port() {
-    static unsigned short next = static_cast<unsigned short>(20000 + ::getpid() % 10000);
     constexpr unsigned short first = 20000;
     constexpr unsigned short end = 32000;
+    // Processes that are started together have adjacent ids and must not choose the same ports.
+    constexpr int ports_per_process = 40;
+    static unsigned short next = static_cast<unsigned short>(
+        first + ::getpid() % ((end - first) / ports_per_process) * ports_per_process);
     for (;;) {
         next = next + 1 < end ? static_cast<unsigned short>(next + 1) : first;
         boost::asio::io_context context;
