Tests: an edge run with an instance that sends every answer twice

Guards against answers of an instance that callers got for other statements, and against transactions that contain another caller's statements. The stand-in sends each answer once more when the next request on the connection has arrived, also READY after START. It signs a COMMIT with its id, since a signature belongs to one statement.

The scenario stops after the first round with a wrong answer, so a failing run doesn't show whether the transactions stay apart later.

--- a/tests/edge/edge_run_test.cpp
+++ b/tests/edge/edge_run_test.cpp
@@ -338,6 +338,60 @@
     }
 }
 
+// Callers got the answers to other callers' statements, and transactions contained them.
+TEST_CASE("answers_sent_twice: callers get their own answers, and transactions stay apart") {
+    edge_fleet fleet{"answers_sent_twice"};
+    fleet.world.repeat_answers();
+    const std::vector<std::string> names{"anna", "bertil", "cecilia", "david"};
+    std::deque<line_client> clients;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        auto& client = clients.emplace_back(fleet.ports[i % fleet.ports.size()]);
+        REQUIRE(client.start(i < 2 ? "db-primary" : "db-read_own", key) == "READY I -");
+    }
+    std::size_t sent = 0;
+    bool is_mixed = false;
+    const auto run = [&](std::size_t caller, const std::string& text, const std::string& state,
+                         const std::string& row = "") {
+        const auto id = names[caller] + "-" + std::to_string(++sent);
+        const bool has_signature = text != "BEGIN" && text != "ROLLBACK";
+        const auto expected = (row.empty() ? "" : "DATAROW " + row + "|") + "COMPLETE " +
+                              (has_signature ? "signature-" + id : "-") + "|READY " + state + " -|";
+        std::string received;
+        for (const auto& line : clients[caller].query(id, text)) {
+            received += line + "|";
+        }
+        CAPTURE(text);
+        CHECK(received == expected);
+        is_mixed = is_mixed || received != expected;
+        if (has_signature && row.empty()) {
+            CHECK(fleet.world.runs_of(id) == 1);
+        }
+    };
+    for (int round = 0; round < 10 && !is_mixed; ++round) {
+        const auto value = std::to_string(round);
+        run(0, "BEGIN", "T");
+        run(0, "WRITE pole-0 " + value, "T");
+        run(2, "WRITE pole-2 " + value, "I");
+        run(1, "BEGIN", "T");
+        run(3, "WRITE pole-3 " + value, "I");
+        run(1, "WRITE pole-1 " + value, "T");
+        run(2, "READ pole-2", "I", value);
+        run(0, "COMMIT", "I");
+        run(3, "READ pole-3", "I", value);
+        run(1, round % 2 == 0 ? "COMMIT" : "ROLLBACK", "I");
+        run(0, "READ pole-0", "I", value);
+    }
+    const auto caller_of = [](const std::string& id) { return id.substr(0, id.find('-')); };
+    const auto transactions = fleet.world.transactions();
+    CHECK_FALSE(transactions.empty());
+    for (const auto& transaction : transactions) {
+        for (const auto& id : transaction) {
+            CAPTURE(id);
+            CHECK(caller_of(id) == caller_of(transaction.front()));
+        }
+    }
+}
+
 // Guards against input that takes other sessions with it.
 TEST_CASE("unreadable_input: one error, and the others are served") {
     edge_fleet fleet{"unreadable_input"};
--- a/tests/edge/platform_world.cpp
+++ b/tests/edge/platform_world.cpp
@@ -227,6 +227,16 @@
     run_in_world([&] { lose_answer_ = true; });
 }
 
+void platform_world::repeat_answers() {
+    run_in_world([&] { repeats_answers_ = true; });
+}
+
+std::vector<std::vector<std::string>> platform_world::transactions() {
+    std::vector<std::vector<std::string>> result;
+    run_in_world([&] { result = transactions_; });
+    return result;
+}
+
 std::string platform_world::primary() {
     std::string result;
     run_in_world([&] {
@@ -352,12 +362,17 @@
                                             std::shared_ptr<asio::ip::tcp::socket> socket) {
     test::fake_link link{server.model};
     std::string buffer;
+    std::string previous;
+    std::optional<std::size_t> transaction;
     try {
         for (;;) {
             const auto length = co_await asio::async_read_until(
                 *socket, asio::dynamic_buffer(buffer), "\r\n", asio::use_awaitable);
             auto line = buffer.substr(0, length - 2);
             buffer.erase(0, length);
+            if (repeats_answers_ && !previous.empty()) {
+                co_await asio::async_write(*socket, asio::buffer(previous), asio::use_awaitable);
+            }
             const auto word = take_word(line);
             std::string reply;
             if (word == "START") {
@@ -372,13 +387,29 @@
                     const auto item = take_word(rest);
                     data_[item] = rest;
                 }
-                const auto answers =
+                auto answers =
                     co_await link.run(std::move(requests), steady_clock::now() + seconds{1});
+                auto& answer = answers.front();
+                if (line == "COMMIT" && answer.code == answer_code::done) {
+                    answer.text = "signature-" + id;
+                }
+                const bool is_open = answer.phase != transaction_phase::none;
+                if (is_open && !transaction) {
+                    transaction = transactions_.size();
+                    transactions_.emplace_back();
+                }
+                if (transaction && id != "-") {
+                    transactions_.at(*transaction).push_back(id);
+                }
+                if (!is_open) {
+                    transaction.reset();
+                }
                 replicate();
                 asio::steady_timer work{context_, work_};
                 co_await work.async_wait(asio::use_awaitable);
-                reply = answer_line(server, answers.front(), line);
+                reply = answer_line(server, answer, line);
             }
+            previous = reply;
             co_await asio::async_write(*socket, asio::buffer(reply), asio::use_awaitable);
         }
     } catch (const boost::system::system_error&) {
--- a/tests/edge/platform_world.hpp
+++ b/tests/edge/platform_world.hpp
@@ -42,9 +42,13 @@
     void set_work(milliseconds work);
     /// The next change of rows takes effect and is not answered.
     void lose_next_commit_answer();
+    /// From now on instances send each answer once more when the next request has arrived.
+    void repeat_answers();
 
     [[nodiscard]] std::string primary();
     [[nodiscard]] std::size_t promotions();
+    /// For each transaction on a connection, the ids of the statements that ran in it.
+    [[nodiscard]] std::vector<std::vector<std::string>> transactions();
     [[nodiscard]] std::size_t runs_of(const std::string& statement);
     /// The longest log of the live instances.
     [[nodiscard]] std::uint64_t longest_log();
@@ -72,6 +76,8 @@
     std::map<std::string, std::string> data_;
     std::uint64_t configuration_version_ = 0;
     bool lose_answer_ = false;
+    bool repeats_answers_ = false;
+    std::vector<std::vector<std::string>> transactions_;
     milliseconds work_{0};
     std::unique_ptr<http_server> store_;
     std::thread thread_;
