Soak: instances that send answers twice, and what then must not happen

It also refuses 2% of the statements as busy, so that refusals are repeated. Callers then set values, prepare and execute, and their transactions have three writes with pauses.

New checks, each named in its violation: an answer has the signature of its statement and its number of rows (MIXED); statements of a transaction run in one transaction of their own and nothing else does (PINNED); a commit commits no other caller's writes, and instances run only what callers sent, with the same text (UNASKED); values and prepared shapes are those of the session (CONTEXT); at the end the leader has every write that callers were told is kept (LOST). A read is not evaluated further if it got another's answer.

--- a/tests/soak/database_cluster.cpp
+++ b/tests/soak/database_cluster.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds work_time{2};
 constexpr milliseconds replica_poll{5};
 constexpr milliseconds promotion_time{200};
+/// Share of the statements that an instance which repeats answers refuses as busy.
+constexpr double busy_share = 0.02;
 /// A commit that no replica receives stays without an answer for this long.
 constexpr seconds commit_patience{6};
 /// The users' bound: over every 5 s, (rate x 5 + burst) x 1.1 + 20.
@@ -130,6 +132,86 @@
     limits_[customer] = {rate, burst, {}};
 }
 
+void database_cluster::repeat_answers(double share, std::uint64_t seed) {
+    repeated_share_ = share;
+    random_.seed(seed);
+}
+
+void database_cluster::check_acknowledged() {
+    const auto* primary = leader();
+    std::set<std::string> kept;
+    if (primary != nullptr) {
+        for (const auto& entry : primary->log) {
+            kept.insert(entry.statement);
+        }
+    }
+    for (const auto& write : sent.acknowledged()) {
+        if (!kept.contains(write)) {
+            report("LOST: the caller was told that " + write + " is kept, and it is not");
+        }
+    }
+}
+
+void database_cluster::check_statement(session& caller, const std::string& id,
+                                       const std::string& text) {
+    const auto known = sent.find(id);
+    if (!known || known->text != text) {
+        report("UNASKED: no caller sent " + id + " " + text);
+        return;
+    }
+    if (known->context != caller.value && !known->context.empty()) {
+        report("CONTEXT: " + id + " runs with value '" + caller.value + "', its session has '" +
+               known->context + "'");
+    }
+    const auto transaction = transaction_of(id);
+    // The proxy reads current data inside a transaction of its own.
+    const bool is_read = text.rfind("READ ", 0) == 0;
+    const bool runs_apart = is_in_transaction(id) ? !caller.open : caller.open && !is_read;
+    const bool is_foreign = !caller.transaction.empty() && caller.transaction != transaction;
+    if (runs_apart || (caller.open && is_foreign)) {
+        const auto where = caller.open ? "inside transaction '" + caller.transaction + "'"
+                                       : std::string{"outside a transaction"};
+        report("PINNED: " + id + " runs " + where);
+    }
+    if (caller.open && caller.transaction.empty()) {
+        caller.transaction = transaction;
+    }
+}
+
+void database_cluster::check_execution(const session& caller, const std::string& id,
+                                       const std::string& name) {
+    const auto known = sent.find(id);
+    const auto shape = caller.prepared.find(name);
+    if (known && shape != caller.prepared.end() && shape->second != "WRITE " + known->context) {
+        report("CONTEXT: " + id + " executes '" + shape->second + "', its session prepared '" +
+               known->context + "'");
+    }
+}
+
+std::pair<std::string, std::string> database_cluster::take_due(
+    std::vector<repeated_answer>& waiting) {
+    std::pair<std::string, std::string> result;
+    for (auto& item : waiting) {
+        if (--item.requests == 0) {
+            (item.comes_first ? result.first : result.second) += item.text;
+            ++repeated_;
+        }
+    }
+    std::erase_if(waiting, [](const auto& item) { return item.requests == 0; });
+    return result;
+}
+
+void database_cluster::plan_repeat(std::vector<repeated_answer>& waiting,
+                                   const std::string& reply) {
+    if (repeated_share_ == 0 || !std::bernoulli_distribution{repeated_share_}(random_)) {
+        return;
+    }
+    constexpr double end_share = 0.1;
+    const bool end_alone = std::bernoulli_distribution{end_share}(random_);
+    waiting.push_back({end_alone ? reply.substr(reply.rfind("READY")) : reply,
+                       std::uniform_int_distribution<>{1, 3}(random_), random_() % 2 == 0});
+}
+
 void database_cluster::copy_log(const instance& from, instance& to) {
     const auto size = to.log.size();
     const bool is_prefix = size <= from.log.size() &&
@@ -230,6 +312,7 @@
 asio::awaitable<void> database_cluster::serve(instance& server,
                                               std::shared_ptr<tcp::socket> socket) {
     session caller;
+    std::vector<repeated_answer> repeated;
     std::string buffer;
     try {
         for (;;) {
@@ -237,6 +320,10 @@
                 *socket, asio::dynamic_buffer(buffer), "\r\n", asio::use_awaitable);
             auto line = buffer.substr(0, length - 2);
             buffer.erase(0, length);
+            const auto [first, last] = take_due(repeated);
+            if (!first.empty()) {
+                co_await asio::async_write(*socket, asio::buffer(first), asio::use_awaitable);
+            }
             std::string reply;
             if (take_word(line) == "START") {
                 take_word(line);
@@ -255,6 +342,8 @@
             }
             const char* state = !caller.open ? "I" : caller.failed ? "E" : "T";
             reply += std::string{"READY "} + state + " " + text_of(server.position()) + "\r\n";
+            plan_repeat(repeated, reply);
+            reply += last;
             co_await asio::async_write(*socket, asio::buffer(reply), asio::use_awaitable);
         }
     } catch (const boost::system::system_error&) {
@@ -266,8 +355,29 @@
 asio::awaitable<database_cluster::answer> database_cluster::run(instance& server, session& caller,
                                                                 std::string id, std::string text) {
     const auto at_least = take_position(text);
-    const auto word = take_word(text);
+    const auto full_text = text;
+    auto word = take_word(text);
     answer result;
+    if (word == "EXECUTE") {
+        const auto name = take_word(text);
+        check_statement(caller, id, "EXECUTE put " + text);
+        if (!caller.prepared.contains(name)) {
+            result.error = "NOSUCHSTMT";
+            caller.failed = caller.open;
+            co_return result;
+        }
+        check_execution(caller, id, name);
+        word = "WRITE";
+    } else if (word == "READ" || word == "WRITE" || word == "COMMIT") {
+        check_statement(caller, id, full_text);
+    }
+    const bool may_be_busy =
+        word == "BEGIN" || word == "READ" || word == "WRITE" || word == "COMMIT";
+    if (may_be_busy && repeated_share_ > 0 && std::bernoulli_distribution{busy_share}(random_)) {
+        result.error = "BUSY";
+        caller.failed = caller.open;
+        co_return result;
+    }
     if (word == "READ" || word == "WRITE" || word == "COMMIT") {
         if (at_least && server.position() < *at_least) {
             result.error = "LAGGING";
@@ -278,6 +388,9 @@
         co_return result;
     }
     if (word == "BEGIN") {
+        if (caller.open) {
+            report("PINNED: a transaction begins inside '" + caller.transaction + "'");
+        }
         caller.read_only = text == "READ";
         if (!caller.read_only && !server.primary) {
             result.error = "READONLY";
@@ -287,11 +400,22 @@
             caller.open = true;
             caller.failed = false;
             caller.term = server.term;
+            caller.transaction.clear();
             caller.writes.clear();
         }
     } else if (word == "ROLLBACK") {
         caller.open = caller.failed = false;
+        caller.transaction.clear();
         caller.writes.clear();
+    } else if (word == "SET") {
+        take_word(text);
+        caller.value = text;
+    } else if (word == "PREPARE") {
+        const auto name = take_word(text);
+        caller.prepared[name] = text;
+    } else if (word == "DISCARD") {
+        caller.value.clear();
+        caller.prepared.clear();
     } else if (word == "STATUS" || word == "PAUSE" || word == "RESUME" || word == "STEPDOWN") {
         result = order(server, word, text);
     }
@@ -347,7 +471,13 @@
         }
     }
     const auto writes = std::exchange(caller.writes, {});
+    for (const auto& write : writes) {
+        if (transaction_of(write.statement) != transaction_of(id)) {
+            report("UNASKED: " + id + " commits " + write.statement + " of another transaction");
+        }
+    }
     caller.open = false;
+    caller.transaction.clear();
     if (!writes.empty() && !co_await append(server, writes)) {
         result.error = "READONLY";
     }
--- a/tests/soak/database_cluster.hpp
+++ b/tests/soak/database_cluster.hpp
@@ -7,12 +7,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/gateway/log_index.hpp"
+#include "sent_statements.hpp"
 
 namespace masticgrade::soak {
 
@@ -44,12 +46,20 @@
     /// Statements of the customer count as faults from `deadline` on.
     void withdraw(const std::string& customer, time_point deadline);
     void set_limit(const std::string& customer, double rate, double burst);
+    /// This share of the answers is sent once more, after one of the next three requests on the
+    /// connection has arrived. Some statements are refused, so that refusals are repeated, too.
+    void repeat_answers(double share, std::uint64_t seed);
+    /// Reports the writes that callers believe to be kept and the leader does not have.
+    void check_acknowledged();
     /// Makes the instance lead; false when it does not run or a higher fence has been seen.
     boost::asio::awaitable<bool> promote(std::string name, std::uint64_t fence);
 
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
     [[nodiscard]] std::size_t promotions() const { return promotions_; }
     [[nodiscard]] std::size_t statements() const { return statements_; }
+    [[nodiscard]] std::size_t repeated() const { return repeated_; }
+    /// Callers note here what they send. Thread safety: any thread.
+    sent_statements sent;
 
 private:
     struct instance;
@@ -60,6 +70,16 @@
         bool read_only = false;
         std::uint64_t term = 0;
         std::vector<commit> writes;
+        /// Common to the statements of the open transaction; empty before the first of them.
+        std::string transaction;
+        std::string value;
+        std::map<std::string, std::string> prepared;
+    };
+    struct repeated_answer {
+        std::string text;
+        /// Requests that arrive before it is sent.
+        int requests = 1;
+        bool comes_first = false;
     };
     struct answer {
         std::vector<std::string> rows;
@@ -75,6 +95,11 @@
     boost::asio::awaitable<answer> run_on_data(instance& server, session& caller, std::string id,
                                                std::string word, std::string rest);
     void check_promotion(const instance& target);
+    void check_statement(session& caller, const std::string& id, const std::string& text);
+    void check_execution(const session& caller, const std::string& id, const std::string& name);
+    /// The texts to send before and after the answer to a request that arrives now.
+    std::pair<std::string, std::string> take_due(std::vector<repeated_answer>& waiting);
+    void plan_repeat(std::vector<repeated_answer>& waiting, const std::string& reply);
     /// Appends the commits and waits until a replica has them; false when the instance does not
     /// lead. Throws when it stays open whether they are kept.
     boost::asio::awaitable<bool> append(instance& server, std::vector<commit> writes);
@@ -99,6 +124,9 @@
     std::uint64_t last_term_ = 1;
     std::size_t promotions_ = 0;
     std::size_t statements_ = 0;
+    double repeated_share_ = 0;
+    std::mt19937_64 random_;
+    std::size_t repeated_ = 0;
     std::vector<std::string> violations_;
 };
 
--- a/tests/soak/edge_soak.cpp
+++ b/tests/soak/edge_soak.cpp
@@ -28,6 +28,8 @@
     std::size_t hosts = 4;
     std::size_t callers = 8;
     std::string logs = "soak-logs";
+    double repeated_answers = 0;
+    bool calm = false;
 };
 
 /// The edge processes of a run; each can be stopped, paused, killed and started again.
@@ -102,7 +104,11 @@
     fault_schedule(std::uint64_t seed, soak_world& world, host_fleet& hosts)
         : random_(seed), world_(world), hosts_(hosts) {}
 
-    void run(seconds length) {
+    void run(seconds length, bool calm) {
+        if (calm) {
+            std::this_thread::sleep_for(length);
+            return;
+        }
         const auto end = steady_clock::now() + length;
         while (steady_clock::now() < end) {
             begin_one();
@@ -230,15 +236,16 @@
     std::vector<soak_customer> customers{{"parish", "key-of-the-parish", 300, 300, false},
                                          {"harbour", "key-of-the-harbour", 20, 20, false},
                                          {"council", "key-of-the-council", 100, 100, false}};
+    world.repeat_answers(settings.repeated_answers, settings.seed);
     world.configure(customers);
     host_fleet hosts{settings, world};
     std::deque<soak_caller> callers;
     for (std::size_t i = 0; i < settings.callers; ++i) {
         const auto& customer = customers[i % customers.size()];
-        callers.emplace_back(
-            caller_settings{customer.name + "-" + std::to_string(i), customer.key,
-                            [&hosts](std::size_t index) { return hosts.port(index); },
-                            settings.hosts, 10, settings.seed + i});
+        callers.emplace_back(caller_settings{
+            customer.name + "-" + std::to_string(i), customer.key,
+            [&hosts](std::size_t index) { return hosts.port(index); }, settings.hosts, 10,
+            settings.seed + i, &world.sent(), settings.repeated_answers > 0});
     }
     const auto served = [&] {
         std::size_t sum = 0;
@@ -250,10 +257,10 @@
     bool failed = !wait_until([&] { return served() > settings.callers; });
     const auto half = seconds{settings.seconds / 2};
     fault_schedule faults{settings.seed, world, hosts};
-    faults.run(half);
+    faults.run(half, settings.calm);
     customers[2].withdrawn = true;
     world.configure(customers);
-    faults.run(half);
+    faults.run(half, settings.calm);
     world.end_all_faults();
     // Service must come back once all faults have ended.
     const auto before = served();
@@ -268,10 +275,11 @@
         failed = failed || !caller.violations().empty();
     }
     callers.clear();
+    world.check_acknowledged();
     failed = failed || !recovered || !world.violations().empty() || hosts.bad_ends() > 0;
     std::cout << "seed " << settings.seed << (failed ? " FAILED" : " passed")
               << ": statements=" << world.statements() << " promotions=" << world.promotions()
-              << " refused=" << refused << std::endl;
+              << " refused=" << refused << " repeated=" << world.repeated() << std::endl;
     return failed ? 1 : 0;
 }
 
@@ -286,7 +294,12 @@
         "seconds", po::value(&settings.seconds), "time with faults, s")(
         "hosts", po::value(&settings.hosts), "edge processes")(
         "callers", po::value(&settings.callers), "callers, each on a thread of its own")(
-        "logs", po::value(&settings.logs), "folder for settings and logs");
+        "logs", po::value(&settings.logs), "folder for settings and logs")(
+        "repeated-answers", po::value(&settings.repeated_answers),
+        "share of the instances' answers that are sent twice; callers then also set values, "
+        "prepare "
+        "statements and run longer transactions")("calm", po::bool_switch(&settings.calm),
+                                                  "no other faults");
     try {
         po::variables_map values;
         po::store(po::parse_command_line(count, arguments, flags), values);
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -44,6 +44,7 @@
     line_client* open(std::size_t host) {
         if (!client_) {
             try {
+                context_.clear();
                 client_.emplace(settings_.port(host % settings_.hosts));
                 if (client_->start(database_, settings_.key).rfind("READY", 0) != 0) {
                     client_.reset();
@@ -64,10 +65,14 @@
     }
     [[nodiscard]] bool is_open() const { return client_.has_value(); }
     void close() { client_.reset(); }
+    /// The value that this session has set; empty before.
+    [[nodiscard]] const std::string& context() const { return context_; }
+    void set_context(std::string value) { context_ = std::move(value); }
 
 private:
     const caller_settings& settings_;
     std::string database_;
+    std::string context_;
     std::optional<line_client> client_;
 };
 
@@ -90,6 +95,43 @@
     violations_.push_back(settings_.name + ": " + fault);
 }
 
+std::string soak_caller::next_id_in(std::size_t transaction) {
+    return settings_.name + "-t" + std::to_string(transaction) + "-" + std::to_string(++last_id_);
+}
+
+std::vector<std::string> soak_caller::run_statement(session& connection, const std::string& id,
+                                                    const std::string& text) {
+    settings_.sent->add(id, {text, connection.context()});
+    auto answer = connection.query(id, text);
+    if (is_done(answer)) {
+        const bool touches_data = text == "COMMIT" || text.rfind("READ ", 0) == 0 ||
+                                  text.rfind("WRITE ", 0) == 0 || text.rfind("EXECUTE ", 0) == 0;
+        const auto expected = "COMPLETE " + (touches_data ? "sig-" + id : "-");
+        const std::size_t lines = text.rfind("READ ", 0) == 0 ? 3 : 2;
+        if (answer[answer.size() - 2] != expected || answer.size() != lines) {
+            report("MIXED: answer to another statement: " + answer[answer.size() - 2] + " with " +
+                   std::to_string(answer.size()) + " lines for " + id + " " + text);
+        }
+    }
+    return answer;
+}
+
+bool soak_caller::prepare_session(session& connection) {
+    if (!settings_.uses_context || !connection.context().empty()) {
+        return true;
+    }
+    const auto value = settings_.name + "-s" + std::to_string(++last_session_);
+    if (!is_done(run_statement(connection, next_id(), "SET owner " + value)) ||
+        !connection.is_open() ||
+        !is_done(run_statement(connection, next_id(), "PREPARE put WRITE " + value)) ||
+        !connection.is_open()) {
+        connection.close();
+        return false;
+    }
+    connection.set_context(value);
+    return true;
+}
+
 std::string soak_caller::next_id() { return settings_.name + "-" + std::to_string(++last_id_); }
 
 void soak_caller::run() {
@@ -100,7 +142,8 @@
     session reader{settings_, current};
     while (!stopping_) {
         auto& connection = random() % 3 == 0 ? reader : writer;
-        if (connection.open(random()) == nullptr) {
+        if (connection.open(random()) == nullptr ||
+            (&connection == &writer && !prepare_session(connection))) {
             std::this_thread::sleep_for(reconnect_pause);
             continue;
         }
@@ -118,52 +161,74 @@
 }
 
 void soak_caller::write(session& connection, bool in_transaction) {
-    const int number = ++last_number_;
-    const auto text = "WRITE " + settings_.name + " " + std::to_string(number);
-    std::vector<std::string> answer;
     if (in_transaction) {
-        answer = connection.query(next_id(), "BEGIN");
-        if (is_done(answer)) {
-            answer = connection.query(next_id(), text);
-        }
-        if (is_done(answer)) {
-            answer = connection.query(next_id(), "COMMIT");
-        } else {
-            // Without a commit nothing of the transaction may be kept.
-            refused_numbers_.insert(number);
-            if (connection.is_open()) {
-                connection.query(next_id(), "ROLLBACK");
-            }
-            ++refused_;
-            return;
+        write_in_transaction(connection);
+        return;
+    }
+    const int number = ++last_number_;
+    const auto* verb = connection.context().empty() || number % 2 == 0 ? "WRITE " : "EXECUTE put ";
+    const auto id = next_id();
+    const auto answer =
+        run_statement(connection, id, verb + settings_.name + " " + std::to_string(number));
+    on_written({number}, {id}, answer);
+}
+
+void soak_caller::write_in_transaction(session& connection) {
+    const auto transaction = last_id_;
+    std::vector<int> numbers;
+    std::vector<std::string> ids;
+    auto answer = run_statement(connection, next_id(), "BEGIN");
+    const std::size_t writes = settings_.uses_context ? 3 : 1;
+    while (is_done(answer) && connection.is_open() && ids.size() < writes) {
+        numbers.push_back(++last_number_);
+        ids.push_back(next_id_in(transaction));
+        answer = run_statement(connection, ids.back(),
+                               "WRITE " + settings_.name + " " + std::to_string(numbers.back()));
+        if (settings_.uses_context) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{settings_.pause_ms});
         }
-    } else {
-        answer = connection.query(next_id(), text);
     }
+    if (is_done(answer) && connection.is_open()) {
+        on_written(numbers, ids, run_statement(connection, next_id_in(transaction), "COMMIT"));
+        return;
+    }
+    // Without a commit nothing of the transaction may be kept.
+    refused_numbers_.insert(numbers.begin(), numbers.end());
+    if (connection.is_open()) {
+        run_statement(connection, next_id(), "ROLLBACK");
+    }
+    ++refused_;
+}
+
+void soak_caller::on_written(const std::vector<int>& numbers, const std::vector<std::string>& ids,
+                             const std::vector<std::string>& answer) {
     if (is_done(answer)) {
-        acknowledged_ = number;
+        acknowledged_ = numbers.back();
         ++served_;
+        for (const auto& id : ids) {
+            settings_.sent->acknowledge(id);
+        }
     } else {
         ++refused_;
-        auto& numbers = is_promise(first_line(answer)) ? refused_numbers_ : open_numbers_;
-        numbers.insert(number);
+        auto& kept_apart = is_promise(first_line(answer)) ? refused_numbers_ : open_numbers_;
+        kept_apart.insert(numbers.begin(), numbers.end());
     }
 }
 
 void soak_caller::read(session& connection, const std::string& database) {
     const int acknowledged = acknowledged_;
     const auto id = next_id();
-    const auto answer = connection.query(id, "READ " + settings_.name);
+    const auto answer = run_statement(connection, id, "READ " + settings_.name);
     if (!is_done(answer) || answer.size() != 3) {
         ++refused_;
         return;
     }
     ++served_;
-    const auto value = answer.front().substr(std::string{"DATAROW "}.size());
-    const int number = value == "none" ? 0 : std::stoi(value);
     if (answer[1] != "COMPLETE sig-" + id) {
-        report("answer to another statement: " + answer[1] + " for " + id);
+        return;
     }
+    const auto value = answer.front().substr(std::string{"DATAROW "}.size());
+    const int number = value == "none" ? 0 : std::stoi(value);
     if (refused_numbers_.contains(number)) {
         report("write " + value + " was refused and is kept, read on " + database + " by " + id);
     }
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -8,6 +8,8 @@
 #include <thread>
 #include <vector>
 
+#include "sent_statements.hpp"
+
 namespace masticgrade::soak {
 
 /// What a caller needs to know of the fleet.
@@ -20,6 +22,9 @@
     /// Pause between two operations, ms.
     int pause_ms = 10;
     std::uint64_t seed = 0;
+    sent_statements* sent = nullptr;
+    /// Whether sessions set values and prepare statements, and transactions last longer.
+    bool uses_context = false;
 };
 
 /// A caller on a thread of its own, the only one that writes its item. It writes rising numbers and
@@ -43,8 +48,16 @@
 
     void run();
     void write(session& connection, bool in_transaction);
+    void write_in_transaction(session& connection);
     void read(session& connection, const std::string& database);
+    void on_written(const std::vector<int>& numbers, const std::vector<std::string>& ids,
+                    const std::vector<std::string>& answer);
+    bool prepare_session(session& connection);
+    /// Sends a statement and checks that the answer belongs to it.
+    std::vector<std::string> run_statement(session& connection, const std::string& id,
+                                           const std::string& text);
     std::string next_id();
+    std::string next_id_in(std::size_t transaction);
     void report(const std::string& fault);
 
     caller_settings settings_;
@@ -53,6 +66,7 @@
     std::atomic<std::size_t> refused_ = 0;
     int last_number_ = 0;
     std::size_t last_id_ = 0;
+    std::size_t last_session_ = 0;
     /// The highest number whose write was acknowledged, and the writes that may or must not exist.
     int acknowledged_ = 0;
     std::set<int> refused_numbers_;
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -227,6 +227,20 @@
     });
 }
 
+void soak_world::repeat_answers(double share, std::uint64_t seed) {
+    run_in_world([&] { databases_.repeat_answers(share, seed); });
+}
+
+void soak_world::check_acknowledged() {
+    run_in_world([&] { databases_.check_acknowledged(); });
+}
+
+std::size_t soak_world::repeated() {
+    std::size_t result = 0;
+    run_in_world([&] { result = databases_.repeated(); });
+    return result;
+}
+
 std::vector<std::string> soak_world::violations() {
     std::vector<std::string> result;
     run_in_world([&] { result = databases_.violations(); });
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -47,9 +47,14 @@
     void restart_instances();
     void end_all_faults();
 
+    void repeat_answers(double share, std::uint64_t seed);
+    void check_acknowledged();
+    [[nodiscard]] sent_statements& sent() { return databases_.sent; }
+
     [[nodiscard]] std::vector<std::string> violations();
     [[nodiscard]] std::size_t promotions();
     [[nodiscard]] std::size_t statements();
+    [[nodiscard]] std::size_t repeated();
 
 private:
     void run_in_world(const std::function<void()>& action);
