Gateway: hosts that start at the same time find each other within a second

Cause: a host reads the hosts' rows, writes its own, and reads them again 10 s later. If all read before the first has written, none sends a report that would make another read earlier, so that each admits the whole rate. Now a host reads again after 1 s until it has read its own row; of two hosts, the one that wrote later then finds the other.

The test fails if the registration alone counts, as before.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -737,7 +737,7 @@
 
     /// Whether this host's row was seen since the last known restore of the store.
     bool is_registration_current() const {
-        return hosts_.is_registered() && registered_era_ >= rows_.newest_era();
+        return hosts_.has_read_own_row() && registered_era_ >= rows_.newest_era();
     }
 
     asio::awaitable<void> host_list_loop() {
--- a/libs/gateway/src/host_registry.cpp
+++ b/libs/gateway/src/host_registry.cpp
@@ -70,6 +70,7 @@
         event_line{"hosts_changed"}.field("others", others.size()).write();
     }
     others_ = std::move(others);
+    has_read_own_row_ = listed;
     if (!listed) {
         table_commit change;
         change.conditions.push_back({rows + self_.str(), own_version});
--- a/libs/gateway/src/host_registry.hpp
+++ b/libs/gateway/src/host_registry.hpp
@@ -35,6 +35,9 @@
     void mark_alive(const host_id& host);
 
     [[nodiscard]] bool is_registered() const { return registered_; }
+    /// Whether the rows that were applied last contain this host's. Hosts that register at the same
+    /// time may both have read the rows before, and find each other only in a later reading.
+    [[nodiscard]] bool has_read_own_row() const { return has_read_own_row_; }
     [[nodiscard]] const std::map<host_id, registered_host>& others() const { return others_; }
 
 private:
@@ -42,6 +45,7 @@
     host_id self_;
     registered_host own_;
     bool registered_ = false;
+    bool has_read_own_row_ = false;
     std::map<host_id, registered_host> others_;
     std::map<host_id, time_point> last_heard_;
 };
--- a/libs/gateway/test/host_registry_test.cpp
+++ b/libs/gateway/test/host_registry_test.cpp
@@ -48,3 +48,27 @@
     CHECK(registry.is_registered());
     CHECK(store.value_of(host_registry::rows + self.str()) == "10.0.0.1:7000 north 100");
 }
+
+// Hosts that started at the same time did not know each other for 10 s, and each of them admitted
+// the whole rate of a customer.
+TEST_CASE("hosts that register at the same time read the rows once more") {
+    fake_store store;
+    host_registry first{store, self, own};
+    host_registry second{store, other, own};
+    for (auto* registry : {&first, &second}) {
+        boost::asio::io_context context;
+        boost::asio::co_spawn(context, registry->update({}, steady_clock::now() + seconds{1}),
+                              boost::asio::detached);
+        context.run();
+    }
+    for (auto* registry : {&first, &second}) {
+        CHECK(registry->is_registered());
+        CHECK_FALSE(registry->has_read_own_row());
+        CHECK(registry->others().empty());
+    }
+    refresh(first, store);
+    refresh(second, store);
+    CHECK(first.has_read_own_row());
+    CHECK(first.others().contains(other));
+    CHECK(second.others().contains(self));
+}
