Gateway: lost instances are asked once, when a target would be promoted

A failover asked each lost instance that is no longer a log holder in every round of its wait, up to 300 ms each, also while the promotion was not allowed anyway. They are now asked only when nothing else speaks against the target. The test "a running instance that was removed from the log holders is asked before a promotion" covers it.

--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -292,8 +292,12 @@
         if (!choice) {
             co_return std::nullopt;
         }
-        const auto others = co_await find_unheld_logs(former_primary);
-        const bool is_complete = contains_acknowledged_commits(choice->position, others);
+        auto others = co_await find_unheld_logs(former_primary);
+        bool is_complete = contains_acknowledged_commits(choice->position, others);
+        if (is_complete) {
+            others = co_await ask_lost_instances(std::move(others));
+            is_complete = contains_acknowledged_commits(choice->position, others);
+        }
         event_line{is_complete ? "failover_target" : "failover_waits"}
             .field("group", group_->name())
             .field("fence", lock_.record.fence)
@@ -347,9 +351,16 @@
         }
         ++result.unknown_replicas;
     }
+    co_return result;
+}
+
+asio::awaitable<unheld_logs> group_failover::ask_lost_instances(unheld_logs known) {
     // A host that could not reach an instance may have removed it from the log holders although the
     // primary still replicated to it.
-    const auto lost = group_->lost_instances(steady_clock::now());
+    const backend_request request = backend_hold{hold_term_};
+    const auto now = steady_clock::now();
+    const auto holders = group_->log_holders(now);
+    const auto lost = group_->lost_instances(now);
     for (const auto& [id, address] : lost) {
         if (holders.contains(id)) {
             continue;
@@ -358,13 +369,13 @@
         const auto answer = co_await orders_.send_unlisted(id, address, request);
         log_order("unlisted_hold", id, answer.status, asked_at);
         if (answer.status) {
-            result.longest_unlisted =
-                std::max(result.longest_unlisted.value_or(log_index{}), answer.status->received);
+            known.longest_unlisted =
+                std::max(known.longest_unlisted.value_or(log_index{}), answer.status->received);
         } else if (answer.is_running) {
-            ++result.unknown_replicas;
+            ++known.unknown_replicas;
         }
     }
-    co_return result;
+    co_return known;
 }
 
 asio::awaitable<std::optional<instance_status>> group_failover::demote_primary() {
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -129,6 +129,8 @@
     /// but run.
     boost::asio::awaitable<unheld_logs> find_unheld_logs(
         std::optional<instance_status> former_primary);
+    /// Adds the logs of lost instances that are no longer log holders to what is known.
+    boost::asio::awaitable<unheld_logs> ask_lost_instances(unheld_logs known);
     /// Resumes the held replicas, and later those that do not answer now.
     boost::asio::awaitable<void> release_replicas();
     /// Resumes replicas that did not answer before.
