Failover: an order with an answer that could not be matched proves that the instance is alive

An instance that answered an order twice counted as silent in that round, so that it could look dead to the host that decides on a failover. Found by reading in an independent review; no test of its own.

--- a/libs/gateway/src/instance_orders.cpp
+++ b/libs/gateway/src/instance_orders.cpp
@@ -60,6 +60,14 @@
             .field("instance", instance)
             .field("code", to_string(failure.code()))
             .write();
+    } catch (const answer_mismatch_error& failure) {
+        result.answered = true;
+        group_->on_order_refused(instance);
+        event_line{"order_failed"}
+            .field("group", group_->name())
+            .field("instance", instance)
+            .field("reason", failure.what())
+            .write();
     } catch (const error& failure) {
         event_line{"order_failed"}
             .field("group", group_->name())
