--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -295,7 +295,7 @@
         auto others = co_await find_unheld_logs(former_primary);
         bool is_complete = contains_acknowledged_commits(choice->position, others);
         if (is_complete) {
-            others = co_await ask_lost_instances(std::move(others));
+            others = co_await ask_lost_instances(others);
             is_complete = contains_acknowledged_commits(choice->position, others);
         }
         event_line{is_complete ? "failover_target" : "failover_waits"}
