Gateway tests: an inquiry about a primary is awaited, not expected within 2 s

A process that gets no processor for 0.4 s drops what makes a primary look dead, by design, and the test sent no further statements.

The test now sends further statements until the others have been asked, and watches for a promotion for 2 s from then on, as before.

--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -332,6 +332,14 @@
         return group;
     }
 
+    void start_unanswered_statements() {
+        // The probes of a silent primary are not part of this test.
+        for (int i = 0; i < 3; ++i) {
+            boost::asio::co_spawn(context, use_primary(first, milliseconds{50}),
+                                  boost::asio::detached);
+        }
+    }
+
     /// Starts the failover on the first host. `silent_hosts` other hosts don't confirm.
     std::shared_ptr<group_failover> start_failover(std::size_t silent_hosts) {
         failover_environment environment{
@@ -353,11 +361,7 @@
             [](const group_id&, std::uint64_t) {}};
         auto failover = std::make_shared<group_failover>(first, std::move(environment));
         boost::asio::co_spawn(context, failover->run(), boost::asio::detached);
-        // The probes of a silent primary are not part of this test.
-        for (int i = 0; i < 3; ++i) {
-            boost::asio::co_spawn(context, use_primary(first, milliseconds{50}),
-                                  boost::asio::detached);
-        }
+        start_unanswered_statements();
         return failover;
     }
 
@@ -437,6 +441,18 @@
         }
     }
 
+    /// Runs until the first host has asked the others about the primary. A process that was
+    /// suspended forgets what made the primary look dead, until further statements get no answer.
+    void run_until_asked() {
+        const auto give_up = steady_clock::now() + seconds{30};
+        while (!first_asked_at && steady_clock::now() < give_up) {
+            run_for(seconds{2});
+            if (!first_asked_at) {
+                start_unanswered_statements();
+            }
+        }
+    }
+
     bool second_host_uses_primary() {
         context.restart();
         std::optional<bool> used;
@@ -811,6 +827,7 @@
     fixture.connector.at("a").fails_probes = true;
     fixture.on_asked = [&] { fixture.first_reaches_primary(true); };
     const auto failover = fixture.start_failover(0);
+    fixture.run_until_asked();
     fixture.run_for(seconds{2});
     failover->stop();
     REQUIRE(fixture.first_asked_at);
