Soak: faults that hide or lose logs, and one scenario for each

The stand-in's replicas all received every commit, kept their logs and their `born`, and its orders took effect at once.

Change: an instance can be deaf, cut off from the store and the hosts while it receives, started again empty under its id, moved, drained and followed by a successor that gets its log part by part and is listed late; promotion calls, PAUSE and RESUME can be lost or late; hosts can be killed as the primary crashes. Each start has a new `born` and counts its entries anew, and START with another id is refused. The check of a promotion names every acknowledged write that is lost, whether its caller knows of it, and the logs that have or had it. Runs without the option play the same faults as before.

--- a/tests/soak/database_cluster.cpp
+++ b/tests/soak/database_cluster.cpp
@@ -1,4 +1,4 @@
-#include "database_cluster.hpp"
+#include "database_instance.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -34,40 +34,11 @@
 constexpr double limit_overage = 1.1;
 constexpr double limit_slack = 20;
 
-std::string text_of(log_index index) {
-    return std::to_string(index.term.value()) + "." + std::to_string(index.number.value());
-}
-
 }  // namespace
 
-struct database_cluster::instance {
-    instance(asio::io_context& context, std::string id)
-        : name(std::move(id)), acceptor(context, {asio::ip::make_address_v4("127.0.0.1"), 0}) {}
-
-    [[nodiscard]] log_index position() const {
-        return log.empty() ? log_index{term_number{1}, log_position{0}} : log.back().index;
-    }
-    [[nodiscard]] std::string read(const std::string& item) const {
-        const auto found = std::find_if(log.rbegin(), log.rend(),
-                                        [&](const commit& entry) { return entry.item == item; });
-        return found == log.rend() ? "none" : found->value;
-    }
-
-    std::string name;
-    tcp::acceptor acceptor;
-    bool up = true;
-    bool primary = false;
-    std::uint64_t term = 1;
-    std::uint64_t held = 0;
-    std::vector<commit> log;
-    std::set<std::shared_ptr<tcp::socket>> sockets;
-};
-
 database_cluster::database_cluster(asio::io_context& context) : context_(context) {
     for (const std::string name : {"i-a", "i-b", "i-c"}) {
-        auto& server = *(instances_[name] = std::make_unique<instance>(context, name));
-        server.primary = name == "i-a";
-        asio::co_spawn(context_, accept(server), asio::detached);
+        add(name).primary = name == "i-a";
     }
 }
 
@@ -91,6 +62,11 @@
     return instances_.at(name)->primary;
 }
 
+bool database_cluster::has_primary() const {
+    return std::any_of(instances_.begin(), instances_.end(),
+                       [](const auto& item) { return item.second->primary; });
+}
+
 database_cluster::instance* database_cluster::leader() {
     for (auto& [name, server] : instances_) {
         if (server->primary) {
@@ -105,25 +81,6 @@
     violations_.push_back(fault);
 }
 
-void database_cluster::crash(const std::string& name) {
-    auto& server = *instances_.at(name);
-    server.up = false;
-    boost::system::error_code ignored;
-    for (const auto& socket : server.sockets) {
-        socket->close(ignored);
-    }
-}
-
-void database_cluster::restart(const std::string& name) {
-    auto& server = *instances_.at(name);
-    server.up = true;
-    server.held = 0;
-    const auto* primary = leader();
-    if (primary != nullptr && primary != &server && primary->up) {
-        copy_log(*primary, server);
-    }
-}
-
 void database_cluster::withdraw(const std::string& customer, time_point deadline) {
     withdrawn_[customer] = deadline;
 }
@@ -212,31 +169,6 @@
                        std::uniform_int_distribution<>{1, 3}(random_), random_() % 2 == 0});
 }
 
-void database_cluster::copy_log(const instance& from, instance& to) {
-    const auto size = to.log.size();
-    const bool is_prefix = size <= from.log.size() &&
-                           (size == 0 || to.log.back().statement == from.log[size - 1].statement);
-    if (is_prefix) {
-        to.log.insert(to.log.end(), from.log.begin() + static_cast<std::ptrdiff_t>(size),
-                      from.log.end());
-    } else {
-        to.log = from.log;
-    }
-    to.term = from.term;
-}
-
-void database_cluster::check_promotion(const instance& target) {
-    std::set<std::string> kept;
-    for (const auto& entry : target.log) {
-        kept.insert(entry.statement);
-    }
-    for (const auto& statement : acknowledged_) {
-        if (!kept.contains(statement)) {
-            report("the promotion of " + target.name + " loses acknowledged write " + statement);
-        }
-    }
-}
-
 asio::awaitable<bool> database_cluster::promote(std::string name, std::uint64_t fence) {
     auto& target = *instances_.at(name);
     if (!target.up || fence < fence_) {
@@ -260,9 +192,7 @@
     }
     target.term = last_term_;
     for (auto& [other, server] : instances_) {
-        if (server->up) {
-            copy_log(target, *server);
-        }
+        catch_up(*server);
     }
     co_return true;
 }
@@ -328,6 +258,11 @@
             if (take_word(line) == "START") {
                 take_word(line);
                 caller.customer = take_word(line);
+                if (!line.empty() && line != server.name) {
+                    reply = "ERROR WRONGNODE -\r\n";
+                    co_await asio::async_write(*socket, asio::buffer(reply), asio::use_awaitable);
+                    break;
+                }
                 if (server.sockets.size() > most_connections) {
                     reply = "ERROR CONNLIMIT -\r\n";
                 }
@@ -416,6 +351,9 @@
     } else if (word == "DISCARD") {
         caller.value.clear();
         caller.prepared.clear();
+    } else if (order_delay_ && (word == "PAUSE" || word == "RESUME")) {
+        asio::co_spawn(context_, order_late(server, word, text, *order_delay_), asio::detached);
+        throw boost::system::system_error{asio::error::connection_aborted};
     } else if (word == "STATUS" || word == "PAUSE" || word == "RESUME" || word == "STEPDOWN") {
         result = order(server, word, text);
     }
@@ -489,28 +427,27 @@
         co_return false;
     }
     const auto term = server.term;
+    const auto born = server.born;
     for (auto& write : writes) {
-        const bool again =
-            std::any_of(server.log.begin(), server.log.end(),
-                        [&](const auto& entry) { return entry.statement == write.statement; });
-        if (again) {
+        if (server.has(write.statement)) {
             report("statement " + write.statement + " takes effect twice");
         }
         write.index = {term_number{term}, log_position{server.position().number.value() + 1}};
         server.log.push_back(write);
     }
     const auto give_up = steady_clock::now() + commit_patience;
-    while (server.up && server.primary && steady_clock::now() < give_up) {
-        bool received = false;
+    while (server.up && server.born == born && server.primary && server.term == term &&
+           steady_clock::now() < give_up) {
+        std::map<std::string, std::uint64_t> receivers;
         for (auto& [name, other] : instances_) {
-            if (other->up && !other->primary && other->held == 0) {
+            if (other->receives()) {
                 copy_log(server, *other);
-                received = true;
+                receivers.emplace(name, other->born);
             }
         }
-        if (received) {
+        if (!receivers.empty()) {
             for (const auto& write : writes) {
-                acknowledged_.insert(write.statement);
+                acknowledged_[write.statement] = {write.index, receivers};
             }
             co_return true;
         }
--- a/tests/soak/database_cluster.hpp
+++ b/tests/soak/database_cluster.hpp
@@ -26,8 +26,8 @@
     std::string statement;
 };
 
-/// Three instances of one database group with a log each. They speak the line protocol, and note
-/// what must not happen. Thread safety: none; one executor.
+/// The instances of one database group with a log each, three at a time. They speak the line
+/// protocol, and note what must not happen. Thread safety: none; one executor.
 class database_cluster {
 public:
     explicit database_cluster(boost::asio::io_context& context);
@@ -39,10 +39,29 @@
     [[nodiscard]] unsigned short port_of(const std::string& name) const;
     [[nodiscard]] bool is_up(const std::string& name) const;
     [[nodiscard]] bool is_primary(const std::string& name) const;
+    /// Whether an instance leads, also one that is down.
+    [[nodiscard]] bool has_primary() const;
+
+    /// Unix time in ms of the start of the instance's process; each start has a later one.
+    [[nodiscard]] std::uint64_t born(const std::string& name) const;
+    /// Writes that callers know to be kept and the instance's log lacks.
+    [[nodiscard]] std::size_t missing_writes(const std::string& name) const;
 
     void crash(const std::string& name);
     /// Starts the instance again with its log; as a replica if another one leads.
     void restart(const std::string& name);
+    /// Starts the instance again as a replica with an empty log. While a primary runs, its log is
+    /// transferred during `transfer`, and the instance receives nothing before that.
+    void restart_empty(const std::string& name, milliseconds transfer);
+    /// Ends the instance. A new one, whose id is returned, has its log after `transfer`, and a part
+    /// of it until then.
+    std::string replace(const std::string& name, milliseconds transfer);
+    /// While it is deaf, an instance runs and answers orders, and receives nothing.
+    void set_deaf(const std::string& name, bool deaf);
+    /// PAUSE and RESUME are carried out after this delay and not answered; at once without one.
+    void delay_orders(std::optional<milliseconds> delay) { order_delay_ = delay; }
+    /// A fault of the instance's surroundings that reports of lost writes name.
+    void note(const std::string& name, const std::string& fault, bool present);
     /// Statements of the customer count as faults from `deadline` on.
     void withdraw(const std::string& customer, time_point deadline);
     void set_limit(const std::string& customer, double rate, double burst);
@@ -63,6 +82,11 @@
 
 private:
     struct instance;
+    struct acknowledgement {
+        log_index index;
+        /// The instances that had received the write, with the start of their processes.
+        std::map<std::string, std::uint64_t> receivers;
+    };
     struct session {
         std::string customer;
         bool open = false;
@@ -95,6 +119,9 @@
     boost::asio::awaitable<answer> run_on_data(instance& server, session& caller, std::string id,
                                                std::string word, std::string rest);
     void check_promotion(const instance& target);
+    /// The logs that have or had the write, and what is the matter with their instances.
+    [[nodiscard]] std::string describe_logs(const std::string& statement,
+                                            const acknowledgement& write) const;
     void check_statement(session& caller, const std::string& id, const std::string& text);
     void check_execution(const session& caller, const std::string& id, const std::string& name);
     /// The texts to send before and after the answer to a request that arrives now.
@@ -104,6 +131,13 @@
     /// lead. Throws when it stays open whether they are kept.
     boost::asio::awaitable<bool> append(instance& server, std::vector<commit> writes);
     answer order(instance& server, const std::string& word, const std::string& term);
+    boost::asio::awaitable<void> order_late(instance& server, std::string word, std::string term,
+                                            milliseconds delay);
+    void begin_transfer(instance& target, std::vector<commit> log, milliseconds length);
+    boost::asio::awaitable<void> transfer(instance& target, milliseconds length);
+    instance& add(const std::string& name);
+    void set_new_start(instance& server);
+    void catch_up(instance& server);
     void copy_log(const instance& from, instance& to);
     void observe(const std::string& customer);
     void report(const std::string& fault);
@@ -118,8 +152,10 @@
         std::deque<time_point> operations;
     };
     std::map<std::string, limit> limits_;
-    /// Statements whose commit was acknowledged.
-    std::set<std::string> acknowledged_;
+    /// Writes whose commit an instance has acknowledged and no promotion has lost.
+    std::map<std::string, acknowledgement> acknowledged_;
+    std::uint64_t last_born_ = 0;
+    std::optional<milliseconds> order_delay_;
     std::uint64_t fence_ = 0;
     std::uint64_t last_term_ = 1;
     std::size_t promotions_ = 0;
--- a/tests/soak/edge_soak.cpp
+++ b/tests/soak/edge_soak.cpp
@@ -4,14 +4,10 @@
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <deque>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <random>
 
-#include "child_process.hpp"
-#include "free_port.hpp"
-#include "line_client.hpp"
+#include "host_fleet.hpp"
 #include "soak_caller.hpp"
 #include "soak_world.hpp"
 
@@ -30,79 +26,14 @@
     std::string logs = "soak-logs";
     double repeated_answers = 0;
     bool calm = false;
-};
-
-/// The edge processes of a run; each can be stopped, paused, killed and started again.
-class host_fleet {
-public:
-    host_fleet(const options& run, const soak_world& world) : logs_(run.logs) {
-        std::filesystem::create_directories(logs_);
-        for (std::size_t i = 0; i < run.hosts; ++i) {
-            auto& item = hosts_.emplace_back();
-            item.port = edge_test::free_port();
-            item.settings = logs_ + "/host-" + std::to_string(i) + ".conf";
-            write_settings(i, item, world.store_port(i));
-            start(i);
-        }
-    }
-
-    [[nodiscard]] unsigned short port(std::size_t index) const { return hosts_.at(index).port; }
-    [[nodiscard]] std::size_t size() const { return hosts_.size(); }
-
-    void kill(std::size_t index) {
-        hosts_.at(index).process->kill();
-        start(index);
-    }
-    void signal(std::size_t index, int number) const { hosts_.at(index).process->signal(number); }
-    /// Starts the host again if it has been asked to stop; waits for its end.
-    void finish_stop(std::size_t index) {
-        if (const int code = hosts_.at(index).process->wait(); code != 0) {
-            std::cerr << "violation: host " << index << " ended with code " << code << std::endl;
-            ++bad_ends_;
-        }
-        start(index);
-    }
-    [[nodiscard]] int bad_ends() const { return bad_ends_; }
-
-private:
-    struct host {
-        unsigned short port = 0;
-        std::string settings;
-        std::unique_ptr<process_test::child_process> process;
-        int starts = 0;
-    };
-
-    static void write_settings(std::size_t index, const host& item, unsigned short store_port) {
-        const auto store = "127.0.0.1:" + std::to_string(store_port);
-        std::ofstream settings{item.settings};
-        settings << "node=host-" << index << "\nzone=" << (index % 2 == 0 ? "north" : "south")
-                 << "\nip=127.0.0.1\n"
-                 << "listen-addrs.front=127.0.0.1:" << item.port << "\n"
-                 << "listen-addrs.readiness=127.0.0.1:" << edge_test::free_port() << "\n"
-                 << "internal-ports=" << edge_test::free_port() << ",65535\n"
-                 << "platform.address=" << store << "\ncloud.address=" << store << "\n"
-                 << "limits.max-fds=4300\nbounds.grace-s=6\n";
-    }
-
-    void start(std::size_t index) {
-        auto& item = hosts_.at(index);
-        const auto log =
-            logs_ + "/host-" + std::to_string(index) + "-" + std::to_string(item.starts++) + ".log";
-        item.process = std::make_unique<process_test::child_process>(
-            MG_EDGE, std::vector<std::string>{"--settings", item.settings}, log,
-            process_test::standard_output::file);
-    }
-
-    std::string logs_;
-    std::deque<host> hosts_;
-    int bad_ends_ = 0;
+    bool log_faults = false;
 };
 
 /// Faults begin and end at random times, and overlap. Each kind has a way to begin and one to end.
 class fault_schedule {
 public:
-    fault_schedule(std::uint64_t seed, soak_world& world, host_fleet& hosts)
-        : random_(seed), world_(world), hosts_(hosts) {}
+    fault_schedule(const options& settings, soak_world& world, host_fleet& hosts)
+        : random_(settings.seed), log_faults_(settings.log_faults), world_(world), hosts_(hosts) {}
 
     void run(seconds length, bool calm) {
         if (calm) {
@@ -129,8 +60,13 @@
 
     int pick(int from, int to) { return std::uniform_int_distribution<>{from, to}(random_); }
 
+    bool toss() { return pick(0, 1) == 1; }
+
     void later(std::function<void()> action) {
-        ends_.push_back({steady_clock::now() + milliseconds{pick(300, 4000)}, std::move(action)});
+        after(milliseconds{pick(300, 4000)}, std::move(action));
+    }
+    void after(milliseconds delay, std::function<void()> action) {
+        ends_.push_back({steady_clock::now() + delay, std::move(action)});
     }
 
     void end_due(time_point now) {
@@ -149,8 +85,13 @@
         const auto host = static_cast<std::size_t>(pick(0, static_cast<int>(hosts_.size()) - 1));
         const auto instance = static_cast<std::size_t>(pick(0, 2));
         constexpr int kinds = 10;
-        const int kind = pick(0, kinds - 1);
+        constexpr int log_kinds = 9;
+        const int kind = pick(0, kinds + (log_faults_ ? log_kinds : 0) - 1);
         std::cout << "fault " << kind << " host=" << host << " instance=" << instance << std::endl;
+        if (kind >= kinds) {
+            begin_log_fault(kind - kinds, instance);
+            return;
+        }
         switch (kind) {
             case 0:
                 if (busy_hosts_.insert(host).second) {
@@ -211,26 +152,122 @@
         }
     }
 
+    /// Faults that hide a log, end one, or let an order take effect late.
+    void begin_log_fault(int kind, std::size_t instance) {
+        switch (kind) {
+            case 0:
+                world_.set_deaf(instance, true);
+                later([this, instance] { world_.set_deaf(instance, false); });
+                break;
+            case 1:
+                world_.set_cut_off(instance, true);
+                after(milliseconds{pick(1000, 10000)},
+                      [this, instance] { world_.set_cut_off(instance, false); });
+                break;
+            case 2:
+                world_.crash_instance(instance);
+                after(milliseconds{pick(50, 2000)}, [this, instance] { restart_empty(instance); });
+                break;
+            case 3:
+                world_.move(instance);
+                break;
+            case 4:
+                drain(instance, milliseconds{pick(3000, 9000)}, milliseconds{pick(500, 6000)});
+                break;
+            case 5:
+                world_.set_promotion_fault(toss() ? promotion_fault::late : promotion_fault::lost,
+                                           milliseconds{pick(2000, 8000)});
+                later([this] { world_.set_promotion_fault(promotion_fault::none, {}); });
+                break;
+            case 6:
+                world_.delay_orders(milliseconds{pick(500, 8000)});
+                later([this] { world_.delay_orders(std::nullopt); });
+                break;
+            case 7:
+                crash_primary_and_hosts();
+                break;
+            default:
+                begin_series();
+                break;
+        }
+    }
+
+    void restart_empty(std::size_t instance) {
+        world_.restart_empty(instance, milliseconds{pick(300, 1000)});
+    }
+
+    /// False when the instance is draining already.
+    bool drain(std::size_t instance, milliseconds time, milliseconds unlisted) {
+        if (!draining_.insert(instance).second) {
+            return false;
+        }
+        world_.set_draining(instance, true);
+        after(time, [this, instance, unlisted] {
+            draining_.erase(instance);
+            if (world_.is_up(instance)) {
+                world_.replace(instance, milliseconds{pick(300, 1000)}, unlisted);
+            } else {
+                world_.set_draining(instance, false);
+            }
+        });
+        return true;
+    }
+
+    void crash_primary_and_hosts() {
+        constexpr milliseconds recent{300};
+        auto killed =
+            world_.sent().acknowledging_hosts(toss() ? steady_clock::now() - recent : time_point{});
+        std::erase_if(killed, [&](std::size_t host) { return busy_hosts_.contains(host); });
+        hosts_.kill_with_primary(killed, world_);
+        later([this] { world_.restart_instances(); });
+    }
+
+    /// Leaves the newest commits to the primary and a replica that the hosts cannot see or whose
+    /// log is lost, and crashes the primary.
+    void begin_series() {
+        const auto primary = world_.primary().value_or(0);
+        const bool swapped = toss();
+        const auto newest = (primary + (swapped ? 1 : 2)) % 3;
+        const auto other = (primary + (swapped ? 2 : 1)) % 3;
+        const int way = pick(0, 2);
+        const milliseconds drain_time{pick(2000, 4000)};
+        milliseconds hidden{pick(3000, 8000)};
+        if (way == 0) {
+            world_.set_cut_off(newest, true);
+        } else if (way == 1 && drain(newest, drain_time, hidden + seconds{pick(1, 4)})) {
+            hidden += drain_time;
+        } else {
+            hidden = milliseconds{0};
+        }
+        after(hidden, [this, newest, other, way] {
+            world_.set_deaf(other, true);
+            after(milliseconds{pick(300, 1500)}, [this, newest, other, way] {
+                if (toss()) {
+                    crash_primary_and_hosts();
+                } else {
+                    world_.crash_primary();
+                    after(milliseconds{pick(2000, 10000)}, [this] { world_.restart_instances(); });
+                }
+                if (way == 2) {
+                    restart_empty(newest);
+                }
+                world_.set_deaf(other, false);
+                later([this, newest] { world_.set_cut_off(newest, false); });
+            });
+        });
+    }
+
     std::mt19937_64 random_;
+    bool log_faults_;
     soak_world& world_;
     host_fleet& hosts_;
     std::vector<pending> ends_;
     /// Hosts that are paused or stopping.
     std::set<std::size_t> busy_hosts_;
+    /// Instances that are draining until they end.
+    std::set<std::size_t> draining_;
 };
 
-bool wait_until(const std::function<bool()>& condition) {
-    constexpr seconds patience{60};
-    const auto give_up = steady_clock::now() + patience;
-    while (steady_clock::now() < give_up) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(milliseconds{50});
-    }
-    return false;
-}
-
 int run(const options& settings) {
     soak_world world{settings.hosts};
     std::vector<soak_customer> customers{{"parish", "key-of-the-parish", 300, 300, false},
@@ -238,7 +275,7 @@
                                          {"council", "key-of-the-council", 100, 100, false}};
     world.repeat_answers(settings.repeated_answers, settings.seed);
     world.configure(customers);
-    host_fleet hosts{settings, world};
+    host_fleet hosts{settings.logs, settings.hosts, world};
     std::deque<soak_caller> callers;
     for (std::size_t i = 0; i < settings.callers; ++i) {
         const auto& customer = customers[i % customers.size()];
@@ -256,7 +293,7 @@
     };
     bool failed = !wait_until([&] { return served() > settings.callers; });
     const auto half = seconds{settings.seconds / 2};
-    fault_schedule faults{settings.seed, world, hosts};
+    fault_schedule faults{settings, world, hosts};
     faults.run(half, settings.calm);
     customers[2].withdrawn = true;
     world.configure(customers);
@@ -299,7 +336,9 @@
         "share of the instances' answers that are sent twice; callers then also set values, "
         "prepare "
         "statements and run longer transactions")("calm", po::bool_switch(&settings.calm),
-                                                  "no other faults");
+                                                  "no other faults")(
+        "log-faults", po::bool_switch(&settings.log_faults),
+        "also faults that hide or end logs, and orders that take effect late");
     try {
         po::variables_map values;
         po::store(po::parse_command_line(count, arguments, flags), values);
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -42,6 +42,8 @@
     tcp::socket client;
     tcp::socket server;
     bool silent = false;
+    /// The server has dropped it, and what the client still sends is lost.
+    bool cut = false;
 };
 
 fault_proxy::fault_proxy(asio::io_context& context, unsigned short target)
@@ -66,6 +68,13 @@
             item->silent = true;
         }
     }
+    if (fault == link_fault::cut) {
+        for (const auto& item : connections_) {
+            boost::system::error_code ignored;
+            item->cut = true;
+            item->server.close(ignored);
+        }
+    }
     if (fault == link_fault::reset_open || fault == link_fault::refuse) {
         reset_all();
     }
@@ -89,6 +98,11 @@
 }
 
 asio::awaitable<void> fault_proxy::serve(std::shared_ptr<connection> item) {
+    if (fault_ == link_fault::cut) {
+        item->cut = true;
+        co_await pump(item, true);
+        co_return;
+    }
     connections_.insert(item);
     boost::system::error_code fault;
     co_await item->server.async_connect(loopback(target_),
@@ -118,20 +132,26 @@
         if (fault) {
             break;
         }
-        while (from.is_open() && (item->silent || (to_server && fault_ == link_fault::one_way))) {
+        while (from.is_open() && !item->cut &&
+               (item->silent || (to_server && fault_ == link_fault::one_way))) {
             co_await sleep(held_poll);
         }
         if (fault_ == link_fault::delay) {
             co_await sleep(chunk_delay);
         }
+        if (item->cut) {
+            continue;
+        }
         co_await asio::async_write(to, asio::buffer(buffer.data(), length),
                                    asio::redirect_error(asio::use_awaitable, fault));
-        if (fault) {
+        if (fault && !item->cut) {
             break;
         }
     }
     boost::system::error_code ignored;
-    item->client.close(ignored);
+    if (to_server || !item->cut) {
+        item->client.close(ignored);
+    }
     item->server.close(ignored);
 }
 
--- a/tests/soak/fault_proxy.hpp
+++ b/tests/soak/fault_proxy.hpp
@@ -23,6 +23,8 @@
     reset_open,
     /// Open and new connections are reset.
     refuse,
+    /// Nothing passes in either direction, on open and new connections.
+    cut,
 };
 
 /// Passes bytes between a port of loopback and a server, with faults. Thread safety: none; one
@@ -36,6 +38,8 @@
 
     [[nodiscard]] unsigned short port() const;
     void set_fault(link_fault fault);
+    /// New connections go to this port.
+    void set_target(unsigned short target) { target_ = target; }
 
 private:
     struct connection;
--- a/tests/soak/sent_statements.hpp
+++ b/tests/soak/sent_statements.hpp
@@ -6,6 +6,8 @@
 #include <set>
 #include <string>
 
+#include "masticgrade/base/time.hpp"
+
 namespace masticgrade::soak {
 
 /// What callers have sent and what they were told, to be compared with what runs on instances.
@@ -28,10 +30,22 @@
         const auto found = statements_.find(id);
         return found == statements_.end() ? std::nullopt : std::optional{found->second};
     }
-    /// A caller was told that this write is kept.
-    void acknowledge(const std::string& write) {
+    /// The host has told a caller that this write is kept.
+    void acknowledge(const std::string& write, std::size_t host) {
         const std::scoped_lock lock{mutex_};
         acknowledged_.insert(write);
+        acknowledged_at_[host] = steady_clock::now();
+    }
+    /// Hosts that have acknowledged a write since then.
+    [[nodiscard]] std::set<std::size_t> acknowledging_hosts(time_point since) const {
+        const std::scoped_lock lock{mutex_};
+        std::set<std::size_t> result;
+        for (const auto& [host, moment] : acknowledged_at_) {
+            if (moment >= since) {
+                result.insert(host);
+            }
+        }
+        return result;
     }
     [[nodiscard]] std::set<std::string> acknowledged() const {
         const std::scoped_lock lock{mutex_};
@@ -42,6 +56,7 @@
     mutable std::mutex mutex_;
     std::map<std::string, statement> statements_;
     std::set<std::string> acknowledged_;
+    std::map<std::size_t, time_point> acknowledged_at_;
 };
 
 /// Whether the id is that of a statement in a caller's transaction.
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -45,7 +45,8 @@
         if (!client_) {
             try {
                 context_.clear();
-                client_.emplace(settings_.port(host % settings_.hosts));
+                host_ = host % settings_.hosts;
+                client_.emplace(settings_.port(host_));
                 if (client_->start(database_, settings_.key).rfind("READY", 0) != 0) {
                     client_.reset();
                 }
@@ -65,6 +66,8 @@
     }
     [[nodiscard]] bool is_open() const { return client_.has_value(); }
     void close() { client_.reset(); }
+    /// The host at which it was opened last.
+    [[nodiscard]] std::size_t host() const { return host_; }
     /// The value that this session has set; empty before.
     [[nodiscard]] const std::string& context() const { return context_; }
     void set_context(std::string value) { context_ = std::move(value); }
@@ -73,6 +76,7 @@
     const caller_settings& settings_;
     std::string database_;
     std::string context_;
+    std::size_t host_ = 0;
     std::optional<line_client> client_;
 };
 
@@ -170,7 +174,7 @@
     const auto id = next_id();
     const auto answer =
         run_statement(connection, id, verb + settings_.name + " " + std::to_string(number));
-    on_written({number}, {id}, answer);
+    on_written(connection, {number}, {id}, answer);
 }
 
 void soak_caller::write_in_transaction(session& connection) {
@@ -189,7 +193,8 @@
         }
     }
     if (is_done(answer) && connection.is_open()) {
-        on_written(numbers, ids, run_statement(connection, next_id_in(transaction), "COMMIT"));
+        on_written(connection, numbers, ids,
+                   run_statement(connection, next_id_in(transaction), "COMMIT"));
         return;
     }
     // Without a commit nothing of the transaction may be kept.
@@ -200,13 +205,14 @@
     ++refused_;
 }
 
-void soak_caller::on_written(const std::vector<int>& numbers, const std::vector<std::string>& ids,
+void soak_caller::on_written(const session& connection, const std::vector<int>& numbers,
+                             const std::vector<std::string>& ids,
                              const std::vector<std::string>& answer) {
     if (is_done(answer)) {
         acknowledged_ = numbers.back();
         ++served_;
         for (const auto& id : ids) {
-            settings_.sent->acknowledge(id);
+            settings_.sent->acknowledge(id, connection.host());
         }
     } else {
         ++refused_;
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -50,8 +50,8 @@
     void write(session& connection, bool in_transaction);
     void write_in_transaction(session& connection);
     void read(session& connection, const std::string& database);
-    void on_written(const std::vector<int>& numbers, const std::vector<std::string>& ids,
-                    const std::vector<std::string>& answer);
+    void on_written(const session& connection, const std::vector<int>& numbers,
+                    const std::vector<std::string>& ids, const std::vector<std::string>& answer);
     bool prepare_session(session& connection);
     /// Sends a statement and checks that the answer belongs to it.
     std::vector<std::string> run_statement(session& connection, const std::string& id,
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <future>
+#include <iostream>
 
 namespace masticgrade::soak {
 
@@ -26,7 +27,7 @@
 
 }  // namespace
 
-soak_world::soak_world(std::size_t hosts) : names_(databases_.names()) {
+soak_world::soak_world(std::size_t hosts) {
     store_ = std::make_unique<http_server>(
         context_.get_executor(), endpoint_address{"127.0.0.1:0"}, http_server_limits{},
         [this](const http_peer&, http_request request) { return answer(std::move(request)); });
@@ -34,9 +35,10 @@
     for (std::size_t i = 0; i < hosts; ++i) {
         store_links_.push_back(std::make_unique<fault_proxy>(context_, store_->port()));
     }
-    for (const auto& name : names_) {
-        instance_links_.push_back(
-            std::make_unique<fault_proxy>(context_, databases_.port_of(name)));
+    for (const auto& name : databases_.names()) {
+        auto& item = places_.emplace_back();
+        item.name = name;
+        item.link = std::make_unique<fault_proxy>(context_, databases_.port_of(name));
     }
     asio::co_spawn(context_, keep_entries(), asio::detached);
     thread_ = std::thread{[this] { context_.run(); }};
@@ -99,32 +101,45 @@
     });
 }
 
-void soak_world::publish(const std::string& name) {
-    const auto index =
-        static_cast<std::size_t>(std::find(names_.begin(), names_.end(), name) - names_.begin());
-    const json::object entry{
-        {"service", service},
-        {"address", "127.0.0.1:" + std::to_string(instance_links_.at(index)->port())},
-        {"zone", index == 0 ? "north" : "south"},
-        {"version", "v1"},
-        {"slots", 3},
-        {"state", "ready"},
-        {"warmup-left-ms", 0},
-        {"db-role", databases_.is_primary(name) ? "primary" : "replica"},
-        {"sequence", rows_.version()},
-        {"born", 1}};
-    rows_.put("servers", name, json::serialize(entry));
+void soak_world::publish(std::size_t index) {
+    auto& item = places_.at(index);
+    const auto born = databases_.born(item.name);
+    item.sequence = item.born == born ? item.sequence + 1 : 1;
+    item.born = born;
+    item.listed = true;
+    item.last_seen = steady_clock::now();
+    const json::object entry{{"service", service},
+                             {"address", "127.0.0.1:" + std::to_string(item.link->port())},
+                             {"zone", index == 0 ? "north" : "south"},
+                             {"version", "v1"},
+                             {"slots", 3},
+                             {"state", item.draining ? "draining" : "ready"},
+                             {"warmup-left-ms", 0},
+                             {"db-role", databases_.is_primary(item.name) ? "primary" : "replica"},
+                             {"sequence", item.sequence},
+                             {"born", born}};
+    rows_.put("servers", item.name, json::serialize(entry));
+}
+
+void soak_world::remove_entry(place& item) {
+    item.listed = false;
+    rows_.remove("servers", item.name);
+}
+
+bool soak_world::reports(const place& item) const {
+    return databases_.is_up(item.name) && !item.cut_off &&
+           steady_clock::now() >= item.unlisted_until;
 }
 
 asio::awaitable<void> soak_world::keep_entries() {
     for (;;) {
         const auto now = steady_clock::now();
-        for (const auto& name : names_) {
-            if (databases_.is_up(name)) {
-                publish(name);
-                last_seen_[name] = now;
-            } else if (now - last_seen_[name] > entry_lifetime) {
-                rows_.remove("servers", name);
+        for (std::size_t index = 0; index < places_.size(); ++index) {
+            auto& item = places_[index];
+            if (reports(item)) {
+                publish(index);
+            } else if (item.listed && now - item.last_seen > entry_lifetime) {
+                remove_entry(item);
             }
         }
         asio::steady_timer pause{context_, entry_interval};
@@ -163,13 +178,41 @@
     const auto fence_field = request.headers.find("X-Masticgrade-Fence-Token");
     const std::uint64_t fence = fence_field ? std::stoull(std::string{*fence_field}) : 0;
     const std::string target{order.at("id").as_string()};
-    const bool done = co_await databases_.promote(target, fence);
-    for (const auto& name : names_) {
-        if (databases_.is_up(name)) {
-            publish(name);
+    for (std::size_t index = 0; index < places_.size(); ++index) {
+        if (places_[index].name == target) {
+            promotion_calls_.push_back(index);
+        }
+    }
+    const auto fault = promotion_fault_;
+    if (fault == promotion_fault::none) {
+        const bool done = co_await promote_now(target, fence);
+        co_return make_json_response({}, done ? 200 : 409);
+    }
+    if (fault == promotion_fault::late) {
+        asio::co_spawn(context_, promote_late(target, fence, promotion_delay_), asio::detached);
+    }
+    asio::steady_timer silence{context_, longer_than_any_deadline};
+    co_await silence.async_wait(asio::use_awaitable);
+    co_return make_json_response({}, 503);
+}
+
+asio::awaitable<void> soak_world::promote_late(std::string target, std::uint64_t fence,
+                                               milliseconds delay) {
+    asio::steady_timer pause{context_, delay};
+    co_await pause.async_wait(asio::use_awaitable);
+    const bool done = co_await promote_now(target, fence);
+    std::cout << "late promotion of " << target << (done ? " carried out" : " refused")
+              << std::endl;
+}
+
+asio::awaitable<bool> soak_world::promote_now(std::string target, std::uint64_t fence) {
+    const bool done = co_await databases_.promote(std::move(target), fence);
+    for (std::size_t index = 0; index < places_.size(); ++index) {
+        if (reports(places_[index])) {
+            publish(index);
         }
     }
-    co_return make_json_response({}, done ? 200 : 409);
+    co_return done;
 }
 
 void soak_world::set_store_fault(store_fault fault) {
@@ -181,22 +224,31 @@
 }
 
 void soak_world::set_instance_link(std::size_t instance, link_fault fault) {
-    run_in_world([&] { instance_links_.at(instance)->set_fault(fault); });
+    run_in_world([&] {
+        auto& item = places_.at(instance);
+        if (!item.cut_off) {
+            item.link->set_fault(fault);
+        }
+    });
+}
+
+void soak_world::set_up(place& item) {
+    item.link->set_fault(item.cut_off ? link_fault::cut : link_fault::none);
 }
 
 void soak_world::crash_instance(std::size_t instance) {
     run_in_world([&] {
-        databases_.crash(names_.at(instance));
-        instance_links_.at(instance)->set_fault(link_fault::refuse);
+        databases_.crash(places_.at(instance).name);
+        places_.at(instance).link->set_fault(link_fault::refuse);
     });
 }
 
 void soak_world::crash_primary() {
     run_in_world([&] {
-        for (std::size_t i = 0; i < names_.size(); ++i) {
-            if (databases_.is_primary(names_[i]) && databases_.is_up(names_[i])) {
-                databases_.crash(names_[i]);
-                instance_links_[i]->set_fault(link_fault::refuse);
+        for (auto& item : places_) {
+            if (databases_.is_primary(item.name) && databases_.is_up(item.name)) {
+                databases_.crash(item.name);
+                item.link->set_fault(link_fault::refuse);
                 return;
             }
         }
@@ -205,26 +257,143 @@
 
 void soak_world::restart_instances() {
     run_in_world([&] {
-        for (std::size_t i = 0; i < names_.size(); ++i) {
-            if (!databases_.is_up(names_[i])) {
-                databases_.restart(names_[i]);
-                instance_links_[i]->set_fault(link_fault::none);
+        for (auto& item : places_) {
+            if (!databases_.is_up(item.name)) {
+                databases_.restart(item.name);
+                set_up(item);
             }
         }
     });
 }
 
+void soak_world::set_deaf(std::size_t instance, bool deaf) {
+    run_in_world([&] { databases_.set_deaf(places_.at(instance).name, deaf); });
+}
+
+void soak_world::set_cut_off(std::size_t instance, bool cut_off) {
+    run_in_world([&] {
+        auto& item = places_.at(instance);
+        item.cut_off = cut_off;
+        databases_.note(item.name, "cut off from the store and the hosts", cut_off);
+        if (databases_.is_up(item.name)) {
+            set_up(item);
+        }
+    });
+}
+
+void soak_world::restart_empty(std::size_t instance, milliseconds transfer) {
+    run_in_world([&] {
+        auto& item = places_.at(instance);
+        databases_.crash(item.name);
+        if (databases_.is_primary(item.name) || !databases_.has_primary()) {
+            databases_.restart(item.name);
+        } else {
+            databases_.restart_empty(item.name, transfer);
+        }
+        set_up(item);
+    });
+}
+
+void soak_world::move(std::size_t instance) {
+    run_in_world([&] {
+        auto& item = places_.at(instance);
+        item.link->set_fault(link_fault::refuse);
+        former_links_.push_back(std::move(item.link));
+        item.link = std::make_unique<fault_proxy>(context_, databases_.port_of(item.name));
+        databases_.note(item.name, "moved", true);
+        set_up(item);
+    });
+}
+
+void soak_world::set_draining(std::size_t instance, bool draining) {
+    run_in_world([&] {
+        auto& item = places_.at(instance);
+        item.draining = draining;
+        databases_.note(item.name, "draining", draining);
+    });
+}
+
+void soak_world::replace(std::size_t instance, milliseconds transfer, milliseconds unlisted) {
+    run_in_world([&] {
+        auto& item = places_.at(instance);
+        remove_entry(item);
+        item.name = databases_.replace(item.name, transfer);
+        databases_.note(item.name, "cut off from the store and the hosts", item.cut_off);
+        item.draining = false;
+        item.unlisted_until = steady_clock::now() + unlisted;
+        item.link->set_target(databases_.port_of(item.name));
+        set_up(item);
+    });
+}
+
+void soak_world::set_promotion_fault(promotion_fault fault, milliseconds delay) {
+    run_in_world([&] {
+        promotion_fault_ = fault;
+        promotion_delay_ = delay;
+    });
+}
+
+void soak_world::delay_orders(std::optional<milliseconds> delay) {
+    run_in_world([&] { databases_.delay_orders(delay); });
+}
+
 void soak_world::end_all_faults() {
-    restart_instances();
     run_in_world([&] {
         store_fault_ = store_fault::none;
+        promotion_fault_ = promotion_fault::none;
+        databases_.delay_orders(std::nullopt);
         for (const auto& link : store_links_) {
             link->set_fault(link_fault::none);
         }
-        for (const auto& link : instance_links_) {
-            link->set_fault(link_fault::none);
+        for (auto& item : places_) {
+            item.cut_off = false;
+            item.draining = false;
+            item.unlisted_until = {};
+            databases_.set_deaf(item.name, false);
+            databases_.note(item.name, "cut off from the store and the hosts", false);
+            databases_.note(item.name, "draining", false);
+            if (databases_.is_up(item.name)) {
+                set_up(item);
+            }
         }
     });
+    restart_instances();
+}
+
+std::optional<std::size_t> soak_world::primary() {
+    std::optional<std::size_t> result;
+    run_in_world([&] {
+        for (std::size_t index = 0; index < places_.size(); ++index) {
+            if (databases_.is_primary(places_[index].name)) {
+                result = index;
+            }
+        }
+    });
+    return result;
+}
+
+bool soak_world::is_up(std::size_t instance) {
+    bool result = false;
+    run_in_world([&] { result = databases_.is_up(places_.at(instance).name); });
+    return result;
+}
+
+bool soak_world::is_listed(std::size_t instance) {
+    bool result = false;
+    run_in_world([&] { result = places_.at(instance).listed; });
+    return result;
+}
+
+std::size_t soak_world::missing_writes(std::size_t instance) {
+    std::size_t result = 0;
+    run_in_world([&] { result = databases_.missing_writes(places_.at(instance).name); });
+    return result;
+}
+
+std::vector<std::size_t> soak_world::promotion_calls() {
+    std::vector<std::size_t> result;
+    run_in_world([&] { result = promotion_calls_; });
+    return result;
 }
 
 void soak_world::repeat_answers(double share, std::uint64_t seed) {
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -24,8 +25,17 @@
 
 enum class store_fault { none, refuse, silent, lose_answers, slow };
 
+/// What happens to the promotion calls that arrive; none of these is answered.
+enum class promotion_fault {
+    none,
+    /// They are carried out after a delay.
+    late,
+    lost,
+};
+
 /// The platform around the edge processes: the store, the promotion call, the instances, and a
-/// proxy in front of each. Runs on a thread of its own. Thread safety: any thread.
+/// proxy in front of each. Instances are named by the number of their place, 0 to 2; one that has
+/// ended is followed by another one there. Runs on a thread of its own. Thread safety: any thread.
 class soak_world {
 public:
     explicit soak_world(std::size_t hosts);
@@ -45,8 +55,33 @@
     void crash_instance(std::size_t instance);
     void crash_primary();
     void restart_instances();
+    /// The instance gets nothing from the primary, and runs.
+    void set_deaf(std::size_t instance, bool deaf);
+    /// Neither the store nor a host hears of the instance, and it receives from the primary.
+    void set_cut_off(std::size_t instance, bool cut_off);
+    /// Starts the instance again, with an empty log if another instance leads; see
+    /// `database_cluster::restart_empty`.
+    void restart_empty(std::size_t instance, milliseconds transfer);
+    /// Gives the instance another address.
+    void move(std::size_t instance);
+    void set_draining(std::size_t instance, bool draining);
+    /// Ends an instance. Its successor has its log after `transfer`, and is listed after
+    /// `unlisted`.
+    void replace(std::size_t instance, milliseconds transfer, milliseconds unlisted);
+    void set_promotion_fault(promotion_fault fault, milliseconds delay);
+    /// See `database_cluster::delay_orders`.
+    void delay_orders(std::optional<milliseconds> delay);
     void end_all_faults();
 
+    /// The place of the instance that leads, also when it is down.
+    [[nodiscard]] std::optional<std::size_t> primary();
+    [[nodiscard]] bool is_up(std::size_t instance);
+    /// Whether the entry of the instance is among the store's.
+    [[nodiscard]] bool is_listed(std::size_t instance);
+    [[nodiscard]] std::size_t missing_writes(std::size_t instance);
+    /// The places of the instances named by the promotion calls that have arrived.
+    [[nodiscard]] std::vector<std::size_t> promotion_calls();
+
     void repeat_answers(double share, std::uint64_t seed);
     void check_acknowledged();
     [[nodiscard]] sent_statements& sent() { return databases_.sent; }
@@ -57,21 +92,44 @@
     [[nodiscard]] std::size_t repeated();
 
 private:
+    /// Where an instance runs, its address and its entry.
+    struct place {
+        std::string name;
+        std::unique_ptr<fault_proxy> link;
+        std::uint64_t born = 0;
+        /// Of the last entry; counts from the start of the process.
+        std::uint64_t sequence = 0;
+        bool cut_off = false;
+        bool draining = false;
+        bool listed = false;
+        time_point unlisted_until{};
+        time_point last_seen{};
+    };
+
     void run_in_world(const std::function<void()>& action);
     boost::asio::awaitable<http_response> answer(http_request request);
     boost::asio::awaitable<http_response> promote(http_request request);
+    boost::asio::awaitable<void> promote_late(std::string target, std::uint64_t fence,
+                                              milliseconds delay);
+    boost::asio::awaitable<bool> promote_now(std::string target, std::uint64_t fence);
     boost::asio::awaitable<void> keep_entries();
-    void publish(const std::string& name);
+    void publish(std::size_t index);
+    void remove_entry(place& item);
+    [[nodiscard]] bool reports(const place& item) const;
+    void set_up(place& item);
 
     boost::asio::io_context context_{1};
     database_cluster databases_{context_};
-    std::vector<std::string> names_;
+    std::vector<place> places_;
+    /// Of addresses that instances have left.
+    std::vector<std::unique_ptr<fault_proxy>> former_links_;
     edge_test::store_rows rows_;
     std::unique_ptr<http_server> store_;
     std::vector<std::unique_ptr<fault_proxy>> store_links_;
-    std::vector<std::unique_ptr<fault_proxy>> instance_links_;
-    std::map<std::string, time_point> last_seen_;
     store_fault store_fault_ = store_fault::none;
+    promotion_fault promotion_fault_ = promotion_fault::none;
+    milliseconds promotion_delay_{0};
+    std::vector<std::size_t> promotion_calls_;
     std::uint64_t configuration_version_ = 0;
     std::thread thread_;
 };
