Failover: a line for each decision, with what hosts have acknowledged

A lost commit could not be traced to its cause: the lines of a promotion name neither the logs that were counted nor what the other hosts had acknowledged, and are limited and dropped with the many of a fault.

- Log lines may be warnings, which carry level=warning after the host.
- failover_decision, a warning, once an attempt and whenever its verdict changes: verdict, reason, target, listed logs with their positions and the age of that knowledge, number of unknown logs, what this host and those that confirmed have acknowledged, hosts that did not confirm. masticgrade_promotions_refused_total counts refused attempts by reason.
- The confirmation of a failover tells what the host has acknowledged in the group, and its newest position proof.
A confirmation of an earlier release counts as unknown.
Each host keeps two bounds of its newest acknowledged commit: the position in an answer may include commits that are not acknowledged, so it is an upper bound; the commit lies beyond every position of that log which was seen before it was sent.
- They are recorded where the answer arrives, for single writes and commits, on connections of the host and on leased ones.
An answer whose acknowledgement is withheld raises the upper bound only.

The decision itself is unchanged.

--- a/libs/base/include/masticgrade/base/event_log.hpp
+++ b/libs/base/include/masticgrade/base/event_log.hpp
@@ -10,6 +10,8 @@
 
 namespace masticgrade {
 
+enum class event_severity { info, warning };
+
 /// A structured log line in logfmt, used for decisions, state changes and dependency failures:
 ///
 ///     event_line{"refused"}.field("request", id).field("reason", "above_rate").write();
@@ -20,8 +22,8 @@
 class event_line {
 public:
     /// Precondition: `event` is a string literal from a small fixed set; lines are rate-limited per
-    /// event.
-    explicit event_line(std::string_view event);
+    /// event. Lines of `event_severity::warning` carry the field `level=warning`.
+    explicit event_line(std::string_view event, event_severity severity = event_severity::info);
 
     template <class Value>
     event_line& field(std::string_view name, const Value& value) {
@@ -36,6 +38,7 @@
     void append(std::string_view name, std::string_view value);
 
     std::string_view event_;
+    event_severity severity_;
     std::string text_;
 };
 
--- a/libs/base/src/event_log.cpp
+++ b/libs/base/src/event_log.cpp
@@ -88,7 +88,8 @@
 
 }  // namespace
 
-event_line::event_line(std::string_view event) : event_(event) {}
+event_line::event_line(std::string_view event, event_severity severity)
+    : event_(event), severity_(severity) {}
 
 event_line& event_line::field_ms(std::string_view name, boot_clock::duration value) {
     return field(name, std::chrono::duration_cast<milliseconds>(value).count());
@@ -130,7 +131,9 @@
     }
     const auto now = std::chrono::duration_cast<milliseconds>(
         std::chrono::system_clock::now().time_since_epoch());
-    log.writer->info("time_ms={} host={} event={}{}", now.count(), log.host, event_, text_);
+    const auto* level = severity_ == event_severity::warning ? " level=warning" : "";
+    log.writer->info("time_ms={} host={}{} event={}{}", now.count(), log.host, level, event_,
+                     text_);
 }
 
 void start_event_log(std::string_view host) {
--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <optional>
+#include <string_view>
+#include <variant>
 #include <vector>
 
 #include "masticgrade/base/time.hpp"
@@ -50,6 +52,32 @@
     std::size_t sync_replicas = 1;
 };
 
+/// What shows that a target has every acknowledged commit.
+enum class promotion_proof {
+    /// No replica has received a commit when it is acknowledged, so nothing is promised.
+    not_needed,
+    /// At most as many logs are unknown as may lack an acknowledged commit.
+    logs,
+};
+
+/// Why an attempt promotes nothing.
+enum class promotion_refusal {
+    /// A listed replica could not be held.
+    replicas_not_held,
+    /// Another promotion has finished.
+    superseded,
+    /// A planned failover found no target that stays.
+    target_draining,
+    /// Logs that may have acknowledged commits are unknown.
+    logs_unknown,
+};
+
+using target_verdict = std::variant<promotion_proof, promotion_refusal>;
+
+/// Names in logs and metrics. Thread safety: reentrant.
+std::string_view to_string(promotion_proof proof) noexcept;
+std::string_view to_string(promotion_refusal refusal) noexcept;
+
 /// Whether a log that ends at `position`, the longest of the held replicas' logs, contains every
 /// acknowledged commit. Such a commit is in the log of the primary and of `sync_replicas` replicas,
 /// so that it is in a known one unless more than `sync_replicas` logs are unknown. Logs are
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -408,6 +408,7 @@
     if (answer.position) {
         found->second.position = answer.position;
         found->second.position_at = now;
+        found->second.highest_position = std::max(found->second.highest_position, answer.position);
         found->second.log_term = std::max(found->second.log_term, answer.position->term);
     }
     // Answers that needed no slot don't reflect the instance's speed.
@@ -440,10 +441,17 @@
     }
 }
 
-void backend_group::on_acknowledged(log_index position) {
-    if (!acknowledged_ || *acknowledged_ < position) {
-        acknowledged_ = position;
-    }
+std::optional<log_index> backend_group::highest_position(const instance_id& instance) const {
+    const auto found = instances_.find(instance);
+    return found == instances_.end() ? std::nullopt : found->second.highest_position;
+}
+
+void backend_group::on_commit_answered(std::optional<log_index> position) {
+    acknowledgements_.on_answered(position, boot_clock::now());
+}
+
+void backend_group::on_acknowledged(log_index position, std::optional<log_index> seen_before) {
+    acknowledgements_.on_acknowledged(position, seen_before);
 }
 
 void backend_group::tick(time_point now) {
@@ -489,13 +497,18 @@
     }
 }
 
-std::optional<position_proof> backend_group::newest_proof() const {
+std::optional<dated_position> backend_group::newest_proven_position() const {
     const auto moment = proofs_.newest();
     const auto position = moment ? proofs_.covering(*moment) : std::nullopt;
-    if (!position || !primary_) {
+    return position ? std::optional{dated_position{*moment, *position}} : std::nullopt;
+}
+
+std::optional<position_proof> backend_group::newest_proof() const {
+    const auto proof = newest_proven_position();
+    if (!proof || !primary_) {
         return std::nullopt;
     }
-    return position_proof{*primary_, *moment, *position};
+    return position_proof{*primary_, proof->moment, proof->position};
 }
 
 asio::awaitable<void> backend_group::refresh_position(customer_id customer) {
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -15,6 +15,7 @@
 
 #include "gateway_metrics.hpp"
 #include "lease_messages.hpp"
+#include "masticgrade/gateway/acknowledged_positions.hpp"
 #include "masticgrade/gateway/connections.hpp"
 #include "masticgrade/gateway/leadership_evidence.hpp"
 #include "masticgrade/gateway/placement.hpp"
@@ -256,8 +257,16 @@
     [[nodiscard]] const group_id& name() const { return name_; }
     [[nodiscard]] std::optional<instance_id> primary() const;
     [[nodiscard]] term_number newest_term() const { return newest_term_; }
-    /// The highest position whose acknowledgement this host has observed.
-    [[nodiscard]] const std::optional<log_index>& acknowledged() const { return acknowledged_; }
+    /// What this process has acknowledged, or nullopt if that is unknown.
+    [[nodiscard]] std::optional<acknowledged_bounds> acknowledged() const {
+        return acknowledgements_.bounds();
+    }
+    /// The lowest known position at or above every commit acknowledged before `moment`, if any.
+    [[nodiscard]] std::optional<log_index> proven_position(boot_time moment) const {
+        return proofs_.covering(moment);
+    }
+    /// As `newest_proof`, also while the group has no primary.
+    [[nodiscard]] std::optional<dated_position> newest_proven_position() const;
     [[nodiscard]] std::vector<instance_entry> entries() const;
     [[nodiscard]] bool is_draining(const instance_id& instance) const;
     [[nodiscard]] bool is_listed(const instance_id& instance) const {
@@ -311,7 +320,11 @@
     boost::asio::awaitable<void> await_warmup(instance_id instance, std::size_t statements,
                                               time_point deadline);
     void add_proof(const instance_id& instance, boot_time sent_at, log_index position);
-    void on_acknowledged(log_index position);
+    /// The highest position of the instance's log that this host has seen, if any.
+    [[nodiscard]] std::optional<log_index> highest_position(const instance_id& instance) const;
+    /// See acknowledgement_history.
+    void on_commit_answered(std::optional<log_index> position);
+    void on_acknowledged(log_index position, std::optional<log_index> seen_before = {});
     void on_primary_denied(const instance_id& instance);
 
     /// Number of instances whose concurrent statements are limited.
@@ -349,6 +362,7 @@
         /// The end of the instance's log as of its last answer.
         std::optional<log_index> position;
         time_point position_at{};
+        std::optional<log_index> highest_position;
         /// The highest term that the instance has reported.
         term_number log_term;
         /// The instance has denied being the primary; its directory entry is ignored until then.
@@ -472,7 +486,7 @@
     std::optional<instance_id> last_primary_;
     time_point primary_since_{};
     term_number newest_term_;
-    std::optional<log_index> acknowledged_;
+    acknowledgement_history acknowledgements_;
     position_proofs proofs_;
     leadership_evidence leadership_;
     primary_failure_detector failure_detector_;
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -157,10 +157,15 @@
     std::vector<backend_request> requests;
     requests.push_back(std::move(request));
     const auto sent_at = boot_clock::now();
+    const auto seen_before = group_->highest_position(connection_->instance);
     auto answers = co_await run_observed(std::move(requests), is_commit, deadline);
     auto answer = std::move(answers.front());
     if (is_commit && proves_position && answer.code == answer_code::done) {
+        group_->on_commit_answered(answer.position);
         check_acknowledgement(answer, sent_at);
+        if (answer.position) {
+            group_->on_acknowledged(*answer.position, seen_before);
+        }
     }
     record_answer(answer, proves_position, sent_at);
     if (answer.code == answer_code::unknown_prepared) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -370,7 +370,8 @@
                                           },
                                           [this](const group_id& group_name, std::uint64_t fence) {
                                               announce_recorded(group_name, fence);
-                                          }};
+                                          },
+                                          started_};
             if (failover_rows_) {
                 apply_failover_row(name, *group);
             }
@@ -432,7 +433,7 @@
 
     /// Tells all registered hosts that this host has acquired a failover lock. Hosts that register
     /// later read the lock row after they have registered.
-    asio::awaitable<std::size_t> announce_begun(group_id group, std::uint64_t fence) {
+    asio::awaitable<failover_announcement> announce_begun(group_id group, std::uint64_t fence) {
         const auto self = shared_from_this();
         const auto deadline = steady_clock::now() + read_timeout;
         auto prefix = host_registry::rows;
@@ -442,11 +443,17 @@
         const auto recipients = other_hosts();
         const auto pending = std::make_shared<pending_confirmations>(
             pending_confirmations{recipients.size(), asio::steady_timer{executor_, confirm_by}});
+        const auto told = std::make_shared<std::vector<host_acknowledgements>>();
         for (const auto& host : recipients) {
             asio::co_spawn(executor_, leases_->announce_failover(host, {group, fence}, confirm_by),
-                           [pending](const std::exception_ptr& failure, bool confirmed) {
+                           [pending, told](const std::exception_ptr& failure,
+                                           const std::optional<host_acknowledgements>& answer) {
                                // A host whose announcement failed has not confirmed.
-                               if (!failure && confirmed && --pending->missing == 0) {
+                               if (failure || !answer) {
+                                   return;
+                               }
+                               told->push_back(*answer);
+                               if (--pending->missing == 0) {
                                    pending->timer.cancel();
                                }
                            });
@@ -455,7 +462,25 @@
             boost::system::error_code ignored;
             co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
-        co_return pending->missing;
+        co_return make_announcement(recipients, *told);
+    }
+
+    failover_announcement make_announcement(const std::set<host_id>& asked,
+                                            std::vector<host_acknowledgements> confirmed) const {
+        failover_announcement result;
+        for (const auto& host : asked) {
+            result.unconfirmed.emplace(host, hosts_.last_heard(host));
+        }
+        for (const auto& answer : confirmed) {
+            result.unconfirmed.erase(answer.host);
+        }
+        for (const auto& host : hosts_.silent()) {
+            if (!asked.contains(host)) {
+                result.silent.emplace(host, hosts_.last_heard(host));
+            }
+        }
+        result.confirmed = std::move(confirmed);
+        return result;
     }
 
     void announce_recorded(const group_id& group, std::uint64_t fence) {
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -58,7 +58,8 @@
     : group_(std::move(group)),
       environment_(std::move(environment)),
       rows_(environment_.store, group_->name(), environment_.self),
-      orders_(group_, environment_.connector) {}
+      orders_(group_, environment_.connector),
+      decisions_(group_->name(), environment_.metrics) {}
 
 asio::awaitable<void> group_failover::sleep(duration length) {
     asio::steady_timer timer{environment_.executor, length};
@@ -149,6 +150,7 @@
         co_return;
     }
     group_->on_failover_begun(lock_.record.fence);
+    census_ = {};
     asio::co_spawn(environment_.executor, announce(lock_.record.fence), asio::detached);
     event_line{"failover_started"}
         .field("group", group_->name())
@@ -159,6 +161,7 @@
         .write();
     const auto choice = co_await prepare_target(kind);
     if (!choice) {
+        decisions_.on_attempt_refused();
         co_await release_replicas();
         co_await release_lock();
         co_return;
@@ -298,6 +301,11 @@
             others = co_await ask_lost_instances(others);
             is_complete = contains_acknowledged_commits(choice->position, others);
         }
+        const target_verdict verdict = !is_complete
+                                           ? target_verdict{promotion_refusal::logs_unknown}
+                                       : others.sync_replicas == 0 ? promotion_proof::not_needed
+                                                                   : promotion_proof::logs;
+        record_decision(verdict, choice, others);
         event_line{is_complete ? "failover_target" : "failover_waits"}
             .field("group", group_->name())
             .field("fence", lock_.record.fence)
@@ -326,8 +334,8 @@
         result.former_primary = former_primary->received;
     }
     const auto known = group_->acknowledged();
-    if (known && known->term >= group_->newest_term()) {
-        result.acknowledged = known;
+    if (known && known->up_to && known->up_to->term >= group_->newest_term()) {
+        result.acknowledged = known->up_to;
     }
     const backend_request request = backend_hold{hold_term_};
     const auto holders = group_->log_holders(steady_clock::now());
@@ -395,7 +403,12 @@
     while (promoting_ && lock_.record.fence == fence && lock_.record.open) {
         try {
             auto group = group_->name();
-            const auto unconfirmed = co_await environment_.announce_begun(std::move(group), fence);
+            const auto told = co_await environment_.announce_begun(std::move(group), fence);
+            if (lock_.record.fence != fence) {
+                co_return;
+            }
+            add_to_census(told);
+            const auto unconfirmed = told.unconfirmed.size();
             event_line{"failover_announced"}
                 .field("group", group_->name())
                 .field("fence", fence)
@@ -416,6 +429,38 @@
     }
 }
 
+void group_failover::add_to_census(const failover_announcement& told) {
+    for (const auto& answer : told.confirmed) {
+        // A process that confirms acknowledges nothing more, so its first answer remains true.
+        census_.confirmed.emplace(answer.host, answer);
+    }
+    census_.unconfirmed = told.silent;
+    census_.unconfirmed.insert(told.unconfirmed.begin(), told.unconfirmed.end());
+    std::erase_if(census_.unconfirmed,
+                  [&](const auto& item) { return census_.confirmed.contains(item.first); });
+    census_.is_announced = true;
+}
+
+census_result group_failover::evaluate_acknowledgements() {
+    census_.own = {environment_.self, environment_.process_started, group_->acknowledged(),
+                   std::nullopt};
+    return evaluate_census(census_, group_->proven_position(uncovered_before(census_)));
+}
+
+void group_failover::record_decision(target_verdict verdict, std::optional<promotion_choice> choice,
+                                     const unheld_logs& others) {
+    promotion_decision decision;
+    decision.fence = lock_.record.fence;
+    decision.verdict = verdict;
+    decision.choice = std::move(choice);
+    decision.replicas = candidates_;
+    decision.held_at = held_at_;
+    decision.others = others;
+    decision.acknowledged = evaluate_acknowledgements();
+    decision.census = census_;
+    decisions_.record(decision);
+}
+
 asio::awaitable<void> group_failover::wait_until_primary_unused() {
     constexpr milliseconds poll_interval{10};
     const auto started = boot_clock::now();
@@ -687,8 +732,11 @@
     hold_term_ = group_->newest_term().next();
     const backend_request request = backend_hold{hold_term_};
     const auto deadline = steady_clock::now() + hold_timeout;
+    unheld_logs not_asked;
+    not_asked.sync_replicas = group_->sync_replicas();
     while (steady_clock::now() < deadline) {
-        std::vector<promotion_candidate> candidates;
+        candidates_.clear();
+        held_at_ = boot_clock::now();
         const auto entries = group_->entries();
         for (const auto& entry : entries) {
             if (group_->primary() == entry.id) {
@@ -704,20 +752,24 @@
                 held_replicas_.push_back(entry.id);
                 if (candidate.held->is_primary || candidate.held->term >= hold_term_) {
                     // Another promotion has finished; `survey_instances` will find its primary.
+                    candidates_.push_back(std::move(candidate));
+                    record_decision(promotion_refusal::superseded, std::nullopt, not_asked);
                     co_return std::nullopt;
                 }
             }
-            candidates.push_back(std::move(candidate));
+            candidates_.push_back(std::move(candidate));
         }
-        const auto choice = choose_promotion_target(candidates, hold_term_);
+        const auto choice = choose_promotion_target(candidates_, hold_term_);
         if (choice) {
             if (kind == failover_kind::planned && group_->is_draining(choice->target)) {
+                record_decision(promotion_refusal::target_draining, choice, not_asked);
                 co_return std::nullopt;
             }
             co_return choice;
         }
         co_await sleep(check_interval);
     }
+    record_decision(promotion_refusal::replicas_not_held, std::nullopt, not_asked);
     co_return std::nullopt;
 }
 
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -11,12 +12,24 @@
 #include "backend_group.hpp"
 #include "failover_row_store.hpp"
 #include "instance_orders.hpp"
+#include "masticgrade/gateway/acknowledged_positions.hpp"
 #include "masticgrade/gateway/primary_verdict.hpp"
 #include "masticgrade/gateway/promotion_choice.hpp"
 #include "masticgrade/net/table_service.hpp"
+#include "promotion_decision_log.hpp"
 
 namespace masticgrade {
 
+/// The answers of the registered hosts to the announcement of a failover.
+struct failover_announcement {
+    /// The hosts that have confirmed that they stopped using the group's primary.
+    std::vector<host_acknowledgements> confirmed = {};
+    /// The hosts that have not, and when each was last heard.
+    std::map<host_id, boot_time> unconfirmed = {};
+    /// Hosts that were not asked, since they have been silent for long.
+    std::map<host_id, boot_time> silent = {};
+};
+
 /// Services that the process provides to a group's failover.
 struct failover_environment {
     boost::asio::any_io_executor executor;
@@ -32,12 +45,15 @@
     /// Asks some other hosts whether they reach the primary.
     std::function<boost::asio::awaitable<primary_replies>(group_id group, instance_entry primary)>
         query_primary;
-    /// Tells all other registered hosts that this host has acquired the failover lock. Returns the
-    /// number of hosts that did not confirm. Throws masticgrade::error.
-    std::function<boost::asio::awaitable<std::size_t>(group_id group, std::uint64_t fence)>
+    /// Tells all other registered hosts that this host has acquired the failover lock. Throws
+    /// masticgrade::error.
+    std::function<boost::asio::awaitable<failover_announcement>(group_id group,
+                                                                std::uint64_t fence)>
         announce_begun;
     /// Tells all other hosts that the outcome of the failover is in the store.
     std::function<void(const group_id& group, std::uint64_t fence)> announce_recorded;
+    /// The start of this process.
+    boot_time process_started = {};
 };
 
 /// Replaces a group's primary that is dead, shutting down or in an evacuated failure domain.
@@ -93,6 +109,11 @@
     boost::asio::awaitable<void> record_promotion(instance_id target, term_number term);
     /// Repeats the announcement until all hosts have confirmed or the attempt has ended.
     boost::asio::awaitable<void> announce(std::uint64_t fence);
+    void add_to_census(const failover_announcement& told);
+    [[nodiscard]] census_result evaluate_acknowledgements();
+    /// Records a decision about the choice, or about the replicas held last if there is none.
+    void record_decision(target_verdict verdict, std::optional<promotion_choice> choice,
+                         const unheld_logs& others);
     /// Waits until no other host uses the old primary.
     boost::asio::awaitable<void> wait_until_primary_unused();
     /// Chooses the replica to promote, after ensuring that the current primary can't acknowledge
@@ -166,6 +187,12 @@
     time_point foreign_since_{};
     term_number hold_term_;
     std::vector<instance_id> held_replicas_;
+    /// The answers of the listed replicas to the last hold request, and when they were asked.
+    std::vector<promotion_candidate> candidates_;
+    boot_time held_at_;
+    /// What is known in this attempt about the acknowledged commits.
+    acknowledgement_census census_;
+    promotion_decision_log decisions_;
     /// Replicas that may be held although the attempt has ended.
     std::set<instance_id> replicas_to_resume_;
     /// The attempt in which they were held.
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -190,6 +190,7 @@
         return;
     }
     proofs_.add(sent_at, position);
+    acknowledgements_.on_proof({sent_at, position});
     newest_term_ = std::max(newest_term_, position.term);
     if (position.term >= newest_term_) {
         set_primary(instance, position.term, "answer");
--- a/libs/gateway/src/host_registry.cpp
+++ b/libs/gateway/src/host_registry.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "masticgrade/base/event_log.hpp"
+#include "masticgrade/gateway/acknowledged_positions.hpp"
 
 namespace masticgrade {
 
@@ -12,9 +13,6 @@
 
 namespace {
 
-/// Hosts that have been silent for this long receive no more reports until they send one.
-constexpr seconds silent_host_lifetime{30};
-
 /// A row consists of address, failure domain and bandwidth, separated by spaces.
 std::string encode(const registered_host& host) {
     return host.address.str() + " " + host.failure_domain.str() + " " +
@@ -41,6 +39,23 @@
 
 void host_registry::mark_alive(const host_id& host) { last_heard_[host] = steady_clock::now(); }
 
+boot_time host_registry::last_heard(const host_id& host) const {
+    const auto found = last_heard_.find(host);
+    // The boot clock also counts suspensions, so the result is not too early.
+    return found == last_heard_.end() ? boot_clock::now()
+                                      : boot_clock::now() - (steady_clock::now() - found->second);
+}
+
+std::set<host_id> host_registry::silent() const {
+    std::set<host_id> result;
+    for (const auto& [host, heard_at] : last_heard_) {
+        if (!others_.contains(host)) {
+            result.insert(host);
+        }
+    }
+    return result;
+}
+
 asio::awaitable<void> host_registry::update(std::vector<table_row> host_rows, time_point deadline) {
     const auto now = steady_clock::now();
     std::map<host_id, registered_host> others;
--- a/libs/gateway/src/host_registry.hpp
+++ b/libs/gateway/src/host_registry.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <map>
 #include <optional>
+#include <set>
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
@@ -38,7 +39,12 @@
     /// Whether the rows that were applied last contain this host's. Hosts that register at the same
     /// time may both have read the rows before, and find each other only in a later reading.
     [[nodiscard]] bool has_read_own_row() const { return has_read_own_row_; }
+    /// The other hosts, without those that have been silent for `silent_host_lifetime`.
     [[nodiscard]] const std::map<host_id, registered_host>& others() const { return others_; }
+    /// Hosts that are known and not among `others`.
+    [[nodiscard]] std::set<host_id> silent() const;
+    /// When a report of the host was last received, or when it became known. Not too early.
+    [[nodiscard]] boot_time last_heard(const host_id& host) const;
 
 private:
     table_service& store_;
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -232,8 +232,16 @@
         return {wire::Call::FailoverBegun,
                 wire::CreateFailoverBegun(out, group, call.fence).Union()};
     }
-    std::pair<wire::Call, Offset<void>> operator()(const failover_confirmed&) const {
-        return {wire::Call::FailoverConfirmed, wire::CreateFailoverConfirmed(out).Union()};
+    std::pair<wire::Call, Offset<void>> operator()(const failover_confirmed& call) const {
+        const auto told = call.acknowledged.value_or(acknowledged_bounds{});
+        const auto up_to = position_field(told.up_to);
+        const auto beyond = position_field(told.beyond);
+        const auto proof = position_field(call.proof);
+        return {wire::Call::FailoverConfirmed,
+                wire::CreateFailoverConfirmed(out, call.acknowledged.has_value(), pointer_to(up_to),
+                                              pointer_to(beyond), pointer_to(proof),
+                                              time_field(call.proof_age))
+                    .Union()};
     }
     std::pair<wire::Call, Offset<void>> operator()(const failover_recorded& call) const {
         const auto group = out.CreateString(call.group.str());
@@ -428,6 +436,15 @@
                           time_of(call.remaining_ms())};
 }
 
+lease_payload read(const wire::FailoverConfirmed& call) {
+    failover_confirmed result{{}, index_of(call.proof()), time_of(call.proof_age_ms())};
+    if (call.has_acknowledged()) {
+        result.acknowledged = acknowledged_bounds{index_of(call.acknowledged_beyond()),
+                                                  index_of(call.acknowledged())};
+    }
+    return result;
+}
+
 lease_payload read(const wire::PositionTold& call) {
     return position_reply{instance_id{text_of(call.instance())}, index_of(call.position()),
                           time_of(call.age_ms())};
@@ -577,7 +594,7 @@
             break;
         }
         case wire::Call::FailoverConfirmed:
-            result.call = failover_confirmed{};
+            result.call = read(*message.call_as_FailoverConfirmed());
             break;
         case wire::Call::FailoverRecorded: {
             const auto& call = *message.call_as_FailoverRecorded();
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "masticgrade/base/time.hpp"
+#include "masticgrade/gateway/acknowledged_positions.hpp"
 #include "masticgrade/gateway/primary_verdict.hpp"
 #include "masticgrade/gateway/session_state.hpp"
 #include "masticgrade/gateway/statement.hpp"
@@ -149,7 +150,16 @@
     friend bool operator==(const failover_begun&, const failover_begun&) = default;
 };
 
-struct failover_confirmed {};
+struct failover_confirmed {
+    /// What the sender's process has acknowledged in the group; absent if unknown.
+    std::optional<acknowledged_bounds> acknowledged = {};
+    /// Every commit acknowledged at least `proof_age` before the answer was sent is at or below it.
+    std::optional<log_index> proof = {};
+    /// At most an hour.
+    milliseconds proof_age{0};
+
+    friend bool operator==(const failover_confirmed&, const failover_confirmed&) = default;
+};
 
 /// The sender has recorded the outcome of a failover in the store.
 struct failover_recorded {
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -32,6 +32,8 @@
 /// Maximum age of the position proof that a pool owner answers with. Routes allow a staleness of at
 /// least one second.
 constexpr milliseconds max_position_age{150};
+/// Older position proofs are not told to other hosts.
+constexpr std::chrono::minutes max_reported_proof_age{30};
 
 /// A connection leased from the pool of the host `owner`.
 class leased_connection final : public remote_connection {
@@ -118,8 +120,8 @@
     return found != unusable_until_.end() && steady_clock::now() < found->second;
 }
 
-asio::awaitable<lease_payload> lease_service::call(const host_id& host, lease_payload request,
-                                                   time_point deadline) {
+asio::awaitable<lease_message> lease_service::exchange(const host_id& host, lease_payload request,
+                                                       time_point deadline) {
     const auto address = environment_.address_of(host);
     if (!address) {
         throw error("call host", host.str(), "its address is unknown");
@@ -130,8 +132,13 @@
     if (payload == nullptr) {
         throw error("call host", host.str(), "the reply is of another kind");
     }
-    auto message = decode_lease_message(payload->payload);
-    co_return std::move(message.call);
+    co_return decode_lease_message(payload->payload);
+}
+
+asio::awaitable<lease_payload> lease_service::call(const host_id& host, lease_payload request,
+                                                   time_point deadline) {
+    auto reply = co_await exchange(host, std::move(request), deadline);
+    co_return std::move(reply.call);
 }
 
 asio::awaitable<remote_acquire_result> lease_service::acquire_remote(host_id owner,
@@ -276,8 +283,7 @@
     } else if (const auto* rows = std::get_if<row_query>(&request.call)) {
         reply = environment_.answer_row_query(*rows);
     } else if (const auto* begun = std::get_if<failover_begun>(&request.call)) {
-        environment_.find_group(begun->group)->on_failover_begun(begun->fence);
-        reply = failover_confirmed{};
+        reply = confirm_failover(*begun);
     } else if (const auto* about = std::get_if<primary_query>(&request.call)) {
         reply = environment_.find_group(about->group)->report_primary(about->instance);
     } else if (const auto* usage = std::get_if<usage_update>(&request.call);
@@ -425,20 +431,44 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<bool> lease_service::announce_failover(host_id host, failover_begun announcement,
-                                                       time_point deadline) {
+failover_confirmed lease_service::confirm_failover(const failover_begun& call) {
+    const auto group = environment_.find_group(call.group);
+    group->on_failover_begun(call.fence);
+    failover_confirmed result;
+    // Read afterwards: what is answered later is not acknowledged.
+    result.acknowledged = group->acknowledged();
+    const auto proof = group->newest_proven_position();
+    const auto now = boot_clock::now();
+    if (proof && now - proof->moment < max_reported_proof_age) {
+        result.proof = proof->position;
+        result.proof_age = std::chrono::ceil<milliseconds>(now - proof->moment);
+    }
+    return result;
+}
+
+asio::awaitable<std::optional<host_acknowledgements>> lease_service::announce_failover(
+    host_id host, failover_begun announcement, time_point deadline) {
     const auto self = shared_from_this();
+    const auto asked_at = boot_clock::now();
     lease_payload message = std::move(announcement);
     try {
-        const auto reply = co_await call(host, std::move(message), deadline);
-        co_return std::holds_alternative<failover_confirmed>(reply);
+        const auto reply = co_await exchange(host, std::move(message), deadline);
+        if (const auto* confirmed = std::get_if<failover_confirmed>(&reply.call)) {
+            host_acknowledgements result{host, boot_clock::now() - reply.sender_uptime,
+                                         confirmed->acknowledged, std::nullopt};
+            if (confirmed->proof) {
+                result.newest_proof =
+                    dated_position{asked_at - confirmed->proof_age, *confirmed->proof};
+            }
+            co_return result;
+        }
     } catch (const error& failure) {
         event_line{"failover_unconfirmed"}
             .field("peer", host)
             .field("reason", failure.what())
             .write();
     }
-    co_return false;
+    co_return std::nullopt;
 }
 
 asio::awaitable<std::optional<primary_reply>> lease_service::query_primary(host_id host,
--- a/libs/gateway/src/lease_service.hpp
+++ b/libs/gateway/src/lease_service.hpp
@@ -72,10 +72,10 @@
     /// Queries another host for rows that it has read. Returns nullopt if it does not answer.
     boost::asio::awaitable<std::optional<row_reply>> query_rows(host_id host, row_query query,
                                                                 time_point deadline);
-    /// Tells the host that this host has acquired the failover lock of the group. Returns whether
-    /// the host has confirmed that it stopped using the group's primary.
-    boost::asio::awaitable<bool> announce_failover(host_id host, failover_begun announcement,
-                                                   time_point deadline);
+    /// Tells the host that this host has acquired the failover lock of the group. Returns what the
+    /// host has acknowledged if it has confirmed that it stopped using the group's primary.
+    boost::asio::awaitable<std::optional<host_acknowledgements>> announce_failover(
+        host_id host, failover_begun announcement, time_point deadline);
     /// Asks the host whether it finds the group's primary alive. Returns nullopt if it does not
     /// answer.
     boost::asio::awaitable<std::optional<primary_reply>> query_primary(host_id host,
@@ -119,10 +119,14 @@
     lease_id next_lease_id();
     /// The lease, if the process that sent the message holds it.
     granted_lease* find_lease(lease_id lease, const peer::envelope& message);
+    failover_confirmed confirm_failover(const failover_begun& call);
     boost::asio::awaitable<position_reply> answer_position_query(position_query call);
     positions_reply answer_positions_query(const positions_query& call);
     /// Measures the offset between the clocks of the sender and this host.
     boost::asio::awaitable<void> measure_delay(host_id sender, incarnation_number incarnation);
+    boost::asio::awaitable<lease_message> exchange(const host_id& host, lease_payload request,
+                                                   time_point deadline);
+    /// As `exchange`, returns the payload of the reply.
     boost::asio::awaitable<lease_payload> call(const host_id& host, lease_payload request,
                                                time_point deadline);
     [[nodiscard]] peer::service_message make_message(lease_payload call) const;
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -42,6 +42,30 @@
     return promotion_choice{best->id, best->held->received};
 }
 
+std::string_view to_string(promotion_proof proof) noexcept {
+    switch (proof) {
+        case promotion_proof::not_needed:
+            return "not_needed";
+        case promotion_proof::logs:
+            return "logs";
+    }
+    return "none";
+}
+
+std::string_view to_string(promotion_refusal refusal) noexcept {
+    switch (refusal) {
+        case promotion_refusal::replicas_not_held:
+            return "replicas_not_held";
+        case promotion_refusal::superseded:
+            return "superseded";
+        case promotion_refusal::target_draining:
+            return "target_draining";
+        case promotion_refusal::logs_unknown:
+            return "logs_unknown";
+    }
+    return "none";
+}
+
 bool contains_acknowledged_commits(log_index position, const unheld_logs& others) {
     if (others.sync_replicas == 0) {
         return true;
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -365,7 +365,6 @@
             if (answer.code == answer_code::done) {
                 op.reason = "none";
                 if (answer.position) {
-                    op.group->on_acknowledged(*answer.position);
                     last_commit_ = answer.position;
                 }
                 co_return answer;
--- a/libs/gateway/src/session_transactions.cpp
+++ b/libs/gateway/src/session_transactions.cpp
@@ -109,7 +109,6 @@
         answer = co_await execute_on(*transaction_->lease, op, std::nullopt, wrote);
         op.reason = answer.code == answer_code::done ? "none" : "instance_refused";
         if (answer.code == answer_code::done && wrote && answer.position) {
-            op.group->on_acknowledged(*answer.position);
             last_commit_ = answer.position;
         }
     } catch (const connection_error& failure) {
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -16,6 +16,15 @@
 const group_id group_name{"ledger"};
 const std::string lock_row = "failover/ledger";
 
+/// The announcement of a failover that this number of hosts does not confirm.
+failover_announcement unanswered(std::size_t hosts) {
+    failover_announcement result;
+    for (std::size_t i = 0; i < hosts; ++i) {
+        result.unconfirmed.emplace(host_id{"silent-" + std::to_string(i)}, boot_clock::now());
+    }
+    return result;
+}
+
 /// Runs the failover of a group without a primary and with the replicas "b" and "c" on one host.
 class failover_fixture {
 public:
@@ -87,7 +96,7 @@
     std::size_t silent_hosts = 0;
 
 private:
-    boost::asio::awaitable<std::size_t> announce() { co_return silent_hosts; }
+    boost::asio::awaitable<failover_announcement> announce() { co_return unanswered(silent_hosts); }
     boost::asio::awaitable<primary_replies> ask_others() { co_return primary_replies{}; }
 
     boost::asio::awaitable<void> read_directory() {
@@ -501,11 +510,15 @@
         co_return replies;
     }
 
-    boost::asio::awaitable<std::size_t> announce(std::size_t silent_hosts, std::uint64_t fence) {
+    boost::asio::awaitable<failover_announcement> announce(std::size_t silent_hosts,
+                                                           std::uint64_t fence) {
+        auto told = unanswered(silent_hosts);
         if (silent_hosts == 0) {
             second->on_failover_begun(fence);
+            told.confirmed.push_back({host_id{"host-2"}, boot_time{}, second->acknowledged(),
+                                      second->newest_proven_position()});
         }
-        co_return silent_hosts;
+        co_return told;
     }
 
     partitioned_connector first_connector_{connector, {"a"}};
--- a/libs/gateway/test/host_registry_test.cpp
+++ b/libs/gateway/test/host_registry_test.cpp
@@ -49,6 +49,23 @@
     CHECK(store.value_of(host_registry::rows + self.str()) == "10.0.0.1:7000 north 100");
 }
 
+// A promotion has to consider what a host may have acknowledged that is not asked any more.
+TEST_CASE("a host that has no row but reports is not forgotten") {
+    fake_store store;
+    host_registry registry{store, self, own};
+    const auto before = boot_clock::now();
+    registry.mark_alive(other);
+    refresh(registry, store);
+    CHECK_FALSE(registry.others().contains(other));
+    CHECK(registry.silent() == std::set<host_id>{other});
+    CHECK(registry.last_heard(other) >= before - milliseconds{1});
+    CHECK(registry.last_heard(other) <= boot_clock::now());
+    store.put(host_registry::rows + other.str(), "10.0.0.2:7000 south 10");
+    refresh(registry, store);
+    CHECK(registry.others().contains(other));
+    CHECK(registry.silent().empty());
+}
+
 // Hosts that started at the same time did not know each other for 10 s, and each of them admitted
 // the whole rate of a customer.
 TEST_CASE("hosts that register at the same time read the rows once more") {
--- a/libs/gateway/test/lease_messages_test.cpp
+++ b/libs/gateway/test/lease_messages_test.cpp
@@ -47,7 +47,17 @@
         RC_ASSERT(std::get<position_reply>(transmit(reported)) == reported);
         const failover_begun begun{group_id{text}, number};
         RC_ASSERT(std::get<failover_begun>(transmit(begun)) == begun);
-        RC_ASSERT(std::holds_alternative<failover_confirmed>(transmit(failover_confirmed{})));
+        failover_confirmed confirmed;
+        if (flag) {
+            confirmed.acknowledged =
+                acknowledged_bounds{index_of(number % 500), index_of(number % 1000)};
+            confirmed.proof = index_of(number % 2000);
+            confirmed.proof_age = milliseconds{14};
+        }
+        RC_ASSERT(std::get<failover_confirmed>(transmit(confirmed)) == confirmed);
+        // Nothing acknowledged is not the same as unknown.
+        confirmed.acknowledged = acknowledged_bounds{};
+        RC_ASSERT(std::get<failover_confirmed>(transmit(confirmed)) == confirmed);
         const failover_recorded recorded{group_id{text}, number};
         RC_ASSERT(std::get<failover_recorded>(transmit(recorded)) == recorded);
         const primary_query about{group_id{text}, instance_id{text + "i"}};
--- a/libs/gateway/test/lease_service_test.cpp
+++ b/libs/gateway/test/lease_service_test.cpp
@@ -58,6 +58,7 @@
     void kill() { network_->stop(); }
 
     [[nodiscard]] incarnation_number incarnation() const { return incarnation_; }
+    [[nodiscard]] const std::shared_ptr<backend_group>& group() const { return group_; }
 
 private:
     [[nodiscard]] std::optional<endpoint_address> find_address(const host_id& host) const {
@@ -269,3 +270,48 @@
     REQUIRE(reply.has_value());
     CHECK(reply->failure == lease_failure::mismatched);
 }
+
+// Guards against a promotion that does not take into account what a host has acknowledged over a
+// connection leased from another host.
+TEST_CASE("a host tells what it has acknowledged over leased connections") {
+    lease_fixture fixture;
+    auto& primary_state = fixture.connector.at("a");
+    primary_state.position = 30;
+    fixture.report(*fixture.borrower, "borrower");
+    auto connection = std::make_unique<pooled_connection>();
+    connection->remote = fixture.acquire(*fixture.borrower, "parish");
+    connection->instance = primary;
+    connection->customer = customer_id{"parish"};
+    connection->needs_primary = true;
+    connection_lease lease{fixture.borrower->group(), std::move(connection)};
+    const auto run = [&](const char* id, const char* text, bool is_commit) {
+        const backend_statement statement{statement_id{id}, text, std::nullopt};
+        const auto answer = fixture.wait_for(
+            lease.execute(statement, is_commit, is_commit, steady_clock::now() + seconds{2}));
+        return answer && answer->code == answer_code::done;
+    };
+    REQUIRE(run("w1", "write x", true));
+    REQUIRE(fixture.wait_for(lease.begin(false, std::nullopt, steady_clock::now() + seconds{2})));
+    REQUIRE(run("w2", "write x", false));
+    REQUIRE(run("c1", "commit", true));
+    const auto before = boot_clock::now();
+    const auto told = fixture.wait_for(fixture.owner->service->announce_failover(
+        host_id{"borrower"}, {group_name, 7}, steady_clock::now() + seconds{2}));
+    REQUIRE(told.has_value());
+    REQUIRE(told->has_value());
+    const auto& answer = **told;
+    CHECK(answer.host == host_id{"borrower"});
+    REQUIRE(answer.bounds);
+    const auto at = [](std::uint64_t number) {
+        return log_index{term_number{1}, log_position{number}};
+    };
+    CHECK(answer.bounds->up_to == at(32));
+    CHECK(answer.bounds->beyond == at(31));
+    REQUIRE(answer.newest_proof);
+    CHECK(answer.newest_proof->position == at(32));
+    CHECK(answer.newest_proof->moment <= before);
+    // The processes of this test have been running for 10 s.
+    CHECK(answer.started >= before - seconds{11});
+    CHECK(answer.started <= boot_clock::now() - seconds{10});
+    CHECK_FALSE(fixture.borrower->group()->may_lead(primary, boot_clock::now()));
+}
