Failover: what hosts have acknowledged is part of the choice of a target

With no unknown log, the target was compared with nothing, and what other hosts had acknowledged was not asked. Any instance that was missing among the log holders then cost acknowledged commits.

assess_target returns a proof or a refusal: - A target that ends at or before a position which an acknowledged commit lies beyond is refused whatever the logs show. - Otherwise the logs decide as before. A target between the bounds is not refused: the position in an answer may include unacknowledged commits, and a group whose replicas are all held would wait for its primary. - If they are not sufficient, the target is allowed if it reaches what any host may have acknowledged. That is known if all hosts confirm, or those that do not have been silent for 30 s, and a position proof was taken after the start of each process that was heard.

The comparison with this host's own acknowledgements no longer depends on the newest term: positions are compared by term first.

Tests: bounds and census alone; a model of hosts that acknowledge, end, start again and are cut off, in which an allowed promotion has every acknowledged commit; failovers on the fakes. The tests that set the removed field now state the lower bound and are refused as before, also with no unknown log.

--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -7,6 +7,7 @@
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
+#include "masticgrade/gateway/acknowledged_positions.hpp"
 #include "masticgrade/gateway/statement.hpp"
 
 namespace masticgrade {
@@ -46,8 +47,6 @@
     std::optional<log_index> former_primary = {};
     /// The end of the longest held log that cannot be promoted, if any.
     std::optional<log_index> longest_unlisted = {};
-    /// The highest position known to be acknowledged since the last promotion.
-    std::optional<log_index> acknowledged = {};
     /// Replicas that have received a commit when it is acknowledged.
     std::size_t sync_replicas = 1;
 };
@@ -58,6 +57,8 @@
     not_needed,
     /// At most as many logs are unknown as may lack an acknowledged commit.
     logs,
+    /// The log reaches everything that any host may have acknowledged.
+    acknowledgements,
 };
 
 /// Why an attempt promotes nothing.
@@ -68,8 +69,12 @@
     superseded,
     /// A planned failover found no target that stays.
     target_draining,
-    /// Logs that may have acknowledged commits are unknown.
+    /// The target certainly lacks an acknowledged commit.
+    acknowledged_commit_missing,
+    /// Logs that may have acknowledged commits are unknown, and so is what hosts have acknowledged.
     logs_unknown,
+    /// Logs are unknown, and hosts may have acknowledged commits beyond the target's log.
+    position_not_reached,
 };
 
 using target_verdict = std::variant<promotion_proof, promotion_refusal>;
@@ -78,14 +83,21 @@
 std::string_view to_string(promotion_proof proof) noexcept;
 std::string_view to_string(promotion_refusal refusal) noexcept;
 
-/// Whether a log that ends at `position`, the longest of the held replicas' logs, contains every
-/// acknowledged commit. Such a commit is in the log of the primary and of `sync_replicas` replicas,
-/// so that it is in a known one unless more than `sync_replicas` logs are unknown. Logs are
-/// compared by term first: one that ends in an earlier term lacks the commits of the later one,
-/// whatever its length. With no synchronous replica, commits are acknowledged before any replica
-/// has them, and every position is sufficient. Thread safety: reentrant.
+/// Whether the logs show that one that ends at `position`, the longest of the held replicas' logs,
+/// contains every acknowledged commit. Such a commit is in the log of the primary and of
+/// `sync_replicas` replicas, so that it is in a known one unless more than `sync_replicas` logs are
+/// unknown. Logs are compared by term first: one that ends in an earlier term lacks the commits of
+/// the later one, whatever its length. With no synchronous replica, commits are acknowledged before
+/// any replica has them, and every position is sufficient. Thread safety: reentrant.
 bool contains_acknowledged_commits(log_index position, const unheld_logs& others);
 
+/// Whether a replica whose log ends at `position`, the longest of the held replicas' logs, may be
+/// promoted. It may if the logs or what all hosts have acknowledged show that it has every
+/// acknowledged commit, unless it certainly lacks one: a log may have been replaced by an empty one
+/// without this host's knowledge. Thread safety: reentrant.
+target_verdict assess_target(log_index position, const unheld_logs& others,
+                             const census_result& acknowledged);
+
 /// Delay before a host of the given rank starts a failover, so that hosts that detect the same
 /// failure don't all start at once. Zero for rank 0.
 milliseconds takeover_delay(std::size_t rank) noexcept;
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -51,6 +51,10 @@
     asio::steady_timer timer;
 };
 
+bool is_proven(const target_verdict& verdict) {
+    return std::holds_alternative<promotion_proof>(verdict);
+}
+
 }  // namespace
 
 group_failover::group_failover(std::shared_ptr<backend_group> group,
@@ -296,15 +300,12 @@
             co_return std::nullopt;
         }
         auto others = co_await find_unheld_logs(former_primary);
-        bool is_complete = contains_acknowledged_commits(choice->position, others);
-        if (is_complete) {
+        auto verdict = assess_target(choice->position, others, evaluate_acknowledgements());
+        if (is_proven(verdict)) {
             others = co_await ask_lost_instances(others);
-            is_complete = contains_acknowledged_commits(choice->position, others);
+            verdict = assess_target(choice->position, others, evaluate_acknowledgements());
         }
-        const target_verdict verdict = !is_complete
-                                           ? target_verdict{promotion_refusal::logs_unknown}
-                                       : others.sync_replicas == 0 ? promotion_proof::not_needed
-                                                                   : promotion_proof::logs;
+        const bool is_complete = is_proven(verdict);
         record_decision(verdict, choice, others);
         event_line{is_complete ? "failover_target" : "failover_waits"}
             .field("group", group_->name())
@@ -313,7 +314,7 @@
             .field("position", choice->position)
             .field("unknown_replicas", others.unknown_replicas)
             .field("primary_known", !others.primary_is_unknown)
-            .field("acknowledged", others.acknowledged.value_or(log_index{}))
+            .field("acknowledged", acknowledged_here().value_or(log_index{}))
             .field("sync_replicas", others.sync_replicas)
             .field("former_primary", others.former_primary.value_or(log_index{}))
             .field("longest_unlisted", others.longest_unlisted.value_or(log_index{}))
@@ -333,10 +334,6 @@
     if (former_primary) {
         result.former_primary = former_primary->received;
     }
-    const auto known = group_->acknowledged();
-    if (known && known->up_to && known->up_to->term >= group_->newest_term()) {
-        result.acknowledged = known->up_to;
-    }
     const backend_request request = backend_hold{hold_term_};
     const auto holders = group_->log_holders(steady_clock::now());
     for (const auto& [id, address] : holders) {
@@ -447,6 +444,10 @@
     return evaluate_census(census_, group_->proven_position(uncovered_before(census_)));
 }
 
+std::optional<log_index> group_failover::acknowledged_here() const {
+    return group_->acknowledged().value_or(acknowledged_bounds{}).up_to;
+}
+
 void group_failover::record_decision(target_verdict verdict, std::optional<promotion_choice> choice,
                                      const unheld_logs& others) {
     promotion_decision decision;
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -111,6 +111,8 @@
     boost::asio::awaitable<void> announce(std::uint64_t fence);
     void add_to_census(const failover_announcement& told);
     [[nodiscard]] census_result evaluate_acknowledgements();
+    /// The highest position that this process may have acknowledged, if known.
+    [[nodiscard]] std::optional<log_index> acknowledged_here() const;
     /// Records a decision about the choice, or about the replicas held last if there is none.
     void record_decision(target_verdict verdict, std::optional<promotion_choice> choice,
                          const unheld_logs& others);
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -48,6 +48,8 @@
             return "not_needed";
         case promotion_proof::logs:
             return "logs";
+        case promotion_proof::acknowledgements:
+            return "acknowledgements";
     }
     return "none";
 }
@@ -60,8 +62,12 @@
             return "superseded";
         case promotion_refusal::target_draining:
             return "target_draining";
+        case promotion_refusal::acknowledged_commit_missing:
+            return "acknowledged_commit_missing";
         case promotion_refusal::logs_unknown:
             return "logs_unknown";
+        case promotion_refusal::position_not_reached:
+            return "position_not_reached";
     }
     return "none";
 }
@@ -77,9 +83,6 @@
         // A commit that the primary alone has was never acknowledged.
         return true;
     }
-    if (others.acknowledged && position < *others.acknowledged) {
-        return false;
-    }
     if (others.unknown_replicas < others.sync_replicas) {
         return true;
     }
@@ -89,6 +92,26 @@
     return others.unknown_replicas + (others.primary_is_unknown ? 1 : 0) <= others.sync_replicas;
 }
 
+target_verdict assess_target(log_index position, const unheld_logs& others,
+                             const census_result& acknowledged) {
+    if (others.sync_replicas == 0) {
+        return promotion_proof::not_needed;
+    }
+    if (acknowledged.beyond && position <= *acknowledged.beyond) {
+        return promotion_refusal::acknowledged_commit_missing;
+    }
+    if (contains_acknowledged_commits(position, others)) {
+        return promotion_proof::logs;
+    }
+    if (!acknowledged.bound) {
+        return promotion_refusal::logs_unknown;
+    }
+    if (position < *acknowledged.bound) {
+        return promotion_refusal::position_not_reached;
+    }
+    return promotion_proof::acknowledgements;
+}
+
 milliseconds takeover_delay(std::size_t rank) noexcept {
     return delay_per_rank * static_cast<milliseconds::rep>(std::min(rank, max_delayed_rank));
 }
