Failover: a target is checked before each promotion request

A target could start again with an empty log after it was chosen, and a request with an unknown outcome was repeated for up to 15 s without another look at its log.

Before each request, after the lock was renewed, the target must report the hold of this attempt and the chosen position, or lead because of an earlier request. If it reports anything else, the attempt ends and the row stays open while a request is pending. While it is silent, nothing is sent. A busy instance, which refuses a status request, is asked to hold once more. A request that fences pending ones is sent only while the present primary leads.

A request whose answer is lost cannot be taken back: promotion_order_unsafe and masticgrade_promotion_orders_unsafe_total tell of a target that has changed meanwhile, or leads with a shorter log than it was chosen for.

Tests: a target that starts again empty after the choice and after an unanswered request, and a silent one.

--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -32,6 +32,7 @@
 /// Between rounds of a host that reaches replicas but too few hosts. Others wait for
 /// `delay_after_failure`, since their link may be full.
 constexpr milliseconds delay_while_isolated{100};
+constexpr milliseconds target_status_timeout{500};
 /// Calls with an unknown outcome are repeated for this long. The platform may carry out a call up
 /// to 12 s late.
 constexpr seconds promote_timeout{15};
@@ -231,7 +232,17 @@
 asio::awaitable<std::optional<term_number>> group_failover::fence_pending_requests(
     instance_id primary) {
     const auto deadline = steady_clock::now() + promote_timeout;
+    const backend_request status_request = backend_status{};
     while (steady_clock::now() < deadline && co_await renew_lock()) {
+        const auto status = co_await orders_.send(primary, status_request);
+        if (!status) {
+            co_await sleep(check_interval);
+            continue;
+        }
+        if (!status->is_primary) {
+            // It has started again or has been replaced, so the request would promote it.
+            co_return std::nullopt;
+        }
         const auto outcome =
             co_await environment_.promotions.promote(group_->name(), primary, lock_.record.fence,
                                                      steady_clock::now() + promote_call_timeout);
@@ -240,7 +251,8 @@
             co_return std::nullopt;
         }
         if (outcome == promotion_outcome::done) {
-            co_return co_await wait_until_primary(primary);
+            promotion_choice present{primary, {}};
+            co_return co_await wait_until_primary(std::move(present));
         }
     }
     co_return std::nullopt;
@@ -807,40 +819,114 @@
     }
 }
 
+asio::awaitable<void> group_failover::end_attempt(bool request_pending) {
+    lock_.record.request_pending = request_pending;
+    co_await release_replicas();
+    co_await release_lock();
+}
+
+asio::awaitable<group_failover::target_state> group_failover::check_target(
+    const promotion_choice& choice) {
+    const backend_request status_request = backend_status{};
+    const auto asked_at = boot_clock::now();
+    const auto deadline = steady_clock::now() + target_status_timeout;
+    auto answer = co_await orders_.send_until(choice.target, status_request, deadline);
+    if (answer.answered && !answer.status) {
+        // A busy instance refuses a status request only. If it has started again, this holds it
+        // once more, but at another position.
+        const backend_request hold_request = backend_hold{hold_term_};
+        answer = co_await orders_.send_until(choice.target, hold_request, deadline);
+    }
+    const auto& status = answer.status;
+    if (!status) {
+        log_order("target_status", choice.target, status, asked_at);
+        co_return target_state::silent;
+    }
+    if (status->is_primary) {
+        co_return target_state::leads;
+    }
+    if (status->held == hold_term_ && status->received == choice.position) {
+        co_return target_state::unchanged;
+    }
+    log_order("target_changed", choice.target, status, asked_at);
+    co_return target_state::changed;
+}
+
+void group_failover::report_unsafe_order(const promotion_choice& choice, std::string_view reason) {
+    event_line{"promotion_order_unsafe", event_severity::warning}
+        .field("group", group_->name())
+        .field("fence", lock_.record.fence)
+        .field("target", choice.target)
+        .field("position", choice.position)
+        .field("reason", reason)
+        .write();
+    environment_.metrics.count("masticgrade_promotion_orders_unsafe_total",
+                               "Promotion requests whose target has lost its log.",
+                               std::string{reason});
+}
+
 asio::awaitable<std::optional<term_number>> group_failover::promote(promotion_choice choice) {
-    const auto deadline = steady_clock::now() + promote_timeout;
+    const auto started = steady_clock::now();
     const bool earlier_requests_pending = lock_.record.request_pending;
     bool own_request_pending = false;
+    // A target that is silent before the first request may be replaced by another attempt.
+    const auto deadline = [&] {
+        return started + (own_request_pending ? duration{promote_timeout} : duration{hold_timeout});
+    };
     lock_.record.request_pending = true;
-    while (steady_clock::now() < deadline && co_await renew_lock()) {
+    while (steady_clock::now() < deadline()) {
+        if (!co_await renew_lock()) {
+            co_return std::nullopt;
+        }
+        const auto state = co_await check_target(choice);
+        if (state == target_state::silent) {
+            co_await sleep(check_interval);
+            continue;
+        }
+        const bool any_request_pending = earlier_requests_pending || own_request_pending;
+        if (state == target_state::changed ||
+            (state == target_state::leads && !any_request_pending)) {
+            if (state == target_state::changed && own_request_pending) {
+                report_unsafe_order(choice, "request_pending");
+            }
+            co_await end_attempt(any_request_pending);
+            co_return std::nullopt;
+        }
         const auto outcome = co_await environment_.promotions.promote(
             group_->name(), choice.target, lock_.record.fence,
             steady_clock::now() + promote_call_timeout);
         log_request(choice.target, outcome);
         if (outcome == promotion_outcome::refused) {
-            lock_.record.request_pending = earlier_requests_pending || own_request_pending;
-            co_await release_replicas();
-            co_await release_lock();
+            co_await end_attempt(any_request_pending);
             co_return std::nullopt;
         }
         own_request_pending = own_request_pending || outcome == promotion_outcome::unknown;
-        const auto term = co_await wait_until_primary(choice.target);
+        const auto term = co_await wait_until_primary(choice);
         // Without an answer, the platform may not know this fencing token yet, and would still
         // carry out earlier requests for other targets.
         if (term && (outcome == promotion_outcome::done || !earlier_requests_pending)) {
             co_return term;
         }
+        own_request_pending = true;
+    }
+    if (!own_request_pending) {
+        co_await end_attempt(earlier_requests_pending);
     }
     co_return std::nullopt;
 }
 
-asio::awaitable<std::optional<term_number>> group_failover::wait_until_primary(instance_id target) {
+asio::awaitable<std::optional<term_number>> group_failover::wait_until_primary(
+    promotion_choice choice) {
+    const auto& target = choice.target;
     const auto deadline = steady_clock::now() + new_primary_timeout;
     const backend_request status_request = backend_status{};
     while (steady_clock::now() < deadline) {
         co_await sleep(check_interval);
         const auto status = co_await orders_.send(target, status_request);
         if (status && status->is_primary) {
+            if (status->received < choice.position) {
+                report_unsafe_order(choice, "log_lost");
+            }
             group_->on_status(target, *status);
             group_->set_primary(target, status->term, "promotion");
             co_return status->term;
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -160,7 +160,22 @@
     boost::asio::awaitable<void> resume_pending_replicas();
     /// Returns the term of the target if it has become the primary.
     boost::asio::awaitable<std::optional<term_number>> promote(promotion_choice choice);
-    boost::asio::awaitable<std::optional<term_number>> wait_until_primary(instance_id target);
+    enum class target_state {
+        /// Held by this attempt since it was chosen, with the same log. A restart ends a hold.
+        unchanged,
+        leads,
+        changed,
+        silent,
+    };
+    boost::asio::awaitable<target_state> check_target(const promotion_choice& choice);
+    /// Reports a promotion request that cannot be taken back although its target has changed, or
+    /// that was carried out after the target had lost its log.
+    void report_unsafe_order(const promotion_choice& choice, std::string_view reason);
+    /// Resumes the replicas and releases the lock, unless a promotion request may still be carried
+    /// out.
+    boost::asio::awaitable<void> end_attempt(bool request_pending);
+    /// Returns the term in which the chosen instance leads, or nullopt if it does not in time.
+    boost::asio::awaitable<std::optional<term_number>> wait_until_primary(promotion_choice choice);
     void log_request(const instance_id& target, promotion_outcome outcome) const;
     /// Logs the answer to an order that decides what may be promoted. Precondition: `event` is a
     /// string literal.
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -36,7 +36,7 @@
         connector.add("c", false).position = 12;
         group_settings_.name = group_name;
         group_settings_.max_connections = 20;
-        auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
+        auto environment = make_local_environment(context_.get_executor(), connector, metrics);
         group = std::make_shared<backend_group>(group_name, std::move(environment));
         prove_leadership(*group);
         update();
@@ -50,7 +50,7 @@
 
     /// Replaces the host by one that knows only what the directory and the failover row tell.
     void restart_host() {
-        auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
+        auto environment = make_local_environment(context_.get_executor(), connector, metrics);
         group = std::make_shared<backend_group>(group_name, std::move(environment));
         const auto row =
             decode_failover_row({lock_row, fleet_version{1}, store.value_of(lock_row)});
@@ -66,7 +66,7 @@
             store,
             promotions,
             connector,
-            metrics_,
+            metrics,
             [] { return std::vector{host_id{"host-1"}}; },
             [this] { return read_directory(); },
             [this](const group_id&, const instance_entry&) { return ask_others(); },
@@ -90,6 +90,7 @@
     fake_connector connector;
     fake_store& store;
     fake_promotions promotions{connector};
+    gateway_metrics metrics;
     std::shared_ptr<backend_group> group;
     std::function<void()> on_directory_read = [] {};
     /// Other hosts that don't confirm that they stopped using the primary.
@@ -112,7 +113,6 @@
     }
 
     boost::asio::io_context context_{1};
-    gateway_metrics metrics_;
     group_settings group_settings_;
 };
 
@@ -388,6 +388,96 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
 }
 
+namespace {
+
+/// Calls `change` once, when the attempt renews its lock for the first promotion request.
+void change_before_request(failover_fixture& fixture, std::function<void()> change) {
+    fixture.store.on_commit = [done = false,
+                               change = std::move(change)](const table_commit& written) mutable {
+        for (const auto& row : written.puts) {
+            if (!done && decode_failover_row({row.key, fleet_version{1}, row.value})
+                             .record.request_pending) {
+                done = true;
+                change();
+            }
+        }
+    };
+}
+
+/// The instance starts again under its id and has lost its log.
+void restart_empty(fake_instance& instance) {
+    instance.held = {};
+    instance.position = 0;
+}
+
+}  // namespace
+
+// Guards against the promotion of an instance that has lost its log since it was chosen.
+TEST_CASE("a target that starts again after it was chosen is not promoted") {
+    failover_fixture fixture;
+    fixture.group->on_acknowledged(first_term(12), first_term(11));
+    auto& target = fixture.connector.at("c");
+    bool has_restarted = false;
+    change_before_request(fixture, [&] {
+        has_restarted = true;
+        restart_empty(target);
+    });
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 100 || !fixture.promotions.orders.empty(); });
+    REQUIRE(has_restarted);
+    CHECK(fixture.promotions.orders.empty());
+    // No request is under way, so hosts may use a primary again.
+    const auto row = decode_failover_row({lock_row, {}, fixture.store.value_of(lock_row)}).record;
+    CHECK_FALSE(row.request_pending);
+
+    target.position = 12;
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
+// A request whose answer is lost cannot be taken back, but must not be sent again for a target that
+// has lost its log.
+TEST_CASE("an unanswered promotion request is not repeated for a target that starts again") {
+    failover_fixture fixture;
+    fixture.group->on_acknowledged(first_term(12), first_term(11));
+    auto& target = fixture.connector.at("c");
+    fixture.promotions.outcomes = {promotion_outcome::unknown};
+    fixture.promotions.on_promote = [&] {
+        if (fixture.promotions.orders.size() == 1) {
+            restart_empty(target);
+        }
+    };
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 300 || fixture.promotions.orders.size() > 1; });
+    CHECK(fixture.promotions.orders.size() == 1);
+    const auto row = decode_failover_row({lock_row, {}, fixture.store.value_of(lock_row)}).record;
+    CHECK(row.open);
+    CHECK(row.request_pending);
+    CHECK(fixture.metrics.scrape().find("masticgrade_promotion_orders_unsafe_total") !=
+          std::string::npos);
+
+    target.position = 12;
+    fixture.run_until([&] { return fixture.group->primary() == instance_id{"c"}; });
+    REQUIRE(fixture.promotions.orders.size() == 2);
+    CHECK(fixture.promotions.orders[1].fence > fixture.promotions.orders[0].fence);
+}
+
+// A silent target may be starting again.
+TEST_CASE("no promotion request is sent while the target is silent") {
+    failover_fixture fixture;
+    auto& target = fixture.connector.at("c");
+    change_before_request(fixture, [&] { target.answer_delay = seconds{20}; });
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 100 || !fixture.promotions.orders.empty(); });
+    REQUIRE(target.answer_delay == seconds{20});
+    CHECK(fixture.promotions.orders.empty());
+    target.answer_delay = milliseconds{0};
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
 // A promotion request whose answer is lost may still be carried out.
 TEST_CASE("an unanswered promotion request is repeated with the same target and fence") {
     failover_fixture fixture;
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -358,6 +358,7 @@
 }
 
 asio::awaitable<commit_result> fake_store::commit(table_commit change, time_point /*deadline*/) {
+    on_commit(change);
     fail_if_requested();
     commit_result result;
     result.era = era_;
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -196,6 +196,8 @@
 
     /// Called before rows are read.
     std::function<void()> on_scan = [] {};
+    /// Called before a change is applied.
+    std::function<void(const table_commit&)> on_commit = [](const table_commit&) {};
     unsigned answers_to_lose = 0;
     /// Calls that fail without effect.
     unsigned failures = 0;
