Gateway: statements are refused at once while a group waits for a log

A group may now wait for a missing log without a limit. Callers that need its primary were kept until their share of the statement timeout had passed, and reads without a recent position proof as well.

After 5 s without a usable primary, longer than a failover takes, they are refused as not run with a time to wait (busy, no_primary).

Tests: the refusals take less than 200 ms, replicas serve, and the group serves when its old primary is back, without a promotion.

--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -473,6 +473,11 @@
         environment_.refresh_directory();
         update_primary(now);
     }
+    if (has_usable_primary(now)) {
+        primary_unusable_since_.reset();
+    } else if (!primary_unusable_since_) {
+        primary_unusable_since_ = now;
+    }
     const auto newest = proofs_.newest();
     const bool is_old = !newest || boot_clock::now() - *newest > proof_refresh_age;
     if (is_old && position_customer(now) && !position_refresh_in_progress_ &&
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -248,6 +248,9 @@
     [[nodiscard]] bool leadership_is_unproven(boot_time now) const {
         return leadership_.is_expired(now);
     }
+    /// Whether no primary could be used for longer than a failover takes. Operations that need one
+    /// are then refused without a wait.
+    [[nodiscard]] bool lacks_primary(time_point now) const;
     /// The outcome of the group's failovers that this host knows.
     [[nodiscard]] const failover_record& last_failover() const { return leadership_.record(); }
     /// Whether a restore of the store has lost that outcome.
@@ -462,6 +465,7 @@
     void close(std::unique_ptr<pooled_connection> connection);
     void trim_idle(instance_state& instance, time_point now);
     void update_primary(time_point now);
+    [[nodiscard]] bool has_usable_primary(time_point now) const;
     [[nodiscard]] leadership_evidence::claimant claimant_of(const instance_id& instance) const;
     [[nodiscard]] bool promoted_instance_is_listed() const;
     void remove_missing(const std::set<instance_id>& listed, time_point now);
@@ -490,6 +494,7 @@
     position_proofs proofs_;
     leadership_evidence leadership_;
     primary_failure_detector failure_detector_;
+    std::optional<time_point> primary_unusable_since_;
     bool probe_in_progress_ = false;
     bool position_refresh_in_progress_ = false;
     time_point last_position_use_{};
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -112,6 +112,8 @@
     /// Waits for a connection to the primary, or to any instance whose data is fresh enough.
     boost::asio::awaitable<std::variant<connection_lease, statement_answer>> acquire(
         operation& op, bool on_primary, const std::set<instance_id>& excluded);
+    /// The read must see every commit acknowledged before this time.
+    [[nodiscard]] static boot_time required_moment(const operation& op);
     /// The log position that the read must see. Returns nullopt if no recent position of the
     /// primary is known.
     boost::asio::awaitable<std::optional<log_index>> required_position(operation& op);
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -13,6 +13,8 @@
 /// may be out of date.
 constexpr milliseconds denial_lifetime{1500};
 constexpr milliseconds probe_timeout{300};
+/// Longer than a failover takes unless a log is missing.
+constexpr seconds max_failover_time{5};
 
 }  // namespace
 
@@ -125,6 +127,15 @@
                                    boot_clock::now());
 }
 
+bool backend_group::has_usable_primary(time_point now) const {
+    return primary_ && !primary_is_dead(now) && may_lead(*primary_, boot_clock::now());
+}
+
+bool backend_group::lacks_primary(time_point now) const {
+    return primary_unusable_since_ && now - *primary_unusable_since_ >= max_failover_time &&
+           !has_usable_primary(now);
+}
+
 leadership_evidence::claimant backend_group::claimant_of(const instance_id& instance) const {
     const auto found = instances_.find(instance);
     return {instance, found == instances_.end() ? term_number{} : found->second.log_term};
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds staleness_margin{250};
 /// Delay before a statement is resent to an instance that was too busy to start it.
 constexpr milliseconds busy_retry_delay{20};
+/// Told to callers of a group that waits for a primary; about the time between two attempts to
+/// promote one.
+constexpr milliseconds no_primary_retry_delay{1000};
 constexpr unsigned max_busy_attempts = 3;
 constexpr milliseconds default_statement_timeout{5000};
 
@@ -166,6 +169,16 @@
 asio::awaitable<std::variant<connection_lease, statement_answer>> caller_session::acquire(
     operation& op, bool on_primary, const std::set<instance_id>& excluded) {
     acquire_request request;
+    if (on_primary && op.group->leadership_is_unproven(boot_clock::now())) {
+        op.reason = "primary_unproven";
+        co_return refuse(answer_code::busy, "the current primary is unknown, try another host");
+    }
+    const bool needs_present_primary =
+        on_primary || !op.group->proven_position(required_moment(op)).has_value();
+    if (needs_present_primary && op.group->lacks_primary(steady_clock::now())) {
+        op.reason = "no_primary";
+        co_return refuse(answer_code::busy, retry_text(no_primary_retry_delay));
+    }
     if (!on_primary) {
         request.excluded = excluded;
         request.at_least = co_await required_position(op);
@@ -174,10 +187,6 @@
             co_return refuse(answer_code::busy, "the primary's position is unknown");
         }
     }
-    if (on_primary && op.group->leadership_is_unproven(boot_clock::now())) {
-        op.reason = "primary_unproven";
-        co_return refuse(answer_code::busy, "the current primary is unknown, try another host");
-    }
     request.queue_entry.customer = customer_;
     request.queue_entry.needs_primary = on_primary;
     request.queue_entry.deadline = op.queue_deadline;
@@ -202,8 +211,12 @@
     co_return refuse(answer_code::busy, retry_text(retry_hint));
 }
 
+boot_time caller_session::required_moment(const operation& op) {
+    return boot_clock::now() - op.route->max_staleness + staleness_margin;
+}
+
 asio::awaitable<std::optional<log_index>> caller_session::required_position(operation& op) {
-    const auto as_of = boot_clock::now() - op.route->max_staleness + staleness_margin;
+    const auto as_of = required_moment(op);
     const auto proven = co_await op.group->position_at(as_of, customer_, op.queue_deadline);
     if (!proven) {
         co_return std::nullopt;
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -16,6 +16,13 @@
 const group_id group_name{"ledger"};
 const std::string lock_row = "failover/ledger";
 
+log_index first_term(std::uint64_t number) { return {term_number{1}, log_position{number}}; }
+
+/// A host that has confirmed the failover.
+host_acknowledgements confirmation(const char* host, acknowledged_bounds bounds) {
+    return {host_id{host}, boot_time{}, bounds, std::nullopt};
+}
+
 /// The announcement of a failover that this number of hosts does not confirm.
 failover_announcement unanswered(std::size_t hosts) {
     failover_announcement result;
@@ -159,6 +166,34 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
 }
 
+// A group that waits for a missing log must serve again without a promotion when its old primary is
+// back.
+TEST_CASE("a group that waits for a log is led by its old primary again when that returns") {
+    failover_fixture fixture;
+    auto& old_primary = fixture.connector.add("a", true);
+    old_primary.position = 14;
+    fixture.group->on_acknowledged(first_term(14), first_term(13));
+    old_primary.refuses_connections = true;
+    old_primary.is_listed = false;
+    fixture.update();
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 200 || !fixture.promotions.orders.empty(); });
+    REQUIRE(fixture.promotions.orders.empty());
+    CHECK(fixture.metrics.scrape().find("masticgrade_promotions_refused_total{kind=\"acknowledged_"
+                                        "commit_missing\"}") != std::string::npos);
+
+    old_primary.refuses_connections = false;
+    old_primary.is_listed = true;
+    fixture.update();
+    fixture.run_until([&] {
+        return fixture.group->primary() == instance_id{"a"} &&
+               fixture.group->may_lead(instance_id{"a"}, boot_clock::now());
+    });
+    CHECK(fixture.group->primary() == instance_id{"a"});
+    CHECK(fixture.group->may_lead(instance_id{"a"}, boot_clock::now()));
+    CHECK(fixture.promotions.orders.empty());
+}
+
 // Two unknown logs keep a group without a primary only if they may hold a promised commit.
 TEST_CASE("a promotion follows the configured number of synchronous replicas") {
     unsigned sync_replicas = 0;
@@ -227,17 +262,6 @@
     CHECK(fixture.promotions.orders.empty());
 }
 
-namespace {
-
-log_index first_term(std::uint64_t number) { return {term_number{1}, log_position{number}}; }
-
-/// A host that has confirmed the failover.
-host_acknowledgements confirmation(const char* host, acknowledged_bounds bounds) {
-    return {host_id{host}, boot_time{}, bounds, std::nullopt};
-}
-
-}  // namespace
-
 // Guards against the loss of acknowledged commits by a host that takes the logs it knows for all:
 // with no unknown log it did not compare the target with what it had acknowledged itself.
 TEST_CASE("a replica that lacks a commit acknowledged by a host is not promoted") {
--- a/libs/gateway/test/session_test.cpp
+++ b/libs/gateway/test/session_test.cpp
@@ -126,6 +126,17 @@
 
     void refuse_work() { environment_.refuses_work = true; }
 
+    /// The state of the group as if no primary could have been used for the time.
+    void lack_primary_for(seconds length) {
+        group_->on_failover_begun(1);
+        group_->tick(steady_clock::now() - length);
+    }
+    /// A later failover has ended without a promotion, since the primary has answered again.
+    void regain_primary() {
+        group_->on_failover_row(failover_record{1, false, {}, {}}, boot_clock::now());
+        group_->tick(steady_clock::now());
+    }
+
     void limit(rate_limit value) { limiter_.configure({{customer, value}}, boot_clock::now()); }
 
     std::shared_ptr<fake_caller> run(const std::string& database,
@@ -389,6 +400,37 @@
     }
 }
 
+// Callers of a group that waits for a missing log were kept until their deadline.
+TEST_CASE("statements that need a primary are refused at once while a group lacks one") {
+    session_fixture fixture;
+    REQUIRE(fixture.run("bounded", {read("r0")})->answers.at(0).code == answer_code::done);
+    fixture.lack_primary_for(seconds{6});
+    const auto started = steady_clock::now();
+    const auto caller = fixture.run("current", {write("w1"), read("r1"), begin(), write("w2")});
+    CHECK(steady_clock::now() - started < milliseconds{200});
+    REQUIRE(caller->answers.size() == 4);
+    for (const auto index : {0U, 1U, 3U}) {
+        CHECK(caller->answers[index].code == answer_code::busy);
+        CHECK(caller->answers[index].text == "not run, try again in 1000 ms");
+    }
+    // The replicas have everything that was acknowledged within the route's staleness.
+    CHECK(fixture.run("bounded", {read("r2")})->answers.at(0).code == answer_code::done);
+    CHECK(fixture.primary->runs_of("w1") + fixture.primary->runs_of("w2") == 0);
+
+    fixture.regain_primary();
+    CHECK(fixture.run("current", {write("w3")})->answers.at(0).code == answer_code::done);
+}
+
+// The usual failover takes less time, and callers that wait for it are served.
+TEST_CASE("a statement waits for a primary that was lost a moment ago") {
+    session_fixture fixture;
+    fixture.lack_primary_for(seconds{1});
+    const auto started = steady_clock::now();
+    const auto caller = fixture.run("current", {write("w1")});
+    CHECK(steady_clock::now() - started > milliseconds{400});
+    CHECK(caller->answers.at(0).code == answer_code::busy);
+}
+
 TEST_CASE("a session reads its own commit while the replicas lag") {
     session_fixture fixture;
     const auto caller = fixture.run("session", {write("w1"), read("r1")});
