Instance orders: ask whoever has the address of an instance that is not listed

An instance that has ended may have a successor at its address that the directory does not list yet. The successor refuses the connection, since it has another id, and the refusal was taken for "not running".

`unlisted_answer` tells a refusal because of the id from silence.

--- a/libs/gateway/include/masticgrade/gateway/connections.hpp
+++ b/libs/gateway/include/masticgrade/gateway/connections.hpp
@@ -105,6 +105,7 @@
     instance_connector& operator=(const instance_connector&) = delete;
     virtual ~instance_connector() = default;
 
+    /// An instance with another id refuses the connection, unless `instance` has an empty one.
     /// Throws connection_error, or connection_refused_error when the instance refuses the
     /// connection.
     virtual boost::asio::awaitable<instance_connection_ptr> connect(instance_entry instance,
--- a/libs/gateway/src/instance_orders.cpp
+++ b/libs/gateway/src/instance_orders.cpp
@@ -95,8 +95,8 @@
         link->close();
         result.status = connector_.read_status(answers.front());
     } catch (const connection_refused_error& failure) {
-        // The address may belong to another instance by now.
-        result.is_running = failure.code() != answer_code::wrong_instance;
+        result.has_other_id = failure.code() == answer_code::wrong_instance;
+        result.is_running = !result.has_other_id;
     } catch (const error& failure) {
         event_line{"unlisted_instance_silent"}
             .field("group", group_->name())
--- a/libs/gateway/src/instance_orders.hpp
+++ b/libs/gateway/src/instance_orders.hpp
@@ -36,11 +36,13 @@
         /// Whether the instance accepts connections, or refuses them for another reason than its
         /// id.
         bool is_running = false;
+        /// Another instance has the address.
+        bool has_other_id = false;
         /// Its status, if it has executed the request.
         std::optional<instance_status> status;
     };
     /// As `send`, to an instance that is not in the directory; it may only be cut off from the
-    /// store.
+    /// store. With an empty id, to any instance of the group at the address.
     boost::asio::awaitable<unlisted_answer> send_unlisted(const instance_id& instance,
                                                           const endpoint_address& address,
                                                           const backend_request& request);
