Log holders are processes, and remain until a successor shows that they have ended

`log_holder_registry` removed an instance that was not listed and that one host could not reach, as soon as another replica had caught up at one moment. The instance could go on receiving and be the only replica with the newest commits later. An instance that started again under its id with an empty log, or at another address, was the same log holder as before, and one whose address another instance had was dropped at once, although the log may still be in transfer.

- A log holder is one process: instance id, address and start time.
- One that is not listed is removed only if a listed process that did not start earlier has its id or its address, and if after that `sync_replicas` listed replicas have received all that the primary holds.
Entries of earlier processes return with a restore of the store and prove nothing.
- Processes that disappear before they are recorded are kept without a time limit until they are.
- A row read in a later era, or an unreadable one, removes nothing: the store may have been restored to a copy from before an instance was recorded.
- An unlisted log holder without a successor causes no reads of the store.
`log_holders_recorded` names each process with its start time and state, `log_holders_unlisted` those that are not listed whenever that changes; gauge `masticgrade_unlisted_log_holders`.

Row: the processes are in the new array `log_processes`. `log_holders` keeps the addresses by instance id for hosts of an earlier release: with an array there, each of them would see no log holders, take the row for outdated, and write it in turn with the updated hosts. A row written by such a host names processes of unknown start time, which are replaced once the primary and the replicas answer; a promotion before that may have to wait. Such a host also still removes silent instances, so the rule holds when all hosts are updated.

Changed tests of `log_holder_registry_test`. "a lost instance remains a log holder until another replica has caught up", "... until as many others as a commit takes ..." and "... while the primary does not answer" removed an instance for being silent, which is the fault; they now have a listed successor and check the same replication before the removal, and "an instance that is merely out of sight remains a log holder" forbids the old removal. "an instance that has started again under another id replaces its old entry" removed the old entry although no replica had all commits; now the successor must have them.

--- a/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <set>
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
+#include "masticgrade/gateway/log_holder.hpp"
 
 namespace masticgrade {
 
@@ -19,9 +20,9 @@
     instance_id target;
     /// The term in which `target` leads; zero if unknown.
     term_number term;
-    /// The instances that may hold acknowledged commits which no other instance holds, and their
-    /// addresses. Empty if not recorded yet.
-    std::map<instance_id, endpoint_address> log_holders = {};
+    /// The processes that may have acknowledged commits which no other process has. Empty if not
+    /// recorded yet.
+    std::set<log_holder> log_holders = {};
     /// A promotion request may still be carried out, since its answer was lost or its sender ended.
     bool request_pending = false;
 
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -79,6 +79,7 @@
                 .write();
         }
         if (restarted) {
+            keep_log_holder(log_holder_of(instance.entry));
             while (!instance.idle.empty()) {
                 auto connection = std::move(instance.idle.front());
                 instance.idle.pop_front();
@@ -115,8 +116,8 @@
         }
         event_line{"instance_gone"}.field("group", name_).field("instance", item->first).write();
         lost_instances_[item->first] = {now, item->second.entry.address,
-                                        last_failover().log_holders.contains(item->first),
                                         item->second.entry.start_time};
+        keep_log_holder(log_holder_of(item->second.entry));
         auto idle = std::move(item->second.idle);
         item = instances_.erase(item);
         for (auto& connection : idle) {
@@ -146,45 +147,58 @@
     return found != instances_.end() && found->second.entry.claims_primary;
 }
 
+bool backend_group::is_listed(const log_holder& holder) const {
+    const auto found = instances_.find(holder.instance);
+    return found != instances_.end() && log_holder_of(found->second.entry) == holder;
+}
+
+bool backend_group::has_ended(const log_holder& holder) const {
+    return std::any_of(instances_.begin(), instances_.end(), [&](const auto& instance) {
+        return is_successor(instance.second.entry, holder);
+    });
+}
+
+void backend_group::keep_log_holder(const log_holder& holder) {
+    if (!last_failover().log_holders.contains(holder)) {
+        unrecorded_log_holders_.insert(holder);
+    }
+}
+
+void backend_group::forget_log_holders(const std::set<log_holder>& ended) {
+    std::erase_if(unrecorded_log_holders_,
+                  [&](const auto& holder) { return ended.contains(holder); });
+}
+
 bool backend_group::log_holders_are_recorded() const {
     const auto& recorded = last_failover().log_holders;
-    return std::equal(recorded.begin(), recorded.end(), instances_.begin(), instances_.end(),
+    return unrecorded_log_holders_.empty() &&
+           std::equal(recorded.begin(), recorded.end(), instances_.begin(), instances_.end(),
                       [](const auto& holder, const auto& instance) {
-                          return holder.first == instance.first &&
-                                 holder.second == instance.second.entry.address;
+                          return holder == log_holder_of(instance.second.entry);
                       });
 }
 
-std::map<instance_id, endpoint_address> backend_group::log_holders(time_point now) const {
+std::set<log_holder> backend_group::log_holders() const {
     auto result = last_failover().log_holders;
-    for (const auto& [id, lost] : lost_instances_) {
-        if (!lost.recorded && now - lost.lost_at <= lost_instance_lifetime) {
-            result.emplace(id, lost.address);
-        }
-    }
-    // An instance that starts again at its address has a new id and the same log.
-    std::set<endpoint_address> listed_addresses;
+    result.insert(unrecorded_log_holders_.begin(), unrecorded_log_holders_.end());
     for (const auto& [id, instance] : instances_) {
-        listed_addresses.insert(instance.entry.address);
-    }
-    std::erase_if(result, [&](const auto& holder) {
-        return !is_listed(holder.first) && listed_addresses.contains(holder.second);
-    });
-    for (const auto& [id, instance] : instances_) {
-        result[id] = instance.entry.address;
+        result.insert(log_holder_of(instance.entry));
     }
     return result;
 }
 
-std::map<instance_id, endpoint_address> backend_group::lost_instances(time_point now) const {
-    std::map<instance_id, endpoint_address> result;
+std::set<log_holder> backend_group::unlisted_log_holders() const {
+    auto result = log_holders();
+    std::erase_if(result, [&](const auto& holder) { return is_listed(holder); });
+    return result;
+}
+
+std::set<log_holder> backend_group::lost_instances(time_point now) const {
+    std::set<log_holder> result;
     for (const auto& [id, lost] : lost_instances_) {
-        const auto& address = lost.address;
-        const bool is_replaced = std::any_of(
-            instances_.begin(), instances_.end(),
-            [&](const auto& instance) { return instance.second.entry.address == address; });
-        if (!is_replaced && now - lost.lost_at <= lost_instance_lifetime) {
-            result.emplace(id, address);
+        const log_holder holder{id, lost.address, lost.start_time};
+        if (!has_ended(holder) && now - lost.lost_at <= lost_instance_lifetime) {
+            result.insert(holder);
         }
     }
     return result;
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -263,17 +263,25 @@
     [[nodiscard]] bool is_listed(const instance_id& instance) const {
         return instances_.contains(instance);
     }
+    /// Whether the directory lists exactly this process.
+    [[nodiscard]] bool is_listed(const log_holder& holder) const;
+    /// Whether a listed instance shows that the process has ended, see `is_successor`.
+    [[nodiscard]] bool has_ended(const log_holder& holder) const;
     /// Whether the instance's directory entry claims that it is the primary.
     [[nodiscard]] bool claims_primary(const instance_id& instance) const;
     /// Whether the recorded log holders are the listed instances.
     [[nodiscard]] bool log_holders_are_recorded() const;
-    /// The recorded log holders, the listed instances, and those that disappeared from the
-    /// directory within the last 20 s before they were recorded; without those whose log another
-    /// instance has taken over.
-    [[nodiscard]] std::map<instance_id, endpoint_address> log_holders(time_point now) const;
-    /// The instances that have disappeared from the directory on this host in the last 20 s, and
-    /// whose addresses no listed instance has.
-    [[nodiscard]] std::map<instance_id, endpoint_address> lost_instances(time_point now) const;
+    /// The recorded log holders, the listed instances, and the processes that disappeared from the
+    /// directory before they were recorded.
+    [[nodiscard]] std::set<log_holder> log_holders() const;
+    /// The log holders that the directory does not list.
+    [[nodiscard]] std::set<log_holder> unlisted_log_holders() const;
+    /// The processes need not be recorded any more. Precondition: other log holders have all of
+    /// their acknowledged commits.
+    void forget_log_holders(const std::set<log_holder>& ended);
+    /// The instances that have disappeared from the directory on this host in the last 20 s and
+    /// have no successor.
+    [[nodiscard]] std::set<log_holder> lost_instances(time_point now) const;
     [[nodiscard]] bool primary_is_dead(time_point now) const;
     /// See group_settings.
     [[nodiscard]] unsigned sync_replicas() const { return settings_.sync_replicas; }
@@ -451,6 +459,8 @@
     [[nodiscard]] leadership_evidence::claimant claimant_of(const instance_id& instance) const;
     [[nodiscard]] bool promoted_instance_is_listed() const;
     void remove_missing(const std::set<instance_id>& listed, time_point now);
+    /// Keeps the process among the log holders until it is recorded.
+    void keep_log_holder(const log_holder& holder);
 
     group_id name_;
     group_environment environment_;
@@ -460,11 +470,13 @@
     struct lost_instance {
         time_point lost_at;
         endpoint_address address;
-        /// It was among the recorded log holders when it disappeared.
-        bool recorded = false;
         std::int64_t start_time = 0;
     };
     std::map<instance_id, lost_instance> lost_instances_;
+    /// Log holders that are not listed and not in the failover row.
+    std::set<log_holder> unrecorded_log_holders_;
+    /// Era of the store in which the last failover was recorded.
+    store_era failover_row_era_;
     /// Distinguishes the runs in `warmup_state::waiting`.
     std::uint64_t last_warmup_ticket_ = 0;
     std::optional<instance_id> primary_;
--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <map>
 #include <random>
 
 #include "masticgrade/base/event_log.hpp"
@@ -25,35 +26,85 @@
     return failure ? 0 : number;
 }
 
-json::object encode_log_holders(const std::map<instance_id, endpoint_address>& holders) {
-    json::object result;
-    for (const auto& [id, address] : holders) {
-        result[id.str()] = address.str();
+bool bool_or(const json::object& object, std::string_view name, bool fallback) {
+    const auto* value = object.if_contains(name);
+    return value != nullptr && value->is_bool() ? value->as_bool() : fallback;
+}
+
+std::string string_or_empty(const json::object& object, std::string_view name) {
+    const auto* value = object.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string{value->as_string()} : std::string{};
+}
+
+std::int64_t start_time_or_zero(const json::object& object) {
+    const auto* value = object.if_contains("start_time");
+    boost::system::error_code failure;
+    const auto number =
+        value != nullptr && value->is_number() ? value->to_number<std::int64_t>(failure) : 0;
+    return failure ? 0 : number;
+}
+
+json::array encode_log_holders(const std::set<log_holder>& holders) {
+    json::array result;
+    for (const auto& holder : holders) {
+        result.push_back(json::object{{"instance", holder.instance.str()},
+                                      {"address", holder.address.str()},
+                                      {"start_time", holder.start_time}});
     }
     return result;
 }
 
-std::map<instance_id, endpoint_address> decode_log_holders(const json::object& object) {
-    std::map<instance_id, endpoint_address> result;
-    const auto* holders = object.if_contains("log_holders");
-    if (holders == nullptr || !holders->is_object()) {
-        return result;
+/// The addresses by instance id, which hosts of earlier releases read. Of several processes of an
+/// instance, the one that started last is written.
+json::object encode_holder_addresses(const std::set<log_holder>& holders) {
+    std::map<instance_id, const log_holder*> latest;
+    for (const auto& holder : holders) {
+        auto& known = latest[holder.instance];
+        if (known == nullptr || known->start_time <= holder.start_time) {
+            known = &holder;
+        }
     }
-    for (const auto& [id, address] : holders->as_object()) {
-        const bool is_text = address.is_string();
-        result.emplace(std::string{id}, is_text ? std::string{address.as_string()} : std::string{});
+    json::object result;
+    for (const auto& [id, holder] : latest) {
+        result[id.str()] = holder->address.str();
     }
     return result;
 }
 
-bool bool_or(const json::object& object, std::string_view name, bool fallback) {
-    const auto* value = object.if_contains(name);
-    return value != nullptr && value->is_bool() ? value->as_bool() : fallback;
+std::set<log_holder> decode_log_holders(const json::array& holders) {
+    std::set<log_holder> result;
+    for (const auto& item : holders) {
+        if (item.is_object()) {
+            const auto& holder = item.as_object();
+            result.insert({instance_id{string_or_empty(holder, "instance")},
+                           endpoint_address{string_or_empty(holder, "address")},
+                           start_time_or_zero(holder)});
+        }
+    }
+    return result;
 }
 
-std::string string_or_empty(const json::object& object, std::string_view name) {
-    const auto* value = object.if_contains(name);
-    return value != nullptr && value->is_string() ? std::string{value->as_string()} : std::string{};
+std::set<log_holder> decode_holder_addresses(const json::object& addresses) {
+    std::set<log_holder> result;
+    for (const auto& [id, address] : addresses) {
+        const bool is_text = address.is_string();
+        result.insert({instance_id{std::string{id}},
+                       endpoint_address{is_text ? std::string{address.as_string()} : std::string{}},
+                       0});
+    }
+    return result;
+}
+
+std::set<log_holder> read_log_holders(const json::object& row) {
+    if (const auto* holders = row.if_contains("log_processes");
+        holders != nullptr && holders->is_array()) {
+        return decode_log_holders(holders->as_array());
+    }
+    // Hosts of earlier releases record no start times.
+    const auto* addresses = row.if_contains("log_holders");
+    return addresses != nullptr && addresses->is_object()
+               ? decode_holder_addresses(addresses->as_object())
+               : std::set<log_holder>{};
 }
 
 }  // namespace
@@ -63,14 +114,16 @@
 std::string failover_row_key(const group_id& group) { return failover_row::prefix + group.str(); }
 
 std::string encode_failover_row(const failover_record& record, const host_id& holder) {
-    return json::serialize(json::object{{"fence", record.fence},
-                                        {"holder", holder.str()},
-                                        {"target", record.target.str()},
-                                        {"term", record.term.value()},
-                                        {"open", record.open},
-                                        {"request_pending", record.request_pending},
-                                        {"log_holders", encode_log_holders(record.log_holders)},
-                                        {"mark", random_nonce()}});
+    return json::serialize(
+        json::object{{"fence", record.fence},
+                     {"holder", holder.str()},
+                     {"target", record.target.str()},
+                     {"term", record.term.value()},
+                     {"open", record.open},
+                     {"request_pending", record.request_pending},
+                     {"log_holders", encode_holder_addresses(record.log_holders)},
+                     {"log_processes", encode_log_holders(record.log_holders)},
+                     {"mark", random_nonce()}});
 }
 
 failover_row decode_failover_row(const table_row& row) {
@@ -94,7 +147,7 @@
     result.record.open = bool_or(object, "open", true);
     // Hosts of earlier releases don't record their requests.
     result.record.request_pending = bool_or(object, "request_pending", result.record.open);
-    result.record.log_holders = decode_log_holders(object);
+    result.record.log_holders = read_log_holders(object);
     result.holder = host_id{string_or_empty(object, "holder")};
     return result;
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -238,6 +238,14 @@
         metrics_.set_gauge("masticgrade_paced_instances",
                            "Instances whose concurrent statements are limited after a start.",
                            static_cast<double>(paced));
+        const auto unlisted = std::accumulate(
+            groups_.begin(), groups_.end(), std::size_t{0}, [](std::size_t sum, const auto& entry) {
+                return sum + (entry.second ? entry.second->unlisted_log_holders().size() : 0);
+            });
+        metrics_.set_gauge("masticgrade_unlisted_log_holders",
+                           "Processes that are not in the directory and may have acknowledged "
+                           "commits alone.",
+                           static_cast<double>(unlisted));
         metrics_.set_gauge("masticgrade_log_lines_suppressed", "Log lines dropped.",
                            static_cast<double>(suppressed_event_lines()));
         return metrics_.scrape();
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -330,8 +330,9 @@
         result.acknowledged = known;
     }
     const backend_request request = backend_hold{hold_term_};
-    const auto holders = group_->log_holders(steady_clock::now());
-    for (const auto& [id, address] : holders) {
+    const auto holders = group_->log_holders();
+    for (const auto& holder : holders) {
+        const auto& id = holder.instance;
         if (group_->primary() == id) {
             result.primary_is_unknown = !former_primary;
             continue;
@@ -341,7 +342,7 @@
         }
         if (!group_->is_listed(id)) {
             const auto asked_at = boot_clock::now();
-            const auto answer = co_await orders_.send_unlisted(id, address, request);
+            const auto answer = co_await orders_.send_unlisted(id, holder.address, request);
             log_order("unlisted_hold", id, answer.status, asked_at);
             if (answer.status && answer.status->held == hold_term_) {
                 result.longest_unlisted = std::max(result.longest_unlisted.value_or(log_index{}),
@@ -358,16 +359,16 @@
     // A host that could not reach an instance may have removed it from the log holders although the
     // primary still replicated to it.
     const backend_request request = backend_hold{hold_term_};
-    const auto now = steady_clock::now();
-    const auto holders = group_->log_holders(now);
-    const auto lost = group_->lost_instances(now);
-    for (const auto& [id, address] : lost) {
-        if (holders.contains(id)) {
+    const auto holders = group_->log_holders();
+    const auto lost = group_->lost_instances(steady_clock::now());
+    for (const auto& holder : lost) {
+        if (holders.contains(holder)) {
             continue;
         }
         const auto asked_at = boot_clock::now();
-        const auto answer = co_await orders_.send_unlisted(id, address, request);
-        log_order("unlisted_hold", id, answer.status, asked_at);
+        const auto answer =
+            co_await orders_.send_unlisted(holder.instance, holder.address, request);
+        log_order("unlisted_hold", holder.instance, answer.status, asked_at);
         if (answer.status) {
             known.longest_unlisted =
                 std::max(known.longest_unlisted.value_or(log_index{}), answer.status->received);
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -141,8 +141,19 @@
 void backend_group::on_failover_row(const std::optional<failover_record>& row, boot_time read_at,
                                     store_era era) {
     const bool was_lost = leadership_.is_lost();
+    const auto known_holders = last_failover().log_holders;
     const bool is_new_promotion = leadership_.on_row(row, read_at, era);
     const auto& record = leadership_.record();
+    if (era > failover_row_era_ || record.log_holders.empty()) {
+        // Only a row that was written after the known one removes log holders: one of a later era
+        // may come from an older copy, and an unreadable row names none.
+        std::for_each(known_holders.begin(), known_holders.end(),
+                      [&](const auto& holder) { keep_log_holder(holder); });
+    }
+    if (!leadership_.is_lost()) {
+        failover_row_era_ = std::max(failover_row_era_, era);
+    }
+    forget_log_holders(record.log_holders);
     if (leadership_.is_lost() != was_lost) {
         event_line{was_lost ? "failover_row_regained" : "failover_row_lost"}
             .field("group", name_)
--- a/libs/gateway/src/log_holder_registry.cpp
+++ b/libs/gateway/src/log_holder_registry.cpp
@@ -30,7 +30,8 @@
     std::optional<time_point> outdated_since;
     for (;;) {
         auto pause = check_interval;
-        if (group_->log_holders_are_recorded() || group_->entries().empty()) {
+        log_unlisted();
+        if (!is_outdated()) {
             outdated_since.reset();
         } else {
             const auto now = steady_clock::now();
@@ -54,6 +55,22 @@
     }
 }
 
+bool log_holder_registry::is_outdated() const {
+    if (group_->log_holders_are_recorded() || group_->entries().empty()) {
+        return false;
+    }
+    const auto holders = group_->log_holders();
+    return holders != group_->last_failover().log_holders || !ended_among(holders).empty();
+}
+
+std::set<log_holder> log_holder_registry::ended_among(const std::set<log_holder>& holders) const {
+    auto result = holders;
+    std::erase_if(result, [&](const auto& holder) {
+        return group_->is_listed(holder) || !group_->has_ended(holder);
+    });
+    return result;
+}
+
 asio::awaitable<void> log_holder_registry::update() {
     const auto read_at = boot_clock::now();
     auto row = co_await rows_.read();
@@ -65,17 +82,16 @@
     }
     const auto recorded = row.record.log_holders;
     auto& holders = row.record.log_holders;
-    holders = group_->log_holders(steady_clock::now());
-    std::map<instance_id, endpoint_address> unlisted;
-    for (const auto& [id, address] : holders) {
-        if (!group_->is_listed(id)) {
-            unlisted.emplace(id, address);
-        }
-    }
-    if (!unlisted.empty() && co_await are_dispensable(unlisted)) {
-        std::erase_if(holders, [&](const auto& holder) { return unlisted.contains(holder.first); });
+    const auto known = group_->log_holders();
+    holders.insert(known.begin(), known.end());
+    // The positions are read after the successors were listed.
+    auto ended = ended_among(holders);
+    if (!ended.empty() && !co_await is_replicated(group_->entries())) {
+        ended.clear();
     }
+    std::erase_if(holders, [&](const auto& holder) { return ended.contains(holder); });
     if (holders == recorded) {
+        group_->forget_log_holders(ended);
         co_return;
     }
     const auto written_at = boot_clock::now();
@@ -83,30 +99,54 @@
         co_return;
     }
     group_->on_failover_row(row.record, written_at, row.era);
+    group_->forget_log_holders(ended);
+    log_recorded(row.record);
+}
+
+void log_holder_registry::log_recorded(const failover_record& record) const {
     event_line line{"log_holders_recorded"};
-    line.field("group", group_->name()).field("fence", row.record.fence);
-    for (const auto& [id, address] : holders) {
-        line.field("instance", id);
+    line.field("group", group_->name()).field("fence", record.fence);
+    for (const auto& holder : record.log_holders) {
+        line.field("instance", holder.instance)
+            .field("address", holder.address)
+            .field("start_time", holder.start_time)
+            .field("state", state_of(holder));
     }
     line.write();
 }
 
-asio::awaitable<bool> log_holder_registry::are_dispensable(
-    const std::map<instance_id, endpoint_address>& unlisted) {
-    const backend_request status_request = backend_status{};
-    for (const auto& [id, address] : unlisted) {
-        const auto answer = co_await orders_.send_unlisted(id, address, status_request);
-        if (answer.is_running) {
-            // Cut off from the store only, so it may receive and acknowledge further commits.
-            co_return false;
+std::string_view log_holder_registry::state_of(const log_holder& holder) const {
+    if (group_->is_listed(holder)) {
+        return "listed";
+    }
+    return group_->has_ended(holder) ? "not_replicated" : "no_successor";
+}
+
+void log_holder_registry::log_unlisted() {
+    std::map<log_holder, std::string_view> states;
+    if (!group_->log_holders_are_recorded()) {
+        for (const auto& holder : group_->unlisted_log_holders()) {
+            states.emplace(holder, state_of(holder));
         }
     }
-    co_return co_await is_replicated();
+    if (std::exchange(logged_states_, states) == states || states.empty()) {
+        return;
+    }
+    event_line line{"log_holders_unlisted"};
+    line.field("group", group_->name());
+    for (const auto& [holder, state] : states) {
+        line.field("instance", holder.instance)
+            .field("address", holder.address)
+            .field("start_time", holder.start_time)
+            .field("state", state);
+    }
+    line.write();
 }
 
-asio::awaitable<bool> log_holder_registry::is_replicated() {
+asio::awaitable<bool> log_holder_registry::is_replicated(std::vector<instance_entry> listed) {
     const auto primary = group_->primary();
-    if (!primary || !group_->is_listed(*primary)) {
+    const auto is_primary = [&](const auto& entry) { return entry.id == primary; };
+    if (std::none_of(listed.begin(), listed.end(), is_primary)) {
         co_return false;
     }
     const backend_request status_request = backend_status{};
@@ -116,8 +156,7 @@
     }
     const std::size_t required = group_->sync_replicas();
     std::size_t replicated = 0;
-    const auto entries = group_->entries();
-    for (const auto& entry : entries) {
+    for (const auto& entry : listed) {
         if (replicated >= required) {
             break;
         }
@@ -125,7 +164,9 @@
             continue;
         }
         const auto replica = co_await orders_.send(entry.id, status_request);
-        if (replica && !replica->is_primary && replica->received >= leading->received) {
+        // A process that is not recorded with this update does not count.
+        if (replica && !replica->is_primary && replica->received >= leading->received &&
+            group_->is_listed(log_holder_of(entry))) {
             ++replicated;
         }
     }
--- a/libs/gateway/src/log_holder_registry.hpp
+++ b/libs/gateway/src/log_holder_registry.hpp
@@ -5,7 +5,8 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
+#include <set>
+#include <string_view>
 #include <vector>
 
 #include "backend_group.hpp"
@@ -18,10 +19,12 @@
 /// of every instance that may hold acknowledged commits, also if it has just started or the
 /// instance has disappeared from the directory.
 ///
-/// Instances are added when they are listed. One that is no longer listed is removed only when
-/// another replica has received everything that the primary held after the disappearance, since
-/// until then it may be the only replica with some acknowledged commits, or when it has started
-/// again at its address, under another id.
+/// The log holders are processes: an instance that starts again is another one. Processes are added
+/// when they are listed. One that is no longer listed is removed only if a listed instance shows
+/// that it has ended, by taking its id or address, and after that as many listed replicas as an
+/// acknowledged commit takes have received everything that the primary holds. A process that is
+/// merely silent may still receive and acknowledge commits, so it remains for as long as it has no
+/// successor.
 ///
 /// Lives as long as the process. Thread safety: none; one executor.
 class log_holder_registry {
@@ -44,17 +47,25 @@
     boost::asio::awaitable<void> update();
 
 private:
-    /// Whether all log holders that are not listed may be removed.
-    boost::asio::awaitable<bool> are_dispensable(
-        const std::map<instance_id, endpoint_address>& unlisted);
-    /// Whether as many replicas as an acknowledged commit takes have received everything that the
-    /// primary holds.
-    boost::asio::awaitable<bool> is_replicated();
+    /// Whether an update may change the row.
+    [[nodiscard]] bool is_outdated() const;
+    /// The log holders that are known to have ended.
+    [[nodiscard]] std::set<log_holder> ended_among(const std::set<log_holder>& holders) const;
+    /// Whether as many of the listed replicas as an acknowledged commit takes have received
+    /// everything that the primary holds.
+    boost::asio::awaitable<bool> is_replicated(std::vector<instance_entry> listed);
+    void log_recorded(const failover_record& record) const;
+    /// Logs the log holders that are not listed, if they or the reasons for keeping them have
+    /// changed.
+    void log_unlisted();
+    [[nodiscard]] std::string_view state_of(const log_holder& holder) const;
 
     std::shared_ptr<backend_group> group_;
     environment environment_;
     failover_row_store rows_;
     instance_orders orders_;
+    /// The log holders that `log_unlisted` has found last.
+    std::map<log_holder, std::string_view> logged_states_;
 };
 
 }  // namespace masticgrade
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -127,8 +127,7 @@
     }
     failover_record recorded;
     for (const auto* name : {"a", "b", "c", "d"}) {
-        recorded.log_holders[instance_id{name}] =
-            endpoint_address{std::string{name} + ".example:1"};
+        recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
@@ -158,8 +157,7 @@
     }
     failover_record recorded;
     for (const auto* name : {"a", "b", "c", "d"}) {
-        recorded.log_holders[instance_id{name}] =
-            endpoint_address{std::string{name} + ".example:1"};
+        recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
@@ -176,14 +174,13 @@
     fixture.connector.add("d", false).position = 14;
     failover_record recorded;
     for (const auto* name : {"b", "c", "d"}) {
-        recorded.log_holders[instance_id{name}] =
-            endpoint_address{std::string{name} + ".example:1"};
+        recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
     fixture.connector.at("d").is_listed = false;
     fixture.update();
-    recorded.log_holders.erase(instance_id{"d"});
+    recorded.log_holders.erase(holder_of("d"));
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     unsigned checks = 0;
     fixture.run_until([&] { return ++checks > 50 || !fixture.promotions.orders.empty(); });
@@ -222,8 +219,7 @@
     fixture.connector.at("a").entry.leaving = true;
     failover_record recorded;
     for (const auto* name : {"a", "b", "c"}) {
-        recorded.log_holders[instance_id{name}] =
-            endpoint_address{std::string{name} + ".example:1"};
+        recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -217,6 +217,28 @@
     return success("-");
 }
 
+log_holder holder_of(const std::string& name, std::int64_t start_time) {
+    return {instance_id{name}, endpoint_address{name + ".example:1"}, start_time};
+}
+
+fake_instance* fake_connector::find_running(const endpoint_address& address) {
+    const auto found = std::find_if(instances_.begin(), instances_.end(), [&](const auto& item) {
+        return item.second.entry.address == address && !item.second.refuses_connections;
+    });
+    return found == instances_.end() ? nullptr : &found->second;
+}
+
+fake_instance& fake_connector::find_peer(const instance_entry& entry) {
+    auto* running = find_running(entry.address);
+    if (running == nullptr) {
+        throw connection_error("connect", entry.id.str(), "refused for the test", false);
+    }
+    if (!entry.id.empty() && running->entry.id != entry.id) {
+        throw connection_refused_error(entry.id.str(), answer_code::wrong_instance);
+    }
+    return *running;
+}
+
 fake_instance& fake_connector::add(const std::string& name, bool is_primary) {
     auto& instance = instances_[name];
     instance.entry.id = instance_id{name};
@@ -242,7 +264,7 @@
 asio::awaitable<instance_connection_ptr> fake_connector::connect(instance_entry instance,
                                                                  customer_id customer,
                                                                  time_point deadline) {
-    auto& found = instances_.at(instance.id.str());
+    auto& found = find_peer(instance);
     co_await delay_answer(found, deadline);
     if (found.refuses_connections) {
         throw connection_error("connect", instance.id.str(), "refused for the test", false);
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "masticgrade/gateway/connections.hpp"
+#include "masticgrade/gateway/log_holder.hpp"
 #include "masticgrade/gateway/session_state.hpp"
 #include "masticgrade/net/table_service.hpp"
 
@@ -70,6 +71,9 @@
     [[nodiscard]] std::size_t runs_of(const std::string& id) const;
 };
 
+/// The process of an instance as `fake_connector::add` creates it.
+log_holder holder_of(const std::string& name, std::int64_t start_time = 0);
+
 class fake_link final : public instance_connection {
 public:
     explicit fake_link(fake_instance& instance, customer_id customer = {})
@@ -120,6 +124,12 @@
     fake_instance& at(const std::string& name) { return instances_.at(name); }
 
 private:
+    /// The running instance with the address, or null.
+    fake_instance* find_running(const endpoint_address& address);
+    /// The instance that a connection to the entry's address reaches. Throws connection_error if
+    /// there is none, and connection_refused_error if it has another id.
+    fake_instance& find_peer(const instance_entry& entry);
+
     std::map<std::string, fake_instance> instances_;
 };
 
--- a/libs/gateway/test/log_holder_registry_test.cpp
+++ b/libs/gateway/test/log_holder_registry_test.cpp
@@ -40,25 +40,67 @@
         group_->update(settings, connector.entries(), {});
     }
 
-    /// The instance ends and disappears from the directory.
+    /// The instance disappears from the directory and answers nobody.
     void lose(const std::string& name) {
         connector.at(name).refuses_connections = true;
         connector.at(name).is_listed = false;
         list_instances();
     }
 
-    std::set<std::string> update() {
+    /// Another instance, which started later, takes over the address of a lost one.
+    fake_instance& replace(const std::string& lost, const std::string& name) {
+        lose(lost);
+        auto& successor = connector.add(name, false);
+        successor.entry.address = connector.at(lost).entry.address;
+        successor.entry.start_time = connector.at(lost).entry.start_time + 1;
+        list_instances();
+        return successor;
+    }
+
+    /// The instance starts again under its id with an empty log.
+    fake_instance& restart(const std::string& name) {
+        auto& instance = connector.at(name);
+        ++instance.entry.start_time;
+        instance.position = 0;
+        list_instances();
+        return instance;
+    }
+
+    std::set<log_holder> update_holders() {
         boost::asio::co_spawn(context_, registry_->update(), boost::asio::detached);
         context_.restart();
         context_.run_for(milliseconds{20});
         const auto row = decode_failover_row({row_key, fleet_version{1}, store.value_of(row_key)});
+        return row.record.log_holders;
+    }
+
+    std::set<std::string> update() {
         std::set<std::string> result;
-        for (const auto& [id, address] : row.record.log_holders) {
-            result.insert(id.str());
+        for (const auto& holder : update_holders()) {
+            result.insert(holder.instance.str());
         }
         return result;
     }
 
+    /// Reads the failover row as the process does at intervals.
+    void read_row(store_era era) {
+        const auto row = decode_failover_row({row_key, fleet_version{1}, store.value_of(row_key)});
+        group_->on_failover_row(row.record, boot_clock::now(), era);
+    }
+
+    [[nodiscard]] std::set<log_holder> known_holders() const { return group_->log_holders(); }
+
+    /// Runs the registry for the time and returns how often it has read the store.
+    unsigned reads_in(milliseconds length) {
+        unsigned reads = 0;
+        store.on_scan = [&] { ++reads; };
+        boost::asio::co_spawn(context_, registry_->run(), boost::asio::detached);
+        context_.restart();
+        context_.run_for(length);
+        store.on_scan = [] {};
+        return reads;
+    }
+
     fake_connector connector;
     fake_store store;
     unsigned sync_replicas = 1;
@@ -89,10 +131,130 @@
     registry_fixture fixture;
     fixture.update();
     fixture.connector.at("b").position = 10;
+    fixture.replace("c", "d").position = 3;
+    CHECK(fixture.update() == names{"a", "b", "c", "d"});
+    fixture.connector.at("b").position = 12;
+    CHECK(fixture.update() == names{"a", "b", "d"});
+}
+
+// Silence is no proof of an end: a replica that was cut off from the store and the hosts went on
+// receiving, was the only one with the newest commits, and another replica was promoted.
+TEST_CASE("an instance that is merely out of sight remains a log holder") {
+    registry_fixture fixture;
+    fixture.update();
     fixture.lose("c");
+    for (int i = 0; i < 3; ++i) {
+        CHECK(fixture.update() == names{"a", "b", "c"});
+    }
+    fixture.connector.at("c").refuses_connections = false;
     CHECK(fixture.update() == names{"a", "b", "c"});
+    fixture.connector.at("c").refuses_connections = true;
+    fixture.replace("c", "d");
+    CHECK(fixture.update() == names{"a", "b", "d"});
+}
+
+// Each read of the store is charged for, and nothing can change before the directory does.
+TEST_CASE("an instance without a successor causes no reads of the store") {
+    registry_fixture fixture;
+    fixture.update();
+    fixture.lose("c");
+    CHECK(fixture.reads_in(milliseconds{800}) == 0);
+}
+
+// The log that acknowledged commits is gone with the process.
+TEST_CASE("an instance that has started again under its id is another log holder") {
+    registry_fixture fixture;
+    fixture.update();
+    fixture.connector.at("b").position = 10;
+    std::int64_t since = 1;
+    std::string address = "c.example:1";
+    SUBCASE("at its address") { fixture.restart("c"); }
+    SUBCASE("at another address") {
+        address = "other.example:1";
+        fixture.connector.at("c").entry.address = endpoint_address{address};
+        fixture.restart("c");
+    }
+    SUBCASE("twice") {
+        fixture.restart("c");
+        fixture.update();
+        fixture.restart("c");
+        since = 2;
+    }
+    const log_holder present{instance_id{"c"}, endpoint_address{address}, since};
+    const auto recorded = fixture.update_holders();
+    CHECK(recorded.contains(holder_of("c")));
+    CHECK(recorded.contains(present));
     fixture.connector.at("b").position = 12;
-    CHECK(fixture.update() == names{"a", "b"});
+    CHECK(fixture.update_holders() == std::set{holder_of("a"), holder_of("b"), present});
+}
+
+// A process that ended before any host had recorded it may have acknowledged commits as well.
+TEST_CASE("an instance that disappears before it is recorded is recorded") {
+    registry_fixture fixture;
+    fixture.connector.at("b").position = 10;
+    SUBCASE("it is silent") {
+        fixture.lose("c");
+        CHECK(fixture.update_holders().contains(holder_of("c")));
+    }
+    SUBCASE("it has started again") {
+        fixture.restart("c");
+        CHECK(fixture.update_holders().contains(holder_of("c")));
+        CHECK(fixture.update_holders().contains(holder_of("c", 1)));
+    }
+}
+
+// A primary that crashed comes back with its log as a new process, until which it may have
+// acknowledged commits that the replicas lack.
+TEST_CASE("the earlier process of the primary remains a log holder until a replica has caught up") {
+    registry_fixture fixture;
+    fixture.update();
+    fixture.restart("a").position = 12;
+    fixture.connector.at("b").position = 11;
+    fixture.connector.at("c").position = 11;
+    CHECK(fixture.update_holders().contains(holder_of("a")));
+    fixture.connector.at("c").position = 12;
+    CHECK(fixture.update_holders() == std::set{holder_of("a", 1), holder_of("b"), holder_of("c")});
+}
+
+// A restore of the store brings entries of processes back that ended long ago.
+TEST_CASE("the entry of an earlier process does not show that a later one has ended") {
+    registry_fixture fixture;
+    fixture.connector.at("c").entry.start_time = 5;
+    fixture.list_instances();
+    fixture.update();
+    SUBCASE("of the same instance") {
+        fixture.connector.at("c").entry.start_time = 4;
+        fixture.list_instances();
+    }
+    SUBCASE("of another instance at its address") {
+        fixture.replace("c", "d").entry.start_time = 4;
+        fixture.list_instances();
+    }
+    CHECK(fixture.update_holders().contains(holder_of("c", 5)));
+}
+
+// A copy from which the store was restored may name fewer log holders than were recorded after it.
+TEST_CASE("log holders that a restore of the store has lost are recorded again") {
+    registry_fixture fixture;
+    fixture.update();
+    fixture.store.copy();
+    fixture.connector.add("d", false).position = 12;
+    fixture.list_instances();
+    CHECK(fixture.update() == names{"a", "b", "c", "d"});
+    fixture.lose("d");
+    fixture.store.restore();
+    fixture.read_row(store_era{2});
+    CHECK(fixture.known_holders().contains(holder_of("d")));
+    CHECK(fixture.update() == names{"a", "b", "c", "d"});
+}
+
+TEST_CASE("an unreadable row does not remove log holders") {
+    registry_fixture fixture;
+    fixture.update();
+    fixture.lose("c");
+    fixture.store.put(row_key, "not json");
+    fixture.read_row(store_era{1});
+    CHECK(fixture.known_holders().contains(holder_of("c")));
 }
 
 // With two synchronous replicas, a promotion may ignore two unknown logs, so each acknowledged
@@ -103,18 +265,18 @@
     fixture.connector.add("d", false).position = 10;
     fixture.list_instances();
     fixture.update();
-    fixture.lose("c");
-    CHECK(fixture.update() == names{"a", "b", "c", "d"});
+    fixture.replace("c", "e").position = 3;
+    CHECK(fixture.update() == names{"a", "b", "c", "d", "e"});
     fixture.connector.at("d").position = 12;
-    CHECK(fixture.update() == names{"a", "b", "d"});
+    CHECK(fixture.update() == names{"a", "b", "d", "e"});
 }
 
 TEST_CASE("a lost instance remains a log holder while the primary does not answer") {
     registry_fixture fixture;
     fixture.update();
-    fixture.lose("c");
+    fixture.replace("c", "d").position = 12;
     fixture.connector.at("a").refuses_connections = true;
-    CHECK(fixture.update() == names{"a", "b", "c"});
+    CHECK(fixture.update() == names{"a", "b", "c", "d"});
 }
 
 // A replica that is cut off from the store continues to receive and acknowledge commits.
@@ -127,15 +289,16 @@
 }
 
 // An instance that crashed comes back with its log and a new id at its address. While its old id
-// counts as a lost log, its group cannot be led by anything but the old primary.
+// counts as a lost log, its group cannot be led by anything but the old primary. Its log may still
+// be in transfer, so it has to be as long as the primary's.
 TEST_CASE("an instance that has started again under another id replaces its old entry") {
     registry_fixture fixture;
     fixture.update();
     fixture.connector.at("b").position = 10;
-    fixture.lose("c");
-    fixture.connector.add("d", false).position = 12;
-    fixture.connector.at("d").entry.address = fixture.connector.at("c").entry.address;
-    fixture.list_instances();
+    auto& successor = fixture.replace("c", "d");
+    successor.position = 11;
+    CHECK(fixture.update() == names{"a", "b", "c", "d"});
+    successor.position = 12;
     CHECK(fixture.update() == names{"a", "b", "d"});
 }
 
@@ -143,7 +306,7 @@
     registry_fixture fixture;
     fixture.update();
     failover_record open{7, true, {}, {}};
-    open.log_holders[instance_id{"a"}] = endpoint_address{"a.example:1"};
+    open.log_holders.insert(holder_of("a"));
     fixture.store.put(row_key, encode_failover_row(open, host_id{"host-2"}));
     CHECK(fixture.update() == names{"a"});
 }
