Failover: count each process that may have acknowledged commits

A promotion matched held replicas with log holders by instance id. A replica that had started again with an empty log counted as the log that it had lost, and the remaining replica was promoted without the newest commits. An instance at the address of an ended one counted as that one, although its log could be in transfer; if it was not listed yet it was not asked at all. A primary that had started again empty and answered the step-down told the end of its new log, which was taken for the end of everything it had acknowledged.

- A replica is known if it is held as the process that the directory lists.
An entry that changed its start time after the hold makes both processes unknown until the new one is held.
- A log holder that is not listed, but answers at its address under its id and is held, is known.
If another instance answers there, it is held, and its position has to be covered, but the log holder stays unknown.
- The end of the old primary's log bounds what was acknowledged only if its process is the recorded one and no other log holder has its id or address.
- `unheld_logs::logs` tells for each log why it was counted, for the log line of the decision.

Held instances that were not listed were never resumed, and neither was one that left the directory during the attempt: it stayed held for good and would lack all later commits when it is the only replica left. All instances that were held in an attempt are now resumed at its end, also at their last address, and asked again until they answer or have ended. A later attempt of another host no longer makes this host forget them; while such an attempt is open they are not resumed.

`ask_lost_instances` stays: a host of an earlier release may have removed an instance that runs.

Tests: six cases in `failover_test`.

--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -5,6 +5,7 @@
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
+#include "masticgrade/gateway/counted_log.hpp"
 #include "masticgrade/gateway/statement.hpp"
 
 namespace masticgrade {
@@ -48,6 +49,8 @@
     std::optional<log_index> acknowledged = {};
     /// Replicas that have received a commit when it is acknowledged.
     std::size_t sync_replicas = 1;
+    /// All logs that may have acknowledged commits, those of the held replicas included.
+    std::vector<counted_log> logs = {};
 };
 
 /// Whether a log that ends at `position`, the longest of the held replicas' logs, contains every
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -51,6 +51,24 @@
     asio::steady_timer timer;
 };
 
+/// Adds a log that cannot be promoted, unless it is held.
+void add_log(unheld_logs& logs, counted_log log) {
+    const bool is_primary =
+        log.state == log_state::primary_silent || log.state == log_state::primary_unrecorded;
+    if (is_primary && !logs.primary_is_unknown) {
+        logs.primary_is_unknown = true;
+    } else if (!is_known(log.state)) {
+        ++logs.unknown_replicas;
+    }
+    const bool is_compared = log.state == log_state::held || is_primary ||
+                             (log.state == log_state::stepped_down && logs.former_primary);
+    if (log.position && !is_compared) {
+        logs.longest_unlisted =
+            std::max(logs.longest_unlisted.value_or(log_index{}), *log.position);
+    }
+    logs.logs.push_back(std::move(log));
+}
+
 }  // namespace
 
 group_failover::group_failover(std::shared_ptr<backend_group> group,
@@ -199,7 +217,7 @@
     const auto entries = group_->entries();
     for (const auto& entry : entries) {
         if (entry.id != *primary) {
-            held_replicas_.push_back(entry.id);
+            held_replicas_.insert(log_holder_of(entry));
         }
     }
     auto target = *primary;
@@ -269,6 +287,7 @@
 
 asio::awaitable<std::optional<promotion_choice>> group_failover::prepare_target(
     failover_kind kind) {
+    held_replicas_.clear();
     auto choice = co_await hold_replicas(kind);
     if (!choice) {
         co_return std::nullopt;
@@ -322,73 +341,139 @@
     std::optional<instance_status> former_primary) {
     unheld_logs result;
     result.sync_replicas = group_->sync_replicas();
-    if (former_primary) {
-        result.former_primary = former_primary->received;
-    }
     const auto known = group_->acknowledged();
     if (known && known->term >= group_->newest_term()) {
         result.acknowledged = known;
     }
-    const backend_request request = backend_hold{hold_term_};
     const auto holders = group_->log_holders();
+    if (former_primary && primary_is_recorded() && !primary_has_predecessor(holders)) {
+        result.former_primary = former_primary->received;
+    }
     for (const auto& holder : holders) {
-        const auto& id = holder.instance;
-        if (group_->primary() == id) {
-            result.primary_is_unknown = !former_primary;
-            continue;
-        }
-        if (std::find(held_replicas_.begin(), held_replicas_.end(), id) != held_replicas_.end()) {
-            continue;
+        auto log = co_await find_log(holder);
+        add_log(result, std::move(log));
+    }
+    co_return result;
+}
+
+asio::awaitable<counted_log> group_failover::find_log(log_holder holder) {
+    if (group_->is_listed(holder)) {
+        if (group_->primary() == holder.instance) {
+            co_return find_primary_log(holder);
         }
-        if (!group_->is_listed(id)) {
-            const auto asked_at = boot_clock::now();
-            const auto answer = co_await orders_.send_unlisted(id, holder.address, request);
-            log_order("unlisted_hold", id, answer.status, asked_at);
-            if (answer.status && answer.status->held == hold_term_) {
-                result.longest_unlisted = std::max(result.longest_unlisted.value_or(log_index{}),
-                                                   answer.status->received);
-                continue;
-            }
+        const auto held = held_logs_.find(holder);
+        if (held != held_logs_.end()) {
+            co_return counted_log{holder, log_state::held, held->second.received};
         }
-        ++result.unknown_replicas;
+        co_return counted_log{holder, log_state::not_held};
     }
-    co_return result;
+    if (group_->is_listed(holder.instance)) {
+        co_return counted_log{holder, log_state::earlier_process};
+    }
+    if (group_->has_ended(holder)) {
+        co_return counted_log{holder, log_state::successor_only};
+    }
+    if (group_->primary() == holder.instance) {
+        co_return find_primary_log(holder);
+    }
+    co_return co_await hold_unlisted(holder);
 }
 
-asio::awaitable<unheld_logs> group_failover::ask_lost_instances(unheld_logs known) {
-    // A host that could not reach an instance may have removed it from the log holders although the
-    // primary still replicated to it.
+counted_log group_failover::find_primary_log(const log_holder& holder) const {
+    if (!stepped_down_ || stepped_down_->first != holder) {
+        return {holder, log_state::primary_silent};
+    }
+    // If it has started again, what it has acknowledged before may be gone, and its earlier process
+    // counts as an unknown log of its own.
+    const bool is_known = primary_is_recorded() || primary_has_predecessor(group_->log_holders());
+    return {holder, is_known ? log_state::stepped_down : log_state::primary_unrecorded,
+            stepped_down_->second};
+}
+
+bool group_failover::primary_is_recorded() const {
+    return stepped_down_ && group_->last_failover().log_holders.contains(stepped_down_->first);
+}
+
+bool group_failover::primary_has_predecessor(const std::set<log_holder>& holders) const {
+    if (!stepped_down_) {
+        return false;
+    }
+    const auto& primary = stepped_down_->first;
+    return std::any_of(holders.begin(), holders.end(), [&](const auto& other) {
+        return other != primary &&
+               (other.instance == primary.instance || other.address == primary.address);
+    });
+}
+
+asio::awaitable<counted_log> group_failover::hold_unlisted(log_holder holder) {
+    const auto answer = co_await send_hold(holder);
+    if (answer.has_other_id) {
+        // An instance that takes over the address has a log of the group, but may not have received
+        // all of the earlier one yet.
+        log_holder any_instance;
+        any_instance.address = holder.address;
+        const auto successor = co_await send_hold(std::move(any_instance));
+        counted_log log{holder, log_state::successor_only};
+        if (successor.status) {
+            log.position = successor.status->received;
+        }
+        co_return log;
+    }
+    if (!answer.status) {
+        co_return counted_log{holder, answer.is_running ? log_state::refused : log_state::silent};
+    }
+    const bool is_held = !answer.status->is_primary && answer.status->held == hold_term_;
+    co_return counted_log{holder, is_held ? log_state::held_unlisted : log_state::refused,
+                          answer.status->received};
+}
+
+asio::awaitable<instance_orders::unlisted_answer> group_failover::send_hold(log_holder holder) {
     const backend_request request = backend_hold{hold_term_};
+    const auto asked_at = boot_clock::now();
+    const auto answer = co_await orders_.send_unlisted(holder.instance, holder.address, request);
+    log_order("unlisted_hold", holder.instance, answer.status, asked_at);
+    if (answer.is_running) {
+        // The request may have been executed although its answer was lost.
+        held_replicas_.insert(std::move(holder));
+    }
+    co_return answer;
+}
+
+asio::awaitable<unheld_logs> group_failover::ask_lost_instances(unheld_logs known) {
     const auto holders = group_->log_holders();
     const auto lost = group_->lost_instances(steady_clock::now());
     for (const auto& holder : lost) {
         if (holders.contains(holder)) {
             continue;
         }
-        const auto asked_at = boot_clock::now();
-        const auto answer =
-            co_await orders_.send_unlisted(holder.instance, holder.address, request);
-        log_order("unlisted_hold", holder.instance, answer.status, asked_at);
-        if (answer.status) {
-            known.longest_unlisted =
-                std::max(known.longest_unlisted.value_or(log_index{}), answer.status->received);
-        } else if (answer.is_running) {
-            ++known.unknown_replicas;
+        auto log = co_await hold_unlisted(holder);
+        if (log.state != log_state::silent) {
+            add_log(known, std::move(log));
         }
     }
     co_return known;
 }
 
 asio::awaitable<std::optional<instance_status>> group_failover::demote_primary() {
+    stepped_down_.reset();
     const auto primary = group_->primary();
     if (!primary) {
         co_return std::nullopt;
     }
+    const auto entries = group_->entries();
+    const auto entry = std::find_if(entries.begin(), entries.end(),
+                                    [&](const auto& item) { return item.id == primary; });
     const backend_request request = backend_step_down{hold_term_};
     const auto asked_at = boot_clock::now();
     const auto status = co_await orders_.send(*primary, request);
     log_order("step_down", *primary, status, asked_at);
-    co_return status && !status->is_primary ? status : std::nullopt;
+    if (!status || status->is_primary) {
+        co_return std::nullopt;
+    }
+    if (entry != entries.end()) {
+        stepped_down_.emplace(log_holder_of(*entry), status->received);
+    }
+    co_return status;
 }
 
 asio::awaitable<void> group_failover::announce(std::uint64_t fence) {
@@ -684,7 +769,7 @@
 }
 
 asio::awaitable<std::optional<promotion_choice>> group_failover::hold_replicas(failover_kind kind) {
-    held_replicas_.clear();
+    held_logs_.clear();
     hold_term_ = group_->newest_term().next();
     const backend_request request = backend_hold{hold_term_};
     const auto deadline = steady_clock::now() + hold_timeout;
@@ -702,7 +787,8 @@
             log_order("replica_hold", entry.id, candidate.held, asked_at);
             candidate.is_draining = group_->is_draining(entry.id);
             if (candidate.held) {
-                held_replicas_.push_back(entry.id);
+                held_replicas_.insert(log_holder_of(entry));
+                held_logs_.insert_or_assign(log_holder_of(entry), *candidate.held);
                 if (candidate.held->is_primary || candidate.held->term >= hold_term_) {
                     // Another promotion has finished; `survey_instances` will find its primary.
                     co_return std::nullopt;
@@ -724,7 +810,7 @@
 
 asio::awaitable<void> group_failover::release_replicas() {
     // Only the current lock holder may resume replicas; a later holder may hold the same ones.
-    replicas_to_resume_ = {held_replicas_.begin(), held_replicas_.end()};
+    replicas_to_resume_.merge(held_replicas_);
     held_replicas_.clear();
     resume_fence_ = lock_.record.fence;
     co_await resume_pending_replicas();
@@ -734,8 +820,7 @@
     resume_after_ = steady_clock::now() + resume_interval;
     try {
         const auto row = co_await rows_.read();
-        if (row.record.fence != resume_fence_) {
-            replicas_to_resume_.clear();
+        if (row.record.open && row.record.fence != resume_fence_) {
             co_return;
         }
     } catch (const error& failure) {
@@ -745,16 +830,33 @@
             .write();
         co_return;
     }
-    const backend_request request = backend_resume{};
-    const auto instances = replicas_to_resume_;
-    for (const auto& instance : instances) {
-        const auto resumed = co_await orders_.send(instance, request);
-        if (resumed || !group_->is_listed(instance)) {
-            replicas_to_resume_.erase(instance);
+    const auto replicas = replicas_to_resume_;
+    for (const auto& replica : replicas) {
+        if (co_await resume(replica)) {
+            replicas_to_resume_.erase(replica);
         }
     }
 }
 
+asio::awaitable<bool> group_failover::resume(log_holder replica) {
+    const backend_request request = backend_resume{};
+    const auto entries = group_->entries();
+    const auto listed = std::find_if(entries.begin(), entries.end(), [&](const auto& entry) {
+        return replica.instance.empty() ? entry.address == replica.address
+                                        : entry.id == replica.instance;
+    });
+    if (listed != entries.end()) {
+        const auto status = co_await orders_.send(listed->id, request);
+        co_return status.has_value();
+    }
+    if (group_->has_ended(replica)) {
+        co_return true;
+    }
+    // A restart ends the hold, so that an instance with another id need not be resumed.
+    const auto answer = co_await orders_.send_unlisted(replica.instance, replica.address, request);
+    co_return answer.status.has_value() || answer.has_other_id;
+}
+
 asio::awaitable<std::optional<term_number>> group_failover::promote(promotion_choice choice) {
     const auto deadline = steady_clock::now() + promote_timeout;
     const bool earlier_requests_pending = lock_.record.request_pending;
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -2,10 +2,12 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "backend_group.hpp"
@@ -129,12 +131,27 @@
     /// but run.
     boost::asio::awaitable<unheld_logs> find_unheld_logs(
         std::optional<instance_status> former_primary);
-    /// Adds the logs of lost instances that are no longer log holders to what is known.
+    /// Finds out about one log. Holds the instance if it is not in the directory but runs.
+    boost::asio::awaitable<counted_log> find_log(log_holder holder);
+    [[nodiscard]] counted_log find_primary_log(const log_holder& holder) const;
+    /// Holds an instance that is not in the directory, or else the one that has its address.
+    boost::asio::awaitable<counted_log> hold_unlisted(log_holder holder);
+    /// Sends a hold request to the last address of an instance that is not in the directory.
+    boost::asio::awaitable<instance_orders::unlisted_answer> send_hold(log_holder holder);
+    /// Whether the process of the primary that has stepped down is a recorded log holder.
+    [[nodiscard]] bool primary_is_recorded() const;
+    /// Whether another log holder has the id or address of the primary that has stepped down, so
+    /// that the primary may lack commits that an earlier process has acknowledged.
+    [[nodiscard]] bool primary_has_predecessor(const std::set<log_holder>& holders) const;
+    /// Adds the logs of lost instances that are no longer log holders to what is known. Hosts of
+    /// earlier releases remove instances that they cannot reach.
     boost::asio::awaitable<unheld_logs> ask_lost_instances(unheld_logs known);
     /// Resumes the held replicas, and later those that do not answer now.
     boost::asio::awaitable<void> release_replicas();
     /// Resumes replicas that did not answer before.
     boost::asio::awaitable<void> resume_pending_replicas();
+    /// Returns whether the replica is resumed, or has ended.
+    boost::asio::awaitable<bool> resume(log_holder replica);
     /// Returns the term of the target if it has become the primary.
     boost::asio::awaitable<std::optional<term_number>> promote(promotion_choice choice);
     boost::asio::awaitable<std::optional<term_number>> wait_until_primary(instance_id target);
@@ -165,9 +182,14 @@
     std::optional<fleet_version> foreign_version_;
     time_point foreign_since_{};
     term_number hold_term_;
-    std::vector<instance_id> held_replicas_;
+    /// The replicas that were held in this attempt. One whose id is not known has an empty one.
+    std::set<log_holder> held_replicas_;
+    /// The listed replicas that the last hold requests have held, and their statuses.
+    std::map<log_holder, instance_status> held_logs_;
+    /// The primary, if it has confirmed that it no longer leads, and the end of its log.
+    std::optional<std::pair<log_holder, log_index>> stepped_down_;
     /// Replicas that may be held although the attempt has ended.
-    std::set<instance_id> replicas_to_resume_;
+    std::set<log_holder> replicas_to_resume_;
     /// The attempt in which they were held.
     std::uint64_t resume_fence_ = 0;
     time_point resume_after_{};
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -49,6 +49,27 @@
         update();
     }
 
+    /// Records the log holders and replaces the host by one that knows nothing else.
+    void record_log_holders(const std::set<log_holder>& holders) {
+        failover_record recorded;
+        recorded.log_holders = holders;
+        store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+        restart_host();
+    }
+
+    /// The instance crashes and its entry lapses.
+    void lose(const std::string& name) {
+        connector.at(name).refuses_connections = true;
+        connector.at(name).is_listed = false;
+    }
+
+    /// Runs the failover for at least one attempt that ends without a promotion.
+    void run_without_promotion() {
+        unsigned checks = 0;
+        run_until([&] { return ++checks > 200 || !promotions.orders.empty(); });
+        CHECK(promotions.orders.empty());
+    }
+
     /// Runs the failover until `done` returns true, for at most 10 s.
     void run_until(const std::function<bool()>& done) {
         failover_environment environment{
@@ -228,6 +249,139 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
 }
 
+// A replica that was cut off from the store and the hosts was the only one with the newest commits;
+// the remaining one was promoted.
+TEST_CASE("a log holder that is not listed but runs is held and has to be covered") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 14;
+    fixture.lose("a");
+    fixture.connector.at("c").position = 14;
+    fixture.connector.at("c").is_listed = false;
+    fixture.connector.add("d", false).position = 9;
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c"), holder_of("d")});
+    fixture.run_without_promotion();
+
+    fixture.connector.at("c").is_listed = true;
+    fixture.update();
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
+// A replica that stays held would lack all later commits when it is the only one left.
+TEST_CASE("an unlisted replica that was held is resumed after an attempt without a promotion") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 14;
+    fixture.lose("a");
+    auto& unlisted = fixture.connector.at("c");
+    unlisted.position = 14;
+    fixture.connector.add("d", false).position = 9;
+    std::set<log_holder> holders{holder_of("a"), holder_of("b"), holder_of("d")};
+    bool was_held = false;
+    SUBCASE("under its own id") {
+        unlisted.is_listed = false;
+        holders.insert(holder_of("c"));
+    }
+    SUBCASE("as the instance at the address of a log holder") {
+        unlisted.is_listed = false;
+        holders.insert({instance_id{"e"}, unlisted.entry.address, 0});
+    }
+    SUBCASE("after its entry lapsed during the attempt") {
+        holders.insert(holder_of("c"));
+        fixture.on_directory_read = [&] { unlisted.is_listed = false; };
+    }
+    fixture.record_log_holders(holders);
+    fixture.set_sync_replicas(2);
+    bool was_resumed = false;
+    fixture.run_until([&] {
+        was_held = was_held || unlisted.held != term_number{};
+        was_resumed = was_resumed || (was_held && unlisted.held == term_number{});
+        return was_resumed;
+    });
+    CHECK(was_held);
+    CHECK(was_resumed);
+    CHECK(fixture.promotions.orders.empty());
+}
+
+// The replica had the newest commits and knows nothing after its restart; its hold counted as that
+// of the earlier log, and the remaining replica was promoted.
+TEST_CASE("a replica that has started again is not counted as its earlier process") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.lose("a");
+    auto& restarted = fixture.connector.at("c");
+    const auto restart = [&] {
+        restarted.entry.start_time = 1;
+        restarted.position = 0;
+    };
+    SUBCASE("before the attempt") { restart(); }
+    SUBCASE("between the hold and the choice") { fixture.on_directory_read = restart; }
+    SUBCASE("at another address") {
+        restart();
+        restarted.entry.address = endpoint_address{"other.example:1"};
+    }
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c")});
+    fixture.run_without_promotion();
+}
+
+// An instance that takes over the address of another one has its log only when the transfer has
+// ended.
+TEST_CASE("an instance at the address of a log holder is not counted as that log holder") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.lose("a");
+    fixture.lose("c");
+    auto& successor = fixture.connector.add("d", false);
+    successor.entry.address = fixture.connector.at("c").entry.address;
+    successor.entry.start_time = 1;
+    successor.position = 3;
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c")});
+    fixture.run_without_promotion();
+}
+
+// The instance receives and acknowledges commits although its entry has not reached the directory.
+TEST_CASE("an unlisted instance at the address of a log holder has to be covered") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 14;
+    fixture.lose("a");
+    fixture.lose("c");
+    auto& successor = fixture.connector.add("d", false);
+    successor.entry.address = fixture.connector.at("c").entry.address;
+    successor.entry.start_time = 1;
+    successor.position = 14;
+    successor.is_listed = false;
+    fixture.connector.add("e", false).position = 9;
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c"), holder_of("e")});
+    // The logs of the primary and of the ended replica may be unknown, but not that of a third one.
+    fixture.set_sync_replicas(2);
+    fixture.run_without_promotion();
+
+    successor.position = 10;
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"b"});
+}
+
+// The short log of the new process was taken for all that the primary had ever acknowledged.
+TEST_CASE("a primary that has started again empty does not tell its earlier log") {
+    failover_fixture fixture;
+    auto& primary = fixture.connector.add("a", true);
+    primary.position = 0;
+    primary.entry.start_time = 1;
+    primary.entry.leaving = true;
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c")});
+    SUBCASE("another replica is lost") {
+        fixture.lose("c");
+        fixture.update();
+        fixture.run_without_promotion();
+    }
+    SUBCASE("all replicas are held") {
+        fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+        REQUIRE_FALSE(fixture.promotions.orders.empty());
+        CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+    }
+}
+
 // A second promotion after another host has finished one would lose the commits that the new
 // primary has acknowledged in the meantime.
 TEST_CASE("the result of another host's finished promotion is adopted") {
