--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -8,6 +8,7 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
 #include "masticgrade/gateway/acknowledged_positions.hpp"
+#include "masticgrade/gateway/counted_log.hpp"
 #include "masticgrade/gateway/statement.hpp"
 
 namespace masticgrade {
@@ -49,6 +50,8 @@
     std::optional<log_index> longest_unlisted = {};
     /// Replicas that have received a commit when it is acknowledged.
     std::size_t sync_replicas = 1;
+    /// All logs that may have acknowledged commits, those of the held replicas included.
+    std::vector<counted_log> logs = {};
 };
 
 /// What shows that a target has every acknowledged commit.
@@ -71,6 +74,9 @@
     target_draining,
     /// The target certainly lacks an acknowledged commit.
     acknowledged_commit_missing,
+    /// A running instance that is not in the directory has a longer log. Commits that it has received
+    /// may have been acknowledged by answers that are still under way.
+    longer_log_unlisted,
     /// Logs that may have acknowledged commits are unknown, and so is what hosts have acknowledged.
     logs_unknown,
     /// Logs are unknown, and hosts may have acknowledged commits beyond the target's log.
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -64,6 +64,8 @@
             return "target_draining";
         case promotion_refusal::acknowledged_commit_missing:
             return "acknowledged_commit_missing";
+        case promotion_refusal::longer_log_unlisted:
+            return "longer_log_unlisted";
         case promotion_refusal::logs_unknown:
             return "logs_unknown";
         case promotion_refusal::position_not_reached:
@@ -100,6 +102,9 @@
     if (acknowledged.beyond && position <= *acknowledged.beyond) {
         return promotion_refusal::acknowledged_commit_missing;
     }
+    if (others.longest_unlisted && position < *others.longest_unlisted) {
+        return promotion_refusal::longer_log_unlisted;
+    }
     if (contains_acknowledged_commits(position, others)) {
         return promotion_proof::logs;
     }
--- a/libs/gateway/src/promotion_decision_log.cpp
+++ b/libs/gateway/src/promotion_decision_log.cpp
@@ -24,6 +24,11 @@
                        replica.held->received);
 }
 
+std::string text_of(const counted_log& log) {
+    return fmt::format("{}:{}:{}:{}", log.holder.instance, log.holder.start_time,
+                       to_string(log.state), text_of(log.position));
+}
+
 /// The highest position that the other hosts may have acknowledged.
 std::optional<log_index> acknowledged_by_others(const acknowledgement_census& census) {
     std::optional<log_index> result;
@@ -68,7 +73,12 @@
 void add_logs(event_line& line, const promotion_decision& decision) {
     const auto& others = decision.others;
     for (const auto& replica : decision.replicas) {
-        line.field("log", text_of(replica));
+        line.field("replica", text_of(replica));
+    }
+    for (const auto& log : others.logs) {
+        if (log.state != log_state::held) {
+            line.field("log", text_of(log));
+        }
     }
     line.field_ms("logs_age_ms", boot_clock::now() - decision.held_at)
         .field("sync_replicas", others.sync_replicas)
