--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -74,7 +74,8 @@
     target_draining,
     /// The target certainly lacks an acknowledged commit.
     acknowledged_commit_missing,
-    /// A running instance that is not in the directory has a longer log. Commits that it has received
+    /// A running instance that is not in the directory has a longer log. Commits that it has
+    /// received
     /// may have been acknowledged by answers that are still under way.
     longer_log_unlisted,
     /// Logs that may have acknowledged commits are unknown, and so is what hosts have acknowledged.
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -331,8 +331,7 @@
     }
     failover_record recorded;
     for (const auto* name : {"a", "b", "c", "d"}) {
-        recorded.log_holders[instance_id{name}] =
-            endpoint_address{std::string{name} + ".example:1"};
+        recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
