--- a/libs/gateway/test/promotion_choice_test.cpp
+++ b/libs/gateway/test/promotion_choice_test.cpp
@@ -109,6 +109,21 @@
           target_verdict{promotion_refusal::logs_unknown});
 }
 
+// A running instance that is cut off from the store may have received commits whose answers are
+// still under way, so that no host has acknowledged them yet.
+TEST_CASE("a longer log that cannot be promoted is waited for whatever hosts have acknowledged") {
+    const auto at = [](std::uint64_t number) {
+        return log_index{term_number{1}, log_position{number}};
+    };
+    census_result told;
+    told.bound = at(10);
+    unheld_logs others{2, true, {}, at(11)};
+    CHECK(assess_target(at(10), others, told) ==
+          target_verdict{promotion_refusal::longer_log_unlisted});
+    others.longest_unlisted = at(10);
+    CHECK(is_proven_by(promotion_proof::acknowledgements, assess_target(at(10), others, told)));
+}
+
 // With fewer promises a lost replica must not keep a group without a primary.
 TEST_CASE("as many unknown logs are tolerated as replicas have each acknowledged commit") {
     const log_index position{term_number{2}, log_position{5}};
