Failover: only a leading primary fences pending requests

The request that makes the platform refuse pending ones designates the present primary. An instance that had started again without its log and refused status requests counted as alive, and was promoted by it. The request is now sent only after a status shows that the instance leads in the newest known term.

Test: a former primary that has lost its log, busy or not, and one that leads an earlier term. With the check disabled all three get a request.

--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -252,13 +252,15 @@
     const auto deadline = steady_clock::now() + promote_timeout;
     const backend_request status_request = backend_status{};
     while (steady_clock::now() < deadline && co_await renew_lock()) {
+        const auto asked_at = boot_clock::now();
         const auto status = co_await orders_.send(primary, status_request);
         if (!status) {
             co_await sleep(check_interval);
             continue;
         }
-        if (!status->is_primary) {
+        if (!status->is_primary || status->term < group_->newest_term()) {
             // It has started again or has been replaced, so the request would promote it.
+            log_order("primary_not_leading", primary, status, asked_at);
             co_return std::nullopt;
         }
         const auto outcome =
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -1036,6 +1036,42 @@
     CHECK(fixture.group->may_lead(instance_id{"a"}, boot_clock::now()));
 }
 
+// An instance that refuses a status request counts as alive, but may have started again without its
+// log. The request that fences pending ones would promote it.
+TEST_CASE("pending requests are not fenced by an instance that no longer leads") {
+    failover_fixture fixture;
+    leave_request_pending(fixture);
+    auto& former = fixture.connector.at("a");
+    former.is_busy = true;
+    bool stays_busy = false;
+    SUBCASE("it has lost its log and remains busy") {
+        stays_busy = true;
+        former.is_primary = false;
+        former.position = 0;
+    }
+    SUBCASE("it has lost its log") {
+        former.is_primary = false;
+        former.position = 0;
+    }
+    SUBCASE("it leads an earlier term") {
+        fixture.group->on_status(instance_id{"b"}, {false, term_number{3}, {}, {}});
+    }
+    bool has_lock = false;
+    fixture.store.on_commit = [&](const table_commit&) {
+        has_lock = true;
+        former.is_busy = stays_busy;
+    };
+    unsigned checks = 0;
+    fixture.run_until([&] {
+        checks += has_lock ? 1 : 0;
+        return checks > 50 || !fixture.promotions.orders.empty();
+    });
+    REQUIRE(has_lock);
+    for (const auto& order : fixture.promotions.orders) {
+        CHECK(order.target != instance_id{"a"});
+    }
+}
+
 TEST_CASE("a failover row stays open while the platform does not confirm its fencing token") {
     failover_fixture fixture;
     leave_request_pending(fixture);
