Failover: an old primary that has started again does not bound the target

If another log holder has the id or address of the old primary that has stepped down, the end of its log was required of the target, as for an instance that is not listed. The replicas are held before the primary steps down, so its log is usually longer. A primary that had stepped down is no candidate, so that the group had no primary for good.

The comparison is not needed: the earlier process counts as an unknown log, a commit has copies on one process of the primary at most, and so at most `sync_replicas` - 1 of its copies on replicas are unknown when the logs are sufficient at all.

Test: "a primary that has started again with its log is replaced by a shorter log" in failover_test, both cases fail without the change.

--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -60,9 +60,11 @@
     } else if (!is_known(log.state)) {
         ++logs.unknown_replicas;
     }
-    const bool is_compared = log.state == log_state::held || is_primary ||
-                             (log.state == log_state::stepped_down && logs.former_primary);
-    if (log.position && !is_compared) {
+    // The old primary's log is compared as `former_primary` only. If the primary has started again,
+    // its earlier process counts as unknown. A commit has copies on one of its processes at most,
+    // so that a known replica has each acknowledged one.
+    const bool was_primary = is_primary || log.state == log_state::stepped_down;
+    if (log.position && !was_primary && log.state != log_state::held) {
         logs.longest_unlisted =
             std::max(logs.longest_unlisted.value_or(log_index{}), *log.position);
     }
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -382,6 +382,24 @@
     }
 }
 
+// No acknowledged commit is on the new process of the primary and its earlier one only, and a held
+// replica does not receive what the primary has written since. The old primary has stepped down and
+// is no candidate, so its group would have no primary for good.
+TEST_CASE("a primary that has started again with its log is replaced by a shorter log") {
+    failover_fixture fixture;
+    auto& primary = fixture.connector.add("a", true);
+    primary.position = 15;
+    primary.entry.start_time = 1;
+    primary.entry.leaving = true;
+    std::set<log_holder> holders{holder_of("a"), holder_of("b"), holder_of("c")};
+    SUBCASE("only its earlier process is recorded") {}
+    SUBCASE("both processes are recorded") { holders.insert(holder_of("a", 1)); }
+    fixture.record_log_holders(holders);
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
 // A second promotion after another host has finished one would lose the commits that the new
 // primary has acknowledged in the meantime.
 TEST_CASE("the result of another host's finished promotion is adopted") {
