Failover: a held log counts once its process is certain, and a log that returned is known

Cause: a hold is answered by whichever process has the id, and counted as that of the process in the directory. A log whose instance had returned under another id at its address counted as missing for good, and an attempt ordered a primary that had returned with its log to step down.

Change: a held log counts as that of the listed process once the same process is still listed one lifetime of entries after the hold (held_logs); what hosts have acknowledged needs no such wait. An instance that is not listed counts as unknown. An instance that takes over the address of an ended one has its log once that is confirmed in the same way, unless it is empty or an instance there has started again under its id. A primary that returns during an attempt ends it. One that led until it stepped down has every acknowledged commit. Replicas that are not listed are resumed when an abandoned row is closed; the registry does not read the store while it has no primary to compare with.

The case that an instance at the address of a log holder never counts is replaced: its log counts only if it neither grows nor is empty, and not if an instance there has started again.

--- a/libs/gateway/include/masticgrade/gateway/counted_log.hpp
+++ b/libs/gateway/include/masticgrade/gateway/counted_log.hpp
@@ -13,8 +13,12 @@
 enum class log_state {
     /// A listed replica that receives nothing more.
     held,
-    /// The same, not in the directory.
+    /// The same, but the process that is held may have started after the listed one ended.
+    held_unconfirmed,
+    /// A running instance that is not in the directory, so that its process is not known.
     held_unlisted,
+    /// A held instance with another id has its address, and has taken over its log.
+    inherited,
     /// The old primary, which has confirmed that it no longer leads.
     stepped_down,
     /// Listed, but not held as this process: it has started or registered since the last hold.
@@ -23,14 +27,17 @@
     silent,
     /// Runs, but did not execute the hold request.
     refused,
-    /// A later process of the instance is listed.
+    /// The process has ended, and its log may be lost: a later process of the instance is listed,
+    /// or
+    /// one at its address was started again empty since.
     earlier_process,
     /// Another instance has its address, and may not have received its log yet.
     successor_only,
     /// The old primary, which has not confirmed that it no longer leads.
     primary_silent,
-    /// The old primary, which has stepped down but is not the process that was recorded.
-    primary_unrecorded,
+    /// The old primary, which no longer led when it was ordered to step down. It may have started
+    /// again without its log.
+    primary_unconfirmed,
 };
 
 /// Thread safety: reentrant.
--- a/libs/gateway/include/masticgrade/gateway/gateway.hpp
+++ b/libs/gateway/include/masticgrade/gateway/gateway.hpp
@@ -29,6 +29,8 @@
     /// to a pace measured from their answers. The warm-up rate in a group's settings applies in any
     /// case.
     bool paces_instances = false;
+    /// The directory lists no instance for longer than this after it has ended.
+    milliseconds entry_lifetime{4000};
 };
 
 /// External services that the gateway uses. They must outlive it.
--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -70,6 +70,8 @@
     replicas_not_held,
     /// Another promotion has finished.
     superseded,
+    /// The primary has started again with its log, and leads.
+    primary_returned,
     /// A planned failover found no target that stays.
     target_draining,
     /// The target certainly lacks an acknowledged commit.
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -158,6 +158,42 @@
     });
 }
 
+std::optional<log_holder> backend_group::present_process(const log_holder& holder) const {
+    const auto found = instances_.find(holder.instance);
+    if (found == instances_.end()) {
+        return std::nullopt;
+    }
+    const auto listed = log_holder_of(found->second.entry);
+    const bool is_same_start = listed.start_time == holder.start_time && holder.start_time != 0;
+    return listed == holder || is_same_start ? std::optional{listed} : std::nullopt;
+}
+
+std::optional<log_holder> backend_group::heir_of(const log_holder& holder) const {
+    std::optional<log_holder> result;
+    std::set<instance_id> successors;
+    for (const auto& other : log_holders()) {
+        if (other == holder || other.start_time < holder.start_time) {
+            continue;
+        }
+        const bool is_at_address = other.address == holder.address;
+        if (other.instance == holder.instance ||
+            (is_at_address && !successors.insert(other.instance).second)) {
+            return std::nullopt;
+        }
+        if (is_at_address && is_listed(other)) {
+            result = other;
+        }
+    }
+    return result;
+}
+
+bool backend_group::has_earlier_process(const log_holder& process) const {
+    const auto holders = log_holders();
+    return std::any_of(holders.begin(), holders.end(), [&](const auto& other) {
+        return other.instance == process.instance && other.start_time != process.start_time;
+    });
+}
+
 void backend_group::keep_log_holder(const log_holder& holder) {
     if (!last_failover().log_holders.contains(holder)) {
         unrecorded_log_holders_.insert(holder);
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -279,6 +279,14 @@
     [[nodiscard]] bool is_listed(const log_holder& holder) const;
     /// Whether a listed instance shows that the process has ended, see `is_successor`.
     [[nodiscard]] bool has_ended(const log_holder& holder) const;
+    /// The listed process that is the holder's, if it has not ended. Its address may have changed.
+    [[nodiscard]] std::optional<log_holder> present_process(const log_holder& holder) const;
+    /// The listed process that has the log of the holder, which has ended: an instance that takes
+    /// over another one's address takes over its log. Returns nullopt if there is none, or if an
+    /// instance there has started again under its id, which loses the log.
+    [[nodiscard]] std::optional<log_holder> heir_of(const log_holder& holder) const;
+    /// Whether the process may lack the log of an earlier one that had its id.
+    [[nodiscard]] bool has_earlier_process(const log_holder& process) const;
     /// Whether the instance's directory entry claims that it is the primary.
     [[nodiscard]] bool claims_primary(const instance_id& instance) const;
     /// Whether the recorded log holders are the listed instances.
--- a/libs/gateway/src/counted_log.cpp
+++ b/libs/gateway/src/counted_log.cpp
@@ -6,8 +6,12 @@
     switch (state) {
         case log_state::held:
             return "held";
+        case log_state::held_unconfirmed:
+            return "held_unconfirmed";
         case log_state::held_unlisted:
             return "held_unlisted";
+        case log_state::inherited:
+            return "inherited";
         case log_state::stepped_down:
             return "stepped_down";
         case log_state::not_held:
@@ -22,14 +26,14 @@
             return "successor_only";
         case log_state::primary_silent:
             return "primary_silent";
-        case log_state::primary_unrecorded:
-            return "primary_unrecorded";
+        case log_state::primary_unconfirmed:
+            return "primary_unconfirmed";
     }
     return "silent";
 }
 
 bool is_known(log_state state) {
-    return state == log_state::held || state == log_state::held_unlisted ||
+    return state == log_state::held || state == log_state::inherited ||
            state == log_state::stepped_down;
 }
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -379,7 +379,8 @@
                                           [this](const group_id& group_name, std::uint64_t fence) {
                                               announce_recorded(group_name, fence);
                                           },
-                                          started_};
+                                          started_,
+                                          settings_.entry_lifetime};
             if (failover_rows_) {
                 apply_failover_row(name, *group);
             }
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -33,6 +33,10 @@
 /// `delay_after_failure`, since their link may be full.
 constexpr milliseconds delay_while_isolated{100};
 constexpr milliseconds target_status_timeout{500};
+/// Time for the choice of a target after the held logs are confirmed.
+constexpr seconds choice_margin{1};
+/// Reads of the directory during the choice of a target, for each lifetime of its entries.
+constexpr int directory_reads_per_lifetime = 8;
 /// Calls with an unknown outcome are repeated for this long. The platform may carry out a call up
 /// to 12 s late.
 constexpr seconds promote_timeout{15};
@@ -59,7 +63,7 @@
 /// Adds a log that cannot be promoted, unless it is held.
 void add_log(unheld_logs& logs, counted_log log) {
     const bool is_primary =
-        log.state == log_state::primary_silent || log.state == log_state::primary_unrecorded;
+        log.state == log_state::primary_silent || log.state == log_state::primary_unconfirmed;
     if (is_primary && !logs.primary_is_unknown) {
         logs.primary_is_unknown = true;
     } else if (!is_known(log.state)) {
@@ -69,7 +73,10 @@
     // its earlier process counts as unknown. A commit has copies on one of its processes at most,
     // so that a known replica has each acknowledged one.
     const bool was_primary = is_primary || log.state == log_state::stepped_down;
-    if (log.position && !was_primary && log.state != log_state::held) {
+    const bool is_compared = log.state == log_state::held ||
+                             log.state == log_state::held_unconfirmed ||
+                             log.state == log_state::inherited;
+    if (log.position && !was_primary && !is_compared) {
         logs.longest_unlisted =
             std::max(logs.longest_unlisted.value_or(log_index{}), *log.position);
     }
@@ -84,6 +91,7 @@
       environment_(std::move(environment)),
       rows_(environment_.store, group_->name(), environment_.self),
       orders_(group_, environment_.connector),
+      held_logs_(environment_.entry_lifetime),
       decisions_(group_->name(), environment_.metrics) {}
 
 asio::awaitable<void> group_failover::sleep(duration length) {
@@ -176,6 +184,9 @@
     }
     group_->on_failover_begun(lock_.record.fence);
     census_ = {};
+    held_logs_.clear();
+    stepped_down_.reset();
+    replaced_ = primary_process();
     asio::co_spawn(environment_.executor, announce(lock_.record.fence), asio::detached);
     event_line{"failover_started"}
         .field("group", group_->name())
@@ -187,6 +198,10 @@
     const auto choice = co_await prepare_target(kind);
     if (!choice) {
         decisions_.on_attempt_refused();
+        if (stepped_down_) {
+            // The next attempt holds it like the other replicas.
+            group_->on_primary_denied(stepped_down_->process.instance);
+        }
         co_await release_replicas();
         co_await release_lock();
         co_return;
@@ -224,10 +239,10 @@
         .field("row_lost", group_->last_failover_is_lost())
         .write();
     held_replicas_.clear();
-    const auto entries = group_->entries();
-    for (const auto& entry : entries) {
-        if (entry.id != *primary) {
-            held_replicas_.insert(log_holder_of(entry));
+    // The earlier attempt may have held replicas that are not listed.
+    for (const auto& holder : group_->log_holders()) {
+        if (holder.instance != *primary) {
+            held_replicas_.insert(holder);
         }
     }
     auto target = *primary;
@@ -315,6 +330,11 @@
     if (!choice) {
         co_return std::nullopt;
     }
+    co_await refresh_directory();
+    if (primary_has_returned()) {
+        record_decision(promotion_refusal::primary_returned, std::nullopt, {});
+        co_return std::nullopt;
+    }
     // A replica that started after the hold can still acknowledge commits of a live primary. After
     // the primary has stepped down, the replicas in a fresh directory have every acknowledged
     // commit between them.
@@ -322,14 +342,54 @@
     if (!former_primary) {
         co_await wait_until_primary_unused();
     }
+    directory_read_at_ = steady_clock::now();
     co_await environment_.read_directory();
     co_return co_await choose_target(kind, former_primary);
 }
 
+std::optional<log_holder> group_failover::primary_process() const {
+    const auto primary = group_->primary();
+    const auto entries = group_->entries();
+    const auto found = std::find_if(entries.begin(), entries.end(),
+                                    [&](const auto& entry) { return entry.id == primary; });
+    return found == entries.end() ? std::nullopt : std::optional{log_holder_of(*found)};
+}
+
+bool group_failover::primary_has_returned() const {
+    const auto present = primary_process();
+    return present && present != replaced_ && group_->claims_primary(present->instance);
+}
+
+asio::awaitable<void> group_failover::refresh_directory() {
+    const auto now = steady_clock::now();
+    if (now - directory_read_at_ < environment_.entry_lifetime / directory_reads_per_lifetime) {
+        co_return;
+    }
+    try {
+        co_await environment_.read_directory();
+        directory_read_at_ = now;
+    } catch (const error& failure) {
+        event_line{"failover_directory_not_read"}
+            .field("group", group_->name())
+            .field("fence", lock_.record.fence)
+            .field("reason", failure.what())
+            .write();
+    }
+}
+
 asio::awaitable<std::optional<promotion_choice>> group_failover::choose_target(
     failover_kind kind, std::optional<instance_status> former_primary) {
-    const auto deadline = steady_clock::now() + hold_timeout;
+    // Long enough for the held logs to be confirmed.
+    const auto deadline = steady_clock::now() + environment_.entry_lifetime + choice_margin;
     while (steady_clock::now() < deadline) {
+        if (lock_valid_until_ - boot_clock::now() < lock_expiry / 2 && !co_await renew_lock()) {
+            co_return std::nullopt;
+        }
+        co_await refresh_directory();
+        if (primary_has_returned()) {
+            record_decision(promotion_refusal::primary_returned, std::nullopt, {});
+            co_return std::nullopt;
+        }
         auto choice = co_await hold_replicas(kind);
         if (!choice) {
             co_return std::nullopt;
@@ -366,10 +426,11 @@
     std::optional<instance_status> former_primary) {
     unheld_logs result;
     result.sync_replicas = group_->sync_replicas();
-    const auto holders = group_->log_holders();
-    if (former_primary && primary_is_recorded() && !primary_has_predecessor(holders)) {
+    if (stepped_down_ && stepped_down_->led &&
+        !group_->has_earlier_process(stepped_down_->process)) {
         result.former_primary = former_primary->received;
     }
+    const auto holders = group_->log_holders();
     for (const auto& holder : holders) {
         auto log = co_await find_log(holder);
         add_log(result, std::move(log));
@@ -378,21 +439,13 @@
 }
 
 asio::awaitable<counted_log> group_failover::find_log(log_holder holder) {
-    if (group_->is_listed(holder)) {
-        if (group_->primary() == holder.instance) {
-            co_return find_primary_log(holder);
-        }
-        const auto held = held_logs_.find(holder);
-        if (held != held_logs_.end()) {
-            co_return counted_log{holder, log_state::held, held->second.received};
-        }
-        co_return counted_log{holder, log_state::not_held};
-    }
-    if (group_->is_listed(holder.instance)) {
-        co_return counted_log{holder, log_state::earlier_process};
+    if (const auto present = group_->present_process(holder)) {
+        auto log = find_listed_log(*present);
+        log.holder = holder;
+        co_return log;
     }
-    if (group_->has_ended(holder)) {
-        co_return counted_log{holder, log_state::successor_only};
+    if (group_->is_listed(holder.instance) || group_->has_ended(holder)) {
+        co_return find_ended_log(holder);
     }
     if (group_->primary() == holder.instance) {
         co_return find_primary_log(holder);
@@ -400,30 +453,36 @@
     co_return co_await hold_unlisted(holder);
 }
 
-counted_log group_failover::find_primary_log(const log_holder& holder) const {
-    if (!stepped_down_ || stepped_down_->first != holder) {
-        return {holder, log_state::primary_silent};
+counted_log group_failover::find_listed_log(const log_holder& holder) const {
+    if (group_->primary() == holder.instance) {
+        return find_primary_log(holder);
+    }
+    const auto position = held_logs_.position_of(holder);
+    if (!position) {
+        return {holder, log_state::not_held};
     }
-    // If it has started again, what it has acknowledged before may be gone, and its earlier process
-    // counts as an unknown log of its own.
-    const bool is_known = primary_is_recorded() || primary_has_predecessor(group_->log_holders());
-    return {holder, is_known ? log_state::stepped_down : log_state::primary_unrecorded,
-            stepped_down_->second};
+    const bool is_confirmed = held_logs_.is_confirmed(holder, directory_read_at_);
+    return {holder, is_confirmed ? log_state::held : log_state::held_unconfirmed, position};
 }
 
-bool group_failover::primary_is_recorded() const {
-    return stepped_down_ && group_->last_failover().log_holders.contains(stepped_down_->first);
+counted_log group_failover::find_ended_log(const log_holder& holder) const {
+    const auto heir = group_->heir_of(holder);
+    if (!heir) {
+        return {holder, log_state::earlier_process};
+    }
+    auto log = find_listed_log(*heir);
+    const bool is_complete = log.state == log_state::held || log.state == log_state::stepped_down;
+    const bool is_empty = log.position.value_or(log_index{}).number == log_position{};
+    const bool is_inherited = is_complete && !is_empty;
+    return {holder, is_inherited ? log_state::inherited : log_state::successor_only, log.position};
 }
 
-bool group_failover::primary_has_predecessor(const std::set<log_holder>& holders) const {
-    if (!stepped_down_) {
-        return false;
-    }
-    const auto& primary = stepped_down_->first;
-    return std::any_of(holders.begin(), holders.end(), [&](const auto& other) {
-        return other != primary &&
-               (other.instance == primary.instance || other.address == primary.address);
-    });
+counted_log group_failover::find_primary_log(const log_holder& holder) const {
+    if (!stepped_down_ || stepped_down_->process != holder) {
+        return {holder, log_state::primary_silent};
+    }
+    return {holder, stepped_down_->led ? log_state::stepped_down : log_state::primary_unconfirmed,
+            stepped_down_->position};
 }
 
 asio::awaitable<counted_log> group_failover::hold_unlisted(log_holder holder) {
@@ -481,9 +540,10 @@
     if (!primary) {
         co_return std::nullopt;
     }
-    const auto entries = group_->entries();
-    const auto entry = std::find_if(entries.begin(), entries.end(),
-                                    [&](const auto& item) { return item.id == primary; });
+    const auto process = primary_process();
+    const backend_request status_request = backend_status{};
+    const auto before = co_await orders_.send(*primary, status_request);
+    const bool led = before && before->is_primary && before->term >= group_->newest_term();
     const backend_request request = backend_step_down{hold_term_};
     const auto asked_at = boot_clock::now();
     const auto status = co_await orders_.send(*primary, request);
@@ -491,8 +551,8 @@
     if (!status || status->is_primary) {
         co_return std::nullopt;
     }
-    if (entry != entries.end()) {
-        stepped_down_.emplace(log_holder_of(*entry), status->received);
+    if (process) {
+        stepped_down_ = {*process, status->received, led};
     }
     co_return status;
 }
@@ -831,7 +891,6 @@
 }
 
 asio::awaitable<std::optional<promotion_choice>> group_failover::hold_replicas(failover_kind kind) {
-    held_logs_.clear();
     hold_term_ = group_->newest_term().next();
     const backend_request request = backend_hold{hold_term_};
     const auto deadline = steady_clock::now() + hold_timeout;
@@ -839,6 +898,7 @@
     not_asked.sync_replicas = group_->sync_replicas();
     while (steady_clock::now() < deadline) {
         candidates_.clear();
+        held_logs_.begin_round();
         held_at_ = boot_clock::now();
         const auto entries = group_->entries();
         for (const auto& entry : entries) {
@@ -848,12 +908,13 @@
             promotion_candidate candidate;
             candidate.id = entry.id;
             const auto asked_at = boot_clock::now();
+            const auto held_since = steady_clock::now();
             candidate.held = co_await orders_.send(entry.id, request);
             log_order("replica_hold", entry.id, candidate.held, asked_at);
             candidate.is_draining = group_->is_draining(entry.id);
             if (candidate.held) {
                 held_replicas_.insert(log_holder_of(entry));
-                held_logs_.insert_or_assign(log_holder_of(entry), *candidate.held);
+                held_logs_.add(log_holder_of(entry), *candidate.held, held_since);
                 if (candidate.held->is_primary || candidate.held->term >= hold_term_) {
                     // Another promotion has finished; `survey_instances` will find its primary.
                     candidates_.push_back(std::move(candidate));
@@ -863,6 +924,7 @@
             }
             candidates_.push_back(std::move(candidate));
         }
+        held_logs_.end_round();
         const auto choice = choose_promotion_target(candidates_, hold_term_);
         if (choice) {
             if (kind == failover_kind::planned && group_->is_draining(choice->target)) {
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -12,6 +12,7 @@
 
 #include "backend_group.hpp"
 #include "failover_row_store.hpp"
+#include "held_logs.hpp"
 #include "instance_orders.hpp"
 #include "masticgrade/gateway/acknowledged_positions.hpp"
 #include "masticgrade/gateway/primary_verdict.hpp"
@@ -55,6 +56,8 @@
     std::function<void(const group_id& group, std::uint64_t fence)> announce_recorded;
     /// The start of this process.
     boot_time process_started = {};
+    /// The directory lists no process for longer than this after it has ended.
+    milliseconds entry_lifetime{4000};
 };
 
 /// Replaces a group's primary that is dead, shutting down or in an evacuated failure domain.
@@ -119,6 +122,12 @@
                          const unheld_logs& others);
     /// Waits until no other host uses the old primary.
     boost::asio::awaitable<void> wait_until_primary_unused();
+    /// Reads the directory again if the last read is too old. A failure is logged.
+    boost::asio::awaitable<void> refresh_directory();
+    /// Whether another process than the one that is to be replaced is the primary now: it has
+    /// started again with its log.
+    [[nodiscard]] bool primary_has_returned() const;
+    [[nodiscard]] std::optional<log_holder> primary_process() const;
     /// Chooses the replica to promote, after ensuring that the current primary can't acknowledge
     /// further commits.
     boost::asio::awaitable<std::optional<promotion_choice>> prepare_target(failover_kind kind);
@@ -156,15 +165,14 @@
     /// Finds out about one log. Holds the instance if it is not in the directory but runs.
     boost::asio::awaitable<counted_log> find_log(log_holder holder);
     [[nodiscard]] counted_log find_primary_log(const log_holder& holder) const;
+    /// The log of a process that has ended.
+    [[nodiscard]] counted_log find_ended_log(const log_holder& holder) const;
+    /// The log of a listed process.
+    [[nodiscard]] counted_log find_listed_log(const log_holder& holder) const;
     /// Holds an instance that is not in the directory, or else the one that has its address.
     boost::asio::awaitable<counted_log> hold_unlisted(log_holder holder);
     /// Sends a hold request to the last address of an instance that is not in the directory.
     boost::asio::awaitable<instance_orders::unlisted_answer> send_hold(log_holder holder);
-    /// Whether the process of the primary that has stepped down is a recorded log holder.
-    [[nodiscard]] bool primary_is_recorded() const;
-    /// Whether another log holder has the id or address of the primary that has stepped down, so
-    /// that the primary may lack commits that an earlier process has acknowledged.
-    [[nodiscard]] bool primary_has_predecessor(const std::set<log_holder>& holders) const;
     /// Adds the logs of lost instances that are no longer log holders to what is known. Hosts of
     /// earlier releases remove instances that they cannot reach.
     boost::asio::awaitable<unheld_logs> ask_lost_instances(unheld_logs known);
@@ -221,10 +229,19 @@
     term_number hold_term_;
     /// The replicas that were held in this attempt. One whose id is not known has an empty one.
     std::set<log_holder> held_replicas_;
-    /// The listed replicas that the last hold requests have held, and their statuses.
-    std::map<log_holder, instance_status> held_logs_;
-    /// The primary, if it has confirmed that it no longer leads, and the end of its log.
-    std::optional<std::pair<log_holder, log_index>> stepped_down_;
+    held_logs held_logs_;
+    /// When the last read of the directory was sent.
+    time_point directory_read_at_{};
+    /// The process of the primary that the attempt replaces, if it was listed.
+    std::optional<log_holder> replaced_;
+    struct stepped_down_primary {
+        log_holder process;
+        log_index position;
+        /// It led the newest term until then, so it has every acknowledged commit.
+        bool led = false;
+    };
+    /// The primary, if it has confirmed that it no longer leads.
+    std::optional<stepped_down_primary> stepped_down_;
     /// The answers of the listed replicas to the last hold request, and when they were asked.
     std::vector<promotion_candidate> candidates_;
     boot_time held_at_;
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -211,6 +211,10 @@
     if (!may_lead(instance, sent_at)) {
         return;
     }
+    if (const auto found = instances_.find(instance); found != instances_.end()) {
+        auto& highest = found->second.highest_position;
+        highest = std::max(highest, std::optional{position});
+    }
     proofs_.add(sent_at, position);
     acknowledgements_.on_proof({sent_at, position});
     newest_term_ = std::max(newest_term_, position.term);
--- a/libs/gateway/src/log_holder_registry.cpp
+++ b/libs/gateway/src/log_holder_registry.cpp
@@ -60,7 +60,10 @@
         return false;
     }
     const auto holders = group_->log_holders();
-    return holders != group_->last_failover().log_holders || !ended_among(holders).empty();
+    // Without a primary there is nothing to compare the replicas with.
+    const bool can_end = group_->primary() && !group_->last_failover().open;
+    return holders != group_->last_failover().log_holders ||
+           (can_end && !ended_among(holders).empty());
 }
 
 std::set<log_holder> log_holder_registry::ended_among(const std::set<log_holder>& holders) const {
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -60,6 +60,8 @@
             return "replicas_not_held";
         case promotion_refusal::superseded:
             return "superseded";
+        case promotion_refusal::primary_returned:
+            return "primary_returned";
         case promotion_refusal::target_draining:
             return "target_draining";
         case promotion_refusal::acknowledged_commit_missing:
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -15,6 +15,8 @@
 
 const group_id group_name{"ledger"};
 const std::string lock_row = "failover/ledger";
+/// Of the entries in the directory, which the fakes remove at once.
+constexpr milliseconds entry_lifetime{40};
 
 log_index first_term(std::uint64_t number) { return {term_number{1}, log_position{number}}; }
 
@@ -99,7 +101,9 @@
             [this] { return read_directory(); },
             [this](const group_id&, const instance_entry&) { return ask_others(); },
             [this](const group_id&, std::uint64_t) { return announce(); },
-            [](const group_id&, std::uint64_t) {}};
+            [](const group_id&, std::uint64_t) {},
+            {},
+            entry_lifetime};
         auto failover = std::make_shared<group_failover>(group, std::move(environment));
         boost::asio::co_spawn(context_, failover->run(), boost::asio::detached);
         const auto deadline = steady_clock::now() + seconds{10};
@@ -109,6 +113,11 @@
         }
         failover->stop();
         context_.run_for(milliseconds{200});
+        // A later run stands for another process, so that this one must not act beside it.
+        const auto end = steady_clock::now() + seconds{2};
+        while (failover->is_promoting() && steady_clock::now() < end) {
+            context_.run_for(milliseconds{20});
+        }
     }
 
 private:
@@ -460,7 +469,7 @@
 
 // An instance that takes over the address of another one has its log only when the transfer has
 // ended.
-TEST_CASE("an instance at the address of a log holder is not counted as that log holder") {
+TEST_CASE("a log that is still in transfer is not counted as that of the log holder") {
     failover_fixture fixture;
     fixture.connector.add("a", true).position = 12;
     fixture.lose("a");
@@ -470,9 +479,77 @@
     successor.entry.start_time = 1;
     successor.position = 3;
     fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c")});
+    SUBCASE("it grows") {
+        fixture.on_directory_read = [&] { successor.position = successor.position % 6 + 1; };
+    }
+    SUBCASE("it is empty") { successor.position = 0; }
+    fixture.run_without_promotion();
+}
+
+// A group had no primary for good although all of its instances were back, since only their earlier
+// processes counted.
+TEST_CASE("a log that an instance at the same address has taken over is known") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.lose("a");
+    fixture.lose("c");
+    auto& successor = fixture.connector.add("d", false);
+    successor.entry.address = fixture.connector.at("c").entry.address;
+    successor.entry.start_time = 1;
+    successor.position = 12;
+    std::set<log_holder> holders{holder_of("a"), holder_of("b"), holder_of("c")};
+    bool is_allowed = true;
+    SUBCASE("it has started once") {}
+    SUBCASE("an instance there has started again empty in between") {
+        successor.entry.start_time = 3;
+        for (const std::int64_t start : {1, 2}) {
+            holders.insert({instance_id{"e"}, successor.entry.address, start});
+        }
+        is_allowed = false;
+    }
+    fixture.record_log_holders(holders);
+    if (!is_allowed) {
+        fixture.run_without_promotion();
+        return;
+    }
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
+}
+
+// The hold was answered by the empty process, whose entry came later than the choice, and the
+// remaining replica was promoted without the newest commits.
+TEST_CASE("a replica that registers its restart after the hold is not counted as held") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.lose("a");
+    auto& restarted = fixture.connector.at("c");
+    restarted.position = 0;
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c")});
+    unsigned reads = 0;
+    fixture.on_directory_read = [&] { restarted.entry.start_time = ++reads > 2 ? 1 : 0; };
     fixture.run_without_promotion();
 }
 
+// The attempt ordered the only instance with all commits to step down, and promoted none.
+TEST_CASE("a primary that returns with its log during an attempt is not replaced") {
+    failover_fixture fixture;
+    auto& primary = fixture.connector.add("a", true);
+    primary.position = 12;
+    fixture.lose("a");
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c")});
+    fixture.on_directory_read = [&] {
+        primary.refuses_connections = false;
+        primary.is_listed = true;
+        primary.entry.start_time = 1;
+        primary.entry.claims_primary = true;
+    };
+    fixture.run_until([&] { return !fixture.group->primary_is_dead(steady_clock::now()); });
+    CHECK(primary.is_primary);
+    CHECK(fixture.promotions.orders.empty());
+    CHECK(fixture.group->primary() == instance_id{"a"});
+}
+
 // The instance receives and acknowledges commits although its entry has not reached the directory.
 TEST_CASE("an unlisted instance at the address of a log holder has to be covered") {
     failover_fixture fixture;
@@ -750,7 +827,9 @@
             [this, silent_hosts](const group_id&, std::uint64_t fence) {
                 return announce(silent_hosts, fence);
             },
-            [](const group_id&, std::uint64_t) {}};
+            [](const group_id&, std::uint64_t) {},
+            {},
+            entry_lifetime};
         auto failover = std::make_shared<group_failover>(first, std::move(environment));
         boost::asio::co_spawn(context, failover->run(), boost::asio::detached);
         start_unanswered_statements();
