Soak: log faults that last until their own end, and more series

Cause: every return of an instance started all others that were down, and all faults ended half-way, so that series of faults rarely reached the crash of a primary.

The output has the time of each fault, series and promotion, to be compared with the hosts' logs.

--- a/tests/soak/database_cluster.hpp
+++ b/tests/soak/database_cluster.hpp
@@ -3,6 +3,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
@@ -18,6 +20,13 @@
 
 namespace masticgrade::soak {
 
+/// The time of day, as in the log lines of the hosts.
+inline std::int64_t unix_ms() {
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 /// One commit in an instance's log.
 struct commit {
     log_index index;
--- a/tests/soak/database_faults.cpp
+++ b/tests/soak/database_faults.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <chrono>
+#include <iostream>
 #include <utility>
 
 #include "database_instance.hpp"
@@ -22,9 +22,7 @@
 }
 
 void database_cluster::set_new_start(instance& server) {
-    const auto now = std::chrono::duration_cast<milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-    last_born_ = std::max(last_born_ + 1, static_cast<std::uint64_t>(now.count()));
+    last_born_ = std::max(last_born_ + 1, static_cast<std::uint64_t>(unix_ms()));
     server.born = last_born_;
     server.up = true;
     server.held = 0;
@@ -185,6 +183,8 @@
         kept.insert(entry.statement);
     }
     const auto known = sent.acknowledged();
+    std::cout << "time_ms=" << unix_ms() << " promotion of " << target.name << " at "
+              << text_of(target.position()) << std::endl;
     for (auto item = acknowledged_.begin(); item != acknowledged_.end();) {
         const auto& [statement, write] = *item;
         if (kept.contains(statement)) {
--- a/tests/soak/edge_soak.cpp
+++ b/tests/soak/edge_soak.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <iostream>
 #include <random>
+#include <utility>
 
 #include "host_fleet.hpp"
 #include "soak_caller.hpp"
@@ -49,8 +50,8 @@
                 std::this_thread::sleep_for(milliseconds{10});
             }
         }
-        end_due(time_point::max());
     }
+    void end_all() { end_due(time_point::max()); }
 
 private:
     struct pending {
@@ -69,6 +70,12 @@
         ends_.push_back({steady_clock::now() + delay, std::move(action)});
     }
 
+    void restart_after(milliseconds delay, std::optional<std::size_t> instance) {
+        if (instance) {
+            after(delay, [this, instance] { world_.restart_instance(*instance); });
+        }
+    }
+
     void end_due(time_point now) {
         for (std::size_t i = 0; i < ends_.size();) {
             if (ends_[i].due <= now) {
@@ -85,9 +92,11 @@
         const auto host = static_cast<std::size_t>(pick(0, static_cast<int>(hosts_.size()) - 1));
         const auto instance = static_cast<std::size_t>(pick(0, 2));
         constexpr int kinds = 10;
-        constexpr int log_kinds = 9;
+        // More than there are, so that the last of them, a series, comes more often.
+        constexpr int log_kinds = 12;
         const int kind = pick(0, kinds + (log_faults_ ? log_kinds : 0) - 1);
-        std::cout << "fault " << kind << " host=" << host << " instance=" << instance << std::endl;
+        std::cout << "time_ms=" << unix_ms() << " fault " << kind << " host=" << host
+                  << " instance=" << instance << std::endl;
         if (kind >= kinds) {
             begin_log_fault(kind - kinds, instance);
             return;
@@ -123,12 +132,11 @@
                 }
                 break;
             case 4:
-                world_.crash_primary();
-                later([this] { world_.restart_instances(); });
+                restart_after(milliseconds{pick(300, 4000)}, world_.crash_primary());
                 break;
             case 5:
                 world_.crash_instance(instance);
-                later([this] { world_.restart_instances(); });
+                restart_after(milliseconds{pick(300, 4000)}, instance);
                 break;
             case 6:
                 world_.set_store_fault(static_cast<store_fault>(pick(1, 4)));
@@ -218,13 +226,16 @@
         auto killed =
             world_.sent().acknowledging_hosts(toss() ? steady_clock::now() - recent : time_point{});
         std::erase_if(killed, [&](std::size_t host) { return busy_hosts_.contains(host); });
-        hosts_.kill_with_primary(killed, world_);
-        later([this] { world_.restart_instances(); });
+        const auto crashed = hosts_.kill_with_primary(killed, world_);
+        restart_after(milliseconds{pick(300, 4000)}, crashed);
     }
 
     /// Leaves the newest commits to the primary and a replica that the hosts cannot see or whose
     /// log is lost, and crashes the primary.
     void begin_series() {
+        if (std::exchange(in_series_, true)) {
+            return;
+        }
         const auto primary = world_.primary().value_or(0);
         const bool swapped = toss();
         const auto newest = (primary + (swapped ? 1 : 2)) % 3;
@@ -242,17 +253,23 @@
         after(hidden, [this, newest, other, way] {
             world_.set_deaf(other, true);
             after(milliseconds{pick(300, 1500)}, [this, newest, other, way] {
+                std::cout << "time_ms=" << unix_ms() << " series way=" << way
+                          << " newest=" << newest << " lacks=" << world_.missing_writes(newest)
+                          << " deaf=" << other << " lacks=" << world_.missing_writes(other)
+                          << std::endl;
                 if (toss()) {
                     crash_primary_and_hosts();
                 } else {
-                    world_.crash_primary();
-                    after(milliseconds{pick(2000, 10000)}, [this] { world_.restart_instances(); });
+                    restart_after(milliseconds{pick(2000, 10000)}, world_.crash_primary());
                 }
                 if (way == 2) {
                     restart_empty(newest);
                 }
                 world_.set_deaf(other, false);
-                later([this, newest] { world_.set_cut_off(newest, false); });
+                later([this, newest] {
+                    world_.set_cut_off(newest, false);
+                    in_series_ = false;
+                });
             });
         });
     }
@@ -266,6 +283,7 @@
     std::set<std::size_t> busy_hosts_;
     /// Instances that are draining until they end.
     std::set<std::size_t> draining_;
+    bool in_series_ = false;
 };
 
 int run(const options& settings) {
@@ -295,9 +313,13 @@
     const auto half = seconds{settings.seconds / 2};
     fault_schedule faults{settings, world, hosts};
     faults.run(half, settings.calm);
+    if (!settings.log_faults) {
+        faults.end_all();
+    }
     customers[2].withdrawn = true;
     world.configure(customers);
     faults.run(half, settings.calm);
+    faults.end_all();
     world.end_all_faults();
     // Service must come back once all faults have ended.
     const auto before = served();
--- a/tests/soak/host_fleet.cpp
+++ b/tests/soak/host_fleet.cpp
@@ -27,14 +27,16 @@
     start(index);
 }
 
-void host_fleet::kill_with_primary(const std::set<std::size_t>& hosts, soak_world& world) {
+std::optional<std::size_t> host_fleet::kill_with_primary(const std::set<std::size_t>& hosts,
+                                                         soak_world& world) {
     for (const auto index : hosts) {
         signal(index, SIGKILL);
     }
-    world.crash_primary();
+    const auto crashed = world.crash_primary();
     for (const auto index : hosts) {
         kill(index);
     }
+    return crashed;
 }
 
 void host_fleet::finish_stop(std::size_t index) {
--- a/tests/soak/host_fleet.hpp
+++ b/tests/soak/host_fleet.hpp
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -22,8 +23,10 @@
     [[nodiscard]] std::size_t size() const { return hosts_.size(); }
 
     void kill(std::size_t index);
-    /// Kills the hosts at the same time as the primary crashes, and starts them again.
-    void kill_with_primary(const std::set<std::size_t>& hosts, soak_world& world);
+    /// Kills the hosts at the same time as the primary crashes, and starts them again. Returns the
+    /// instance that has crashed.
+    std::optional<std::size_t> kill_with_primary(const std::set<std::size_t>& hosts,
+                                                 soak_world& world);
     void signal(std::size_t index, int number) const { hosts_.at(index).process->signal(number); }
     /// Starts the host again if it has been asked to stop; waits for its end.
     void finish_stop(std::size_t index);
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -243,29 +243,37 @@
     });
 }
 
-void soak_world::crash_primary() {
+std::optional<std::size_t> soak_world::crash_primary() {
+    std::optional<std::size_t> result;
     run_in_world([&] {
-        for (auto& item : places_) {
+        for (std::size_t index = 0; index < places_.size() && !result; ++index) {
+            auto& item = places_[index];
             if (databases_.is_primary(item.name) && databases_.is_up(item.name)) {
                 databases_.crash(item.name);
                 item.link->set_fault(link_fault::refuse);
-                return;
+                result = index;
             }
         }
     });
+    return result;
 }
 
-void soak_world::restart_instances() {
+void soak_world::restart_instance(std::size_t instance) {
     run_in_world([&] {
-        for (auto& item : places_) {
-            if (!databases_.is_up(item.name)) {
-                databases_.restart(item.name);
-                set_up(item);
-            }
+        auto& item = places_.at(instance);
+        if (!databases_.is_up(item.name)) {
+            databases_.restart(item.name);
+            set_up(item);
         }
     });
 }
 
+void soak_world::restart_instances() {
+    for (std::size_t instance = 0; instance < places_.size(); ++instance) {
+        restart_instance(instance);
+    }
+}
+
 void soak_world::set_deaf(std::size_t instance, bool deaf) {
     run_in_world([&] { databases_.set_deaf(places_.at(instance).name, deaf); });
 }
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -53,7 +53,10 @@
     void set_store_link(std::size_t host, link_fault fault);
     void set_instance_link(std::size_t instance, link_fault fault);
     void crash_instance(std::size_t instance);
-    void crash_primary();
+    /// Returns the instance that has crashed; nothing when no primary runs.
+    std::optional<std::size_t> crash_primary();
+    /// Starts the instance again with its log if it is down.
+    void restart_instance(std::size_t instance);
     void restart_instances();
     /// The instance gets nothing from the primary, and runs.
     void set_deaf(std::size_t instance, bool deaf);
