Soak: instances that return with their log under a new id

Cause: on the platform an instance that crashes usually returns under a new id at its address, with its log and its role, while the entry of the old id lapses later. The stand-in knew only a return under the same id. It also answered with the term of the newest commit; a promotion enters its term at once, and the number stays.

They guard against a loss as well as a group that never serves again. A position's term is that of the newest promotion which the instance knows of.

--- a/tests/soak/database_cluster.hpp
+++ b/tests/soak/database_cluster.hpp
@@ -65,6 +65,9 @@
     /// Ends the instance. A new one, whose id is returned, has its log after `transfer`, and a part
     /// of it until then.
     std::string replace(const std::string& name, milliseconds transfer);
+    /// Starts the instance again with its log under a new id, which is returned. It still leads if
+    /// it did.
+    std::string restart_renamed(const std::string& name);
     /// While it is deaf, an instance runs and answers orders, and receives nothing.
     void set_deaf(const std::string& name, bool deaf);
     /// PAUSE and RESUME are carried out after this delay and not answered; at once without one.
@@ -145,6 +148,7 @@
     void begin_transfer(instance& target, std::vector<commit> log, milliseconds length);
     boost::asio::awaitable<void> transfer(instance& target, milliseconds length);
     instance& add(const std::string& name);
+    instance& add_successor(instance& old);
     void set_new_start(instance& server);
     void catch_up(instance& server);
     void copy_log(const instance& from, instance& to);
--- a/tests/soak/database_faults.cpp
+++ b/tests/soak/database_faults.cpp
@@ -63,17 +63,35 @@
     begin_transfer(server, has_source ? primary->log : std::vector<commit>{}, length);
 }
 
+database_cluster::instance& database_cluster::add_successor(instance& old) {
+    crash(old.name);
+    old.notes.insert("ended");
+    auto& successor = add("i-" + std::to_string(instances_.size() + 1));
+    successor.notes.insert("successor of " + old.name);
+    return successor;
+}
+
 std::string database_cluster::replace(const std::string& name, milliseconds length) {
     auto& old = *instances_.at(name);
-    crash(name);
+    auto& successor = add_successor(old);
     old.primary = false;
-    old.notes.insert("ended");
-    auto& successor = add("i-" + std::to_string(instances_.size() + 1));
-    successor.notes.insert("successor of " + name);
     begin_transfer(successor, std::exchange(old.log, {}), length);
     return successor.name;
 }
 
+std::string database_cluster::restart_renamed(const std::string& name) {
+    auto& old = *instances_.at(name);
+    auto& successor = add_successor(old);
+    successor.primary = std::exchange(old.primary, false);
+    successor.term = old.term;
+    successor.log = std::exchange(old.log, {});
+    if (old.in_transfer && !successor.primary) {
+        successor.log = std::exchange(old.incoming, {});
+    }
+    catch_up(successor);
+    return successor.name;
+}
+
 void database_cluster::begin_transfer(instance& target, std::vector<commit> log,
                                       milliseconds length) {
     target.incoming = std::move(log);
@@ -98,7 +116,9 @@
         target.log.assign(log.begin(), end);
     }
     target.in_transfer = false;
-    target.term = std::max(target.term, target.position().term.value());
+    if (!target.log.empty()) {
+        target.term = std::max(target.term, target.log.back().index.term.value());
+    }
     catch_up(target);
 }
 
--- a/tests/soak/database_instance.hpp
+++ b/tests/soak/database_instance.hpp
@@ -16,8 +16,9 @@
         : name(std::move(id)),
           acceptor(context, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}) {}
 
+    /// A promotion enters its term into the log, and the number stays.
     [[nodiscard]] log_index position() const {
-        return log.empty() ? log_index{term_number{1}, log_position{0}} : log.back().index;
+        return {term_number{term}, log.empty() ? log_position{0} : log.back().index.number};
     }
     [[nodiscard]] std::string read(const std::string& item) const {
         const auto found = std::find_if(log.rbegin(), log.rend(),
--- a/tests/soak/edge_soak.cpp
+++ b/tests/soak/edge_soak.cpp
@@ -72,7 +72,14 @@
 
     void restart_after(milliseconds delay, std::optional<std::size_t> instance) {
         if (instance) {
-            after(delay, [this, instance] { world_.restart_instance(*instance); });
+            const bool renamed = log_faults_ && toss();
+            after(delay, [this, instance, renamed] {
+                if (renamed) {
+                    world_.restart_renamed(*instance);
+                } else {
+                    world_.restart_instance(*instance);
+                }
+            });
         }
     }
 
--- a/tests/soak/promotion_scenario.cpp
+++ b/tests/soak/promotion_scenario.cpp
@@ -236,6 +236,40 @@
     run.await_service("service of the promoted replica");
 }
 
+/// A replica crashes, then the primary; the other replica lacks the newest writes. Both are back
+/// with their logs under new ids, the primary before any other instance may be promoted.
+void return_renamed(scenario& run, bool kills_hosts) {
+    run.write_without_deaf_replica();
+    run.world().crash_instance(run.newest());
+    if (kills_hosts) {
+        run.hosts().kill_with_primary(run.hosts_that_know(), run.world());
+    } else {
+        run.world().crash_primary();
+    }
+    run.world().set_deaf(run.deaf(), false);
+    run.world().restart_renamed(run.newest());
+    scenario::pause(promotion_opportunity);
+    run.world().restart_renamed(run.primary());
+    run.await_service("service of the instances under new ids");
+}
+
+// Guards against hosts that do not take back a primary and a replica under new ids, or promote the
+// replica that lacks writes before.
+void instances_returned_renamed(scenario& run) { return_renamed(run, false); }
+
+// The same, without the hosts that remember the acknowledgements.
+void instances_returned_renamed_hosts_killed(scenario& run) { return_renamed(run, true); }
+
+// Guards against a group that never serves again after its primary has ended for good and a replica
+// with all writes has crashed and returned under another id.
+void primary_gone_replica_returned_renamed(scenario& run) {
+    run.world().crash_instance(run.newest());
+    run.world().crash_primary();
+    run.world().restart_renamed(run.newest());
+    run.await("a promotion", [&] { return run.world().promotions() > 0; });
+    run.await_service("service without the old primary");
+}
+
 struct scenario_entry {
     std::function<void(scenario&)> body;
     /// The number of hosts that callers use.
@@ -253,6 +287,9 @@
     {"target_restarted_before_repeated_call", {target_restarted_before_repeated_call}},
     {"target_restarted_before_late_call", {target_restarted_before_late_call}},
     {"replica_gone_for_good", {replica_gone_for_good}},
+    {"instances_returned_renamed", {instances_returned_renamed}},
+    {"instances_returned_renamed_hosts_killed", {instances_returned_renamed_hosts_killed}},
+    {"primary_gone_replica_returned_renamed", {primary_gone_replica_returned_renamed}},
 };
 
 }  // namespace
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -134,6 +134,12 @@
 asio::awaitable<void> soak_world::keep_entries() {
     for (;;) {
         const auto now = steady_clock::now();
+        std::erase_if(lapsing_entries_, [&](const auto& entry) {
+            if (now > entry.second) {
+                rows_.remove("servers", entry.first);
+            }
+            return now > entry.second;
+        });
         for (std::size_t index = 0; index < places_.size(); ++index) {
             auto& item = places_[index];
             if (reports(item)) {
@@ -268,6 +274,25 @@
     });
 }
 
+void soak_world::restart_renamed(std::size_t instance) {
+    run_in_world([&] {
+        auto& item = places_.at(instance);
+        if (!databases_.is_up(item.name)) {
+            lapsing_entries_[item.name] = item.last_seen + entry_lifetime;
+            follow(item, databases_.restart_renamed(item.name));
+        }
+    });
+}
+
+void soak_world::follow(place& item, std::string successor) {
+    item.name = std::move(successor);
+    databases_.note(item.name, "cut off from the store and the hosts", item.cut_off);
+    item.listed = false;
+    item.draining = false;
+    item.link->set_target(databases_.port_of(item.name));
+    set_up(item);
+}
+
 void soak_world::restart_instances() {
     for (std::size_t instance = 0; instance < places_.size(); ++instance) {
         restart_instance(instance);
@@ -325,12 +350,8 @@
     run_in_world([&] {
         auto& item = places_.at(instance);
         remove_entry(item);
-        item.name = databases_.replace(item.name, transfer);
-        databases_.note(item.name, "cut off from the store and the hosts", item.cut_off);
-        item.draining = false;
         item.unlisted_until = steady_clock::now() + unlisted;
-        item.link->set_target(databases_.port_of(item.name));
-        set_up(item);
+        follow(item, databases_.replace(item.name, transfer));
     });
 }
 
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,6 +58,8 @@
     std::optional<std::size_t> crash_primary();
     /// Starts the instance again with its log if it is down.
     void restart_instance(std::size_t instance);
+    /// The same, under a new id at its address. The entry of the old id lapses.
+    void restart_renamed(std::size_t instance);
     void restart_instances();
     /// The instance gets nothing from the primary, and runs.
     void set_deaf(std::size_t instance, bool deaf);
@@ -118,12 +121,15 @@
     boost::asio::awaitable<void> keep_entries();
     void publish(std::size_t index);
     void remove_entry(place& item);
+    void follow(place& item, std::string successor);
     [[nodiscard]] bool reports(const place& item) const;
     void set_up(place& item);
 
     boost::asio::io_context context_{1};
     database_cluster databases_{context_};
     std::vector<place> places_;
+    /// Entries of ids that have ended without notice, and when they lapse.
+    std::map<std::string, time_point> lapsing_entries_;
     /// Of addresses that instances have left.
     std::vector<std::unique_ptr<fault_proxy>> former_links_;
     edge_test::store_rows rows_;
