--- a/tests/soak/edge_soak.cpp
+++ b/tests/soak/edge_soak.cpp
@@ -24,6 +24,7 @@
     int seconds = 30;
     std::size_t hosts = 4;
     std::size_t callers = 8;
+    std::string edge = MG_EDGE;
     std::string logs = "soak-logs";
     double repeated_answers = 0;
     bool calm = false;
@@ -300,7 +301,7 @@
                                          {"council", "key-of-the-council", 100, 100, false}};
     world.repeat_answers(settings.repeated_answers, settings.seed);
     world.configure(customers);
-    host_fleet hosts{settings.logs, settings.hosts, world};
+    host_fleet hosts{settings.edge, settings.logs, settings.hosts, world};
     std::deque<soak_caller> callers;
     for (std::size_t i = 0; i < settings.callers; ++i) {
         const auto& customer = customers[i % customers.size()];
@@ -361,6 +362,7 @@
         "hosts", po::value(&settings.hosts), "edge processes")(
         "callers", po::value(&settings.callers), "callers, each on a thread of its own")(
         "logs", po::value(&settings.logs), "folder for settings and logs")(
+        "edge", po::value(&settings.edge), "edge program of the hosts")(
         "repeated-answers", po::value(&settings.repeated_answers),
         "share of the instances' answers that are sent twice; callers then also set values, "
         "prepare "
--- a/tests/soak/host_fleet.cpp
+++ b/tests/soak/host_fleet.cpp
@@ -10,8 +10,9 @@
 
 namespace masticgrade::soak {
 
-host_fleet::host_fleet(std::string logs, std::size_t count, const soak_world& world)
-    : logs_(std::move(logs)) {
+host_fleet::host_fleet(std::string program, std::string logs, std::size_t count,
+                       const soak_world& world)
+    : program_(std::move(program)), logs_(std::move(logs)) {
     std::filesystem::create_directories(logs_);
     for (std::size_t i = 0; i < count; ++i) {
         auto& item = hosts_.emplace_back();
@@ -64,7 +65,7 @@
     const auto log =
         logs_ + "/host-" + std::to_string(index) + "-" + std::to_string(item.starts++) + ".log";
     item.process = std::make_unique<process_test::child_process>(
-        MG_EDGE, std::vector<std::string>{"--settings", item.settings}, log,
+        program_, std::vector<std::string>{"--settings", item.settings}, log,
         process_test::standard_output::file);
 }
 
--- a/tests/soak/host_fleet.hpp
+++ b/tests/soak/host_fleet.hpp
@@ -16,8 +16,8 @@
 /// Thread safety: one thread; `port` from any.
 class host_fleet {
 public:
-    /// Starts the processes; their settings and logs go to the folder.
-    host_fleet(std::string logs, std::size_t count, const soak_world& world);
+    /// Starts the processes of the program; their settings and logs go to the folder.
+    host_fleet(std::string program, std::string logs, std::size_t count, const soak_world& world);
 
     [[nodiscard]] unsigned short port(std::size_t index) const { return hosts_.at(index).port; }
     [[nodiscard]] std::size_t size() const { return hosts_.size(); }
@@ -43,6 +43,7 @@
     static void write_settings(std::size_t index, const host& item, unsigned short store_port);
     void start(std::size_t index);
 
+    std::string program_;
     std::string logs_;
     std::deque<host> hosts_;
     int bad_ends_ = 0;
--- a/tests/soak/promotion_scenario.cpp
+++ b/tests/soak/promotion_scenario.cpp
@@ -37,8 +37,9 @@
 
 class scenario {
 public:
-    scenario(std::uint64_t seed, const std::string& logs, std::size_t calling_hosts)
-        : hosts_(logs, host_count, configured(world_)) {
+    scenario(std::uint64_t seed, const std::string& edge, const std::string& logs,
+             std::size_t calling_hosts)
+        : hosts_(edge, logs, host_count, configured(world_)) {
         for (std::size_t i = 0; i < caller_count; ++i) {
             const auto& customer = customers[i % customers.size()];
             callers_.emplace_back(
@@ -297,13 +298,15 @@
 int main(int count, char** arguments) {
     std::signal(SIGPIPE, SIG_IGN);
     std::string name;
+    std::string edge = MG_EDGE;
     std::string logs = "scenario-logs";
     std::uint64_t seed = 1;
     po::options_description flags{"promotion_scenario"};
     flags.add_options()("help", "print this text")("scenario", po::value(&name)->required(),
-                                                   "name of the scenario")(
-        "seed", po::value(&seed), "seed of the callers")("logs", po::value(&logs),
-                                                         "folder for settings and logs");
+                                                   "name of the scenario")("seed", po::value(&seed),
+                                                                           "seed of the callers")(
+        "edge", po::value(&edge), "edge program of the hosts")("logs", po::value(&logs),
+                                                               "folder for settings and logs");
     try {
         po::variables_map values;
         po::store(po::parse_command_line(count, arguments, flags), values);
@@ -313,7 +316,7 @@
         }
         po::notify(values);
         const auto& entry = scenarios.at(name);
-        scenario run{seed, logs, entry.calling_hosts};
+        scenario run{seed, edge, logs, entry.calling_hosts};
         entry.body(run);
         const bool passed = run.finish();
         std::cout << name << " seed " << seed << (passed ? " passed" : " FAILED")
