--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -15,6 +15,7 @@
 
 #include "gateway_metrics.hpp"
 #include "lease_messages.hpp"
+#include "masticgrade/gateway/acknowledged_positions.hpp"
 #include "masticgrade/gateway/connections.hpp"
 #include "masticgrade/gateway/leadership_evidence.hpp"
 #include "masticgrade/gateway/placement.hpp"
@@ -247,6 +248,9 @@
     [[nodiscard]] bool leadership_is_unproven(boot_time now) const {
         return leadership_.is_expired(now);
     }
+    /// Whether no primary could be used for longer than a failover takes. Operations that need one
+    /// are then refused without a wait.
+    [[nodiscard]] bool lacks_primary(time_point now) const;
     /// The outcome of the group's failovers that this host knows.
     [[nodiscard]] const failover_record& last_failover() const { return leadership_.record(); }
     /// Whether a restore of the store has lost that outcome.
@@ -256,24 +260,40 @@
     [[nodiscard]] const group_id& name() const { return name_; }
     [[nodiscard]] std::optional<instance_id> primary() const;
     [[nodiscard]] term_number newest_term() const { return newest_term_; }
-    /// The highest position whose acknowledgement this host has observed.
-    [[nodiscard]] const std::optional<log_index>& acknowledged() const { return acknowledged_; }
+    /// What this process has acknowledged, or nullopt if that is unknown.
+    [[nodiscard]] std::optional<acknowledged_bounds> acknowledged() const {
+        return acknowledgements_.bounds();
+    }
+    /// The lowest known position at or above every commit acknowledged before `moment`, if any.
+    [[nodiscard]] std::optional<log_index> proven_position(boot_time moment) const {
+        return proofs_.covering(moment);
+    }
+    /// As `newest_proof`, also while the group has no primary.
+    [[nodiscard]] std::optional<dated_position> newest_proven_position() const;
     [[nodiscard]] std::vector<instance_entry> entries() const;
     [[nodiscard]] bool is_draining(const instance_id& instance) const;
     [[nodiscard]] bool is_listed(const instance_id& instance) const {
         return instances_.contains(instance);
     }
+    /// Whether the directory lists exactly this process.
+    [[nodiscard]] bool is_listed(const log_holder& holder) const;
+    /// Whether a listed instance shows that the process has ended, see `is_successor`.
+    [[nodiscard]] bool has_ended(const log_holder& holder) const;
     /// Whether the instance's directory entry claims that it is the primary.
     [[nodiscard]] bool claims_primary(const instance_id& instance) const;
     /// Whether the recorded log holders are the listed instances.
     [[nodiscard]] bool log_holders_are_recorded() const;
-    /// The recorded log holders, the listed instances, and those that disappeared from the
-    /// directory within the last 20 s before they were recorded; without those whose log another
-    /// instance has taken over.
-    [[nodiscard]] std::map<instance_id, endpoint_address> log_holders(time_point now) const;
-    /// The instances that have disappeared from the directory on this host in the last 20 s, and
-    /// whose addresses no listed instance has.
-    [[nodiscard]] std::map<instance_id, endpoint_address> lost_instances(time_point now) const;
+    /// The recorded log holders, the listed instances, and the processes that disappeared from the
+    /// directory before they were recorded.
+    [[nodiscard]] std::set<log_holder> log_holders() const;
+    /// The log holders that the directory does not list.
+    [[nodiscard]] std::set<log_holder> unlisted_log_holders() const;
+    /// The processes need not be recorded any more. Precondition: other log holders have all of
+    /// their acknowledged commits.
+    void forget_log_holders(const std::set<log_holder>& ended);
+    /// The instances that have disappeared from the directory on this host in the last 20 s and
+    /// have no successor.
+    [[nodiscard]] std::set<log_holder> lost_instances(time_point now) const;
     [[nodiscard]] bool primary_is_dead(time_point now) const;
     /// See group_settings.
     [[nodiscard]] unsigned sync_replicas() const { return settings_.sync_replicas; }
@@ -311,7 +331,11 @@
     boost::asio::awaitable<void> await_warmup(instance_id instance, std::size_t statements,
                                               time_point deadline);
     void add_proof(const instance_id& instance, boot_time sent_at, log_index position);
-    void on_acknowledged(log_index position);
+    /// The highest position of the instance's log that this host has seen, if any.
+    [[nodiscard]] std::optional<log_index> highest_position(const instance_id& instance) const;
+    /// See acknowledgement_history.
+    void on_commit_answered(std::optional<log_index> position);
+    void on_acknowledged(log_index position, std::optional<log_index> seen_before = {});
     void on_primary_denied(const instance_id& instance);
 
     /// Number of instances whose concurrent statements are limited.
@@ -349,6 +373,7 @@
         /// The end of the instance's log as of its last answer.
         std::optional<log_index> position;
         time_point position_at{};
+        std::optional<log_index> highest_position;
         /// The highest term that the instance has reported.
         term_number log_term;
         /// The instance has denied being the primary; its directory entry is ignored until then.
@@ -448,9 +473,12 @@
     void close(std::unique_ptr<pooled_connection> connection);
     void trim_idle(instance_state& instance, time_point now);
     void update_primary(time_point now);
+    [[nodiscard]] bool has_usable_primary(time_point now) const;
     [[nodiscard]] leadership_evidence::claimant claimant_of(const instance_id& instance) const;
     [[nodiscard]] bool promoted_instance_is_listed() const;
     void remove_missing(const std::set<instance_id>& listed, time_point now);
+    /// Keeps the process among the log holders until it is recorded.
+    void keep_log_holder(const log_holder& holder);
 
     group_id name_;
     group_environment environment_;
@@ -460,11 +488,13 @@
     struct lost_instance {
         time_point lost_at;
         endpoint_address address;
-        /// It was among the recorded log holders when it disappeared.
-        bool recorded = false;
         std::int64_t start_time = 0;
     };
     std::map<instance_id, lost_instance> lost_instances_;
+    /// Log holders that are not listed and not in the failover row.
+    std::set<log_holder> unrecorded_log_holders_;
+    /// Era of the store in which the last failover was recorded.
+    store_era failover_row_era_;
     /// Distinguishes the runs in `warmup_state::waiting`.
     std::uint64_t last_warmup_ticket_ = 0;
     std::optional<instance_id> primary_;
@@ -472,10 +502,11 @@
     std::optional<instance_id> last_primary_;
     time_point primary_since_{};
     term_number newest_term_;
-    std::optional<log_index> acknowledged_;
+    acknowledgement_history acknowledgements_;
     position_proofs proofs_;
     leadership_evidence leadership_;
     primary_failure_detector failure_detector_;
+    std::optional<time_point> primary_unusable_since_;
     bool probe_in_progress_ = false;
     bool position_refresh_in_progress_ = false;
     time_point last_position_use_{};
