Soak: an empty process behind an old entry, and a primary that returns

An empty process answered PAUSE before hosts had its entry, and its log was counted as that of the recorded process.

Change: one scenario for each. In replica_restarted_empty_entry_late the entry of the empty process never comes. In primary_returned_during_failover the hold of an attempt lasts until the primary is back under its id with a new start.

--- a/tests/soak/database_cluster.cpp
+++ b/tests/soak/database_cluster.cpp
@@ -62,6 +62,10 @@
     return instances_.at(name)->primary;
 }
 
+bool database_cluster::is_held(const std::string& name) const {
+    return instances_.at(name)->held > 0;
+}
+
 bool database_cluster::has_primary() const {
     return std::any_of(instances_.begin(), instances_.end(),
                        [](const auto& item) { return item.second->primary; });
--- a/tests/soak/database_cluster.hpp
+++ b/tests/soak/database_cluster.hpp
@@ -48,6 +48,8 @@
     [[nodiscard]] unsigned short port_of(const std::string& name) const;
     [[nodiscard]] bool is_up(const std::string& name) const;
     [[nodiscard]] bool is_primary(const std::string& name) const;
+    /// Whether a PAUSE keeps the instance from receiving.
+    [[nodiscard]] bool is_held(const std::string& name) const;
     /// Whether an instance leads, also one that is down.
     [[nodiscard]] bool has_primary() const;
 
--- a/tests/soak/promotion_scenario.cpp
+++ b/tests/soak/promotion_scenario.cpp
@@ -28,6 +28,8 @@
 /// if they remove it at all.
 constexpr seconds removal_opportunity{7};
 constexpr milliseconds log_transfer{500};
+/// All hosts have read a new entry by then.
+constexpr milliseconds entry_update{1000};
 constexpr seconds never_listed{600};
 /// The platform carries out a promotion call without an answer this late.
 constexpr milliseconds late_call{8000};
@@ -174,6 +176,14 @@
     run.return_primary_after_opportunity();
 }
 
+// Guards against hosts that take the start in an old entry for that of the process that answers.
+void replica_restarted_empty_entry_late(scenario& run) {
+    run.write_without_deaf_replica();
+    run.hosts().kill_with_primary(run.hosts_that_know(), run.world());
+    run.world().restart_empty(run.newest(), log_transfer, never_listed);
+    run.return_primary_after_opportunity();
+}
+
 void replace_newest_replica(scenario& run) {
     run.world().set_draining(run.newest(), true);
     run.await_service("service while a replica drains");
@@ -271,6 +281,22 @@
     run.await_service("service without the old primary");
 }
 
+// Guards against an attempt that steps down a primary which has returned with its log meanwhile,
+// and then promotes nobody for ever. The newest replica can't be held before the primary is back,
+// and has a new id; the hosts have no memory.
+void primary_returned_during_failover(scenario& run) {
+    run.world().crash_instance(run.newest());
+    run.hosts().kill_with_primary({0, 1, 2, 3}, run.world());
+    run.world().restart_instance(run.newest());
+    run.world().set_instance_link(run.newest(), link_fault::refuse);
+    run.await("a held replica", [&] { return run.world().is_held(run.deaf()); });
+    run.world().restart_instance(run.primary());
+    scenario::pause(entry_update);
+    run.world().set_instance_link(run.newest(), link_fault::none);
+    scenario::pause(promotion_opportunity);
+    run.await_service("service after the return of the primary");
+}
+
 struct scenario_entry {
     std::function<void(scenario&)> body;
     /// The number of hosts that callers use.
@@ -283,6 +309,7 @@
     {"replica_cut_off_calling_hosts_killed", {replica_cut_off_hosts_killed, 2}},
     {"replica_restarted_empty", {replica_restarted_empty}},
     {"replica_restarted_empty_hosts_killed", {replica_restarted_empty_hosts_killed}},
+    {"replica_restarted_empty_entry_late", {replica_restarted_empty_entry_late}},
     {"successor_not_listed", {successor_not_listed}},
     {"successor_not_listed_hosts_killed", {successor_not_listed_hosts_killed}},
     {"target_restarted_before_repeated_call", {target_restarted_before_repeated_call}},
@@ -290,6 +317,7 @@
     {"replica_gone_for_good", {replica_gone_for_good}},
     {"instances_returned_renamed", {instances_returned_renamed}},
     {"instances_returned_renamed_hosts_killed", {instances_returned_renamed_hosts_killed}},
+    {"primary_returned_during_failover", {primary_returned_during_failover}},
     {"primary_gone_replica_returned_renamed", {primary_gone_replica_returned_renamed}},
 };
 
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -314,7 +314,7 @@
     });
 }
 
-void soak_world::restart_empty(std::size_t instance, milliseconds transfer) {
+void soak_world::restart_empty(std::size_t instance, milliseconds transfer, milliseconds unlisted) {
     run_in_world([&] {
         auto& item = places_.at(instance);
         databases_.crash(item.name);
@@ -322,6 +322,7 @@
             databases_.restart(item.name);
         } else {
             databases_.restart_empty(item.name, transfer);
+            item.unlisted_until = steady_clock::now() + unlisted;
         }
         set_up(item);
     });
@@ -407,6 +408,12 @@
     return result;
 }
 
+bool soak_world::is_held(std::size_t instance) {
+    bool result = false;
+    run_in_world([&] { result = databases_.is_held(places_.at(instance).name); });
+    return result;
+}
+
 bool soak_world::is_listed(std::size_t instance) {
     bool result = false;
     run_in_world([&] { result = places_.at(instance).listed; });
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -66,8 +66,10 @@
     /// Neither the store nor a host hears of the instance, and it receives from the primary.
     void set_cut_off(std::size_t instance, bool cut_off);
     /// Starts the instance again, with an empty log if another instance leads; see
-    /// `database_cluster::restart_empty`.
-    void restart_empty(std::size_t instance, milliseconds transfer);
+    /// `database_cluster::restart_empty`. Its entry is that of before, until it has lapsed, and
+    /// its own comes after `unlisted`.
+    void restart_empty(std::size_t instance, milliseconds transfer,
+                       milliseconds unlisted = milliseconds{0});
     /// Gives the instance another address.
     void move(std::size_t instance);
     void set_draining(std::size_t instance, bool draining);
@@ -82,6 +84,7 @@
     /// The place of the instance that leads, also when it is down.
     [[nodiscard]] std::optional<std::size_t> primary();
     [[nodiscard]] bool is_up(std::size_t instance);
+    [[nodiscard]] bool is_held(std::size_t instance);
     /// Whether the entry of the instance is among the store's.
     [[nodiscard]] bool is_listed(std::size_t instance);
     [[nodiscard]] std::size_t missing_writes(std::size_t instance);
