Soak: log holders that no host could record before the primary crashed

The store failed right after the start, so the log holders of the group were never recorded, and hosts that started later took an empty record for a complete one.

Change: the store can refuse changes of the rows of groups alone, and a scenario in which it does so from the start until the crash, with the newest replica cut off.

--- a/tests/soak/promotion_scenario.cpp
+++ b/tests/soak/promotion_scenario.cpp
@@ -40,8 +40,8 @@
 class scenario {
 public:
     scenario(std::uint64_t seed, const std::string& edge, const std::string& logs,
-             std::size_t calling_hosts)
-        : hosts_(edge, logs, host_count, configured(world_)) {
+             std::size_t calling_hosts, store_fault fault)
+        : hosts_(edge, logs, host_count, configured(world_, fault)) {
         for (std::size_t i = 0; i < caller_count; ++i) {
             const auto& customer = customers[i % customers.size()];
             callers_.emplace_back(
@@ -117,7 +117,8 @@
     }
 
 private:
-    static const soak_world& configured(soak_world& world) {
+    static const soak_world& configured(soak_world& world, store_fault fault) {
+        world.set_store_fault(fault);
         world.configure(customers);
         return world;
     }
@@ -184,6 +185,14 @@
     run.return_primary_after_opportunity();
 }
 
+// Guards against hosts that take a record of log holders which was never complete for all of them.
+void log_holders_not_recorded(scenario& run) {
+    cut_off_newest_replica(run);
+    run.hosts().kill_with_primary(run.hosts_that_know(), run.world());
+    run.world().set_store_fault(store_fault::none);
+    run.return_primary_after_opportunity();
+}
+
 void replace_newest_replica(scenario& run) {
     run.world().set_draining(run.newest(), true);
     run.await_service("service while a replica drains");
@@ -301,6 +310,8 @@
     std::function<void(scenario&)> body;
     /// The number of hosts that callers use.
     std::size_t calling_hosts = host_count;
+    /// Of the store, before the hosts start.
+    store_fault first_fault = store_fault::none;
 };
 
 const std::map<std::string, scenario_entry> scenarios{
@@ -310,6 +321,8 @@
     {"replica_restarted_empty", {replica_restarted_empty}},
     {"replica_restarted_empty_hosts_killed", {replica_restarted_empty_hosts_killed}},
     {"replica_restarted_empty_entry_late", {replica_restarted_empty_entry_late}},
+    {"log_holders_not_recorded",
+     {log_holders_not_recorded, host_count, store_fault::refuse_group_rows}},
     {"successor_not_listed", {successor_not_listed}},
     {"successor_not_listed_hosts_killed", {successor_not_listed_hosts_killed}},
     {"target_restarted_before_repeated_call", {target_restarted_before_repeated_call}},
@@ -344,7 +357,7 @@
         }
         po::notify(values);
         const auto& entry = scenarios.at(name);
-        scenario run{seed, edge, logs, entry.calling_hosts};
+        scenario run{seed, edge, logs, entry.calling_hosts, entry.first_fault};
         entry.body(run);
         const bool passed = run.finish();
         std::cout << name << " seed " << seed << (passed ? " passed" : " FAILED")
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -165,6 +165,10 @@
     if (fault == store_fault::refuse) {
         co_return make_json_response({}, 503);
     }
+    if (fault == store_fault::refuse_group_rows && request.target == "/rows-tx" &&
+        request.body.find("failover") != std::string::npos) {
+        co_return make_json_response({}, 503);
+    }
     if (fault == store_fault::silent) {
         co_await pause_for(longer_than_any_deadline);
         co_return make_json_response({}, 503);
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -24,7 +24,15 @@
     bool withdrawn = false;
 };
 
-enum class store_fault { none, refuse, silent, lose_answers, slow };
+enum class store_fault {
+    none,
+    refuse,
+    silent,
+    lose_answers,
+    slow,
+    /// Changes of the rows of groups are refused, as with a part of the store that is down.
+    refuse_group_rows,
+};
 
 /// What happens to the promotion calls that arrive; none of these is answered.
 enum class promotion_fault {
