--- a/tests/soak/database_cluster.hpp
+++ b/tests/soak/database_cluster.hpp
@@ -3,6 +3,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
@@ -18,6 +20,13 @@
 
 namespace masticgrade::soak {
 
+/// The time of day, as in the log lines of the hosts.
+inline std::int64_t unix_ms() {
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 /// One commit in an instance's log.
 struct commit {
     log_index index;
@@ -39,6 +48,8 @@
     [[nodiscard]] unsigned short port_of(const std::string& name) const;
     [[nodiscard]] bool is_up(const std::string& name) const;
     [[nodiscard]] bool is_primary(const std::string& name) const;
+    /// Whether a PAUSE keeps the instance from receiving.
+    [[nodiscard]] bool is_held(const std::string& name) const;
     /// Whether an instance leads, also one that is down.
     [[nodiscard]] bool has_primary() const;
 
@@ -56,6 +67,9 @@
     /// Ends the instance. A new one, whose id is returned, has its log after `transfer`, and a part
     /// of it until then.
     std::string replace(const std::string& name, milliseconds transfer);
+    /// Starts the instance again with its log under a new id, which is returned. It still leads if
+    /// it did.
+    std::string restart_renamed(const std::string& name);
     /// While it is deaf, an instance runs and answers orders, and receives nothing.
     void set_deaf(const std::string& name, bool deaf);
     /// PAUSE and RESUME are carried out after this delay and not answered; at once without one.
@@ -136,6 +150,7 @@
     void begin_transfer(instance& target, std::vector<commit> log, milliseconds length);
     boost::asio::awaitable<void> transfer(instance& target, milliseconds length);
     instance& add(const std::string& name);
+    instance& add_successor(instance& old);
     void set_new_start(instance& server);
     void catch_up(instance& server);
     void copy_log(const instance& from, instance& to);
--- a/tests/soak/database_faults.cpp
+++ b/tests/soak/database_faults.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <chrono>
+#include <iostream>
 #include <utility>
 
 #include "database_instance.hpp"
@@ -22,9 +22,7 @@
 }
 
 void database_cluster::set_new_start(instance& server) {
-    const auto now = std::chrono::duration_cast<milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-    last_born_ = std::max(last_born_ + 1, static_cast<std::uint64_t>(now.count()));
+    last_born_ = std::max(last_born_ + 1, static_cast<std::uint64_t>(unix_ms()));
     server.born = last_born_;
     server.up = true;
     server.held = 0;
@@ -65,17 +63,35 @@
     begin_transfer(server, has_source ? primary->log : std::vector<commit>{}, length);
 }
 
+database_cluster::instance& database_cluster::add_successor(instance& old) {
+    crash(old.name);
+    old.notes.insert("ended");
+    auto& successor = add("i-" + std::to_string(instances_.size() + 1));
+    successor.notes.insert("successor of " + old.name);
+    return successor;
+}
+
 std::string database_cluster::replace(const std::string& name, milliseconds length) {
     auto& old = *instances_.at(name);
-    crash(name);
+    auto& successor = add_successor(old);
     old.primary = false;
-    old.notes.insert("ended");
-    auto& successor = add("i-" + std::to_string(instances_.size() + 1));
-    successor.notes.insert("successor of " + name);
     begin_transfer(successor, std::exchange(old.log, {}), length);
     return successor.name;
 }
 
+std::string database_cluster::restart_renamed(const std::string& name) {
+    auto& old = *instances_.at(name);
+    auto& successor = add_successor(old);
+    successor.primary = std::exchange(old.primary, false);
+    successor.term = old.term;
+    successor.log = std::exchange(old.log, {});
+    if (old.in_transfer && !successor.primary) {
+        successor.log = std::exchange(old.incoming, {});
+    }
+    catch_up(successor);
+    return successor.name;
+}
+
 void database_cluster::begin_transfer(instance& target, std::vector<commit> log,
                                       milliseconds length) {
     target.incoming = std::move(log);
@@ -100,7 +116,9 @@
         target.log.assign(log.begin(), end);
     }
     target.in_transfer = false;
-    target.term = std::max(target.term, target.position().term.value());
+    if (!target.log.empty()) {
+        target.term = std::max(target.term, target.log.back().index.term.value());
+    }
     catch_up(target);
 }
 
@@ -185,6 +203,8 @@
         kept.insert(entry.statement);
     }
     const auto known = sent.acknowledged();
+    std::cout << "time_ms=" << unix_ms() << " promotion of " << target.name << " at "
+              << text_of(target.position()) << std::endl;
     for (auto item = acknowledged_.begin(); item != acknowledged_.end();) {
         const auto& [statement, write] = *item;
         if (kept.contains(statement)) {
--- a/tests/soak/host_fleet.hpp
+++ b/tests/soak/host_fleet.hpp
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -15,15 +16,17 @@
 /// Thread safety: one thread; `port` from any.
 class host_fleet {
 public:
-    /// Starts the processes; their settings and logs go to the folder.
-    host_fleet(std::string logs, std::size_t count, const soak_world& world);
+    /// Starts the processes of the program; their settings and logs go to the folder.
+    host_fleet(std::string program, std::string logs, std::size_t count, const soak_world& world);
 
     [[nodiscard]] unsigned short port(std::size_t index) const { return hosts_.at(index).port; }
     [[nodiscard]] std::size_t size() const { return hosts_.size(); }
 
     void kill(std::size_t index);
-    /// Kills the hosts at the same time as the primary crashes, and starts them again.
-    void kill_with_primary(const std::set<std::size_t>& hosts, soak_world& world);
+    /// Kills the hosts at the same time as the primary crashes, and starts them again. Returns the
+    /// instance that has crashed.
+    std::optional<std::size_t> kill_with_primary(const std::set<std::size_t>& hosts,
+                                                 soak_world& world);
     void signal(std::size_t index, int number) const { hosts_.at(index).process->signal(number); }
     /// Starts the host again if it has been asked to stop; waits for its end.
     void finish_stop(std::size_t index);
@@ -40,6 +43,7 @@
     static void write_settings(std::size_t index, const host& item, unsigned short store_port);
     void start(std::size_t index);
 
+    std::string program_;
     std::string logs_;
     std::deque<host> hosts_;
     int bad_ends_ = 0;
--- a/tests/soak/promotion_scenario.cpp
+++ b/tests/soak/promotion_scenario.cpp
@@ -28,6 +28,8 @@
 /// if they remove it at all.
 constexpr seconds removal_opportunity{7};
 constexpr milliseconds log_transfer{500};
+/// All hosts have read a new entry by then.
+constexpr milliseconds entry_update{1000};
 constexpr seconds never_listed{600};
 /// The platform carries out a promotion call without an answer this late.
 constexpr milliseconds late_call{8000};
@@ -37,8 +39,9 @@
 
 class scenario {
 public:
-    scenario(std::uint64_t seed, const std::string& logs, std::size_t calling_hosts)
-        : hosts_(logs, host_count, configured(world_)) {
+    scenario(std::uint64_t seed, const std::string& edge, const std::string& logs,
+             std::size_t calling_hosts, store_fault fault)
+        : hosts_(edge, logs, host_count, configured(world_, fault)) {
         for (std::size_t i = 0; i < caller_count; ++i) {
             const auto& customer = customers[i % customers.size()];
             callers_.emplace_back(
@@ -114,7 +117,8 @@
     }
 
 private:
-    static const soak_world& configured(soak_world& world) {
+    static const soak_world& configured(soak_world& world, store_fault fault) {
+        world.set_store_fault(fault);
         world.configure(customers);
         return world;
     }
@@ -173,6 +177,22 @@
     run.return_primary_after_opportunity();
 }
 
+// Guards against hosts that take the start in an old entry for that of the process that answers.
+void replica_restarted_empty_entry_late(scenario& run) {
+    run.write_without_deaf_replica();
+    run.hosts().kill_with_primary(run.hosts_that_know(), run.world());
+    run.world().restart_empty(run.newest(), log_transfer, never_listed);
+    run.return_primary_after_opportunity();
+}
+
+// Guards against hosts that take a record of log holders which was never complete for all of them.
+void log_holders_not_recorded(scenario& run) {
+    cut_off_newest_replica(run);
+    run.hosts().kill_with_primary(run.hosts_that_know(), run.world());
+    run.world().set_store_fault(store_fault::none);
+    run.return_primary_after_opportunity();
+}
+
 void replace_newest_replica(scenario& run) {
     run.world().set_draining(run.newest(), true);
     run.await_service("service while a replica drains");
@@ -236,10 +256,62 @@
     run.await_service("service of the promoted replica");
 }
 
+/// A replica crashes, then the primary; the other replica lacks the newest writes. Both are back
+/// with their logs under new ids, the primary before any other instance may be promoted.
+void return_renamed(scenario& run, bool kills_hosts) {
+    run.write_without_deaf_replica();
+    run.world().crash_instance(run.newest());
+    if (kills_hosts) {
+        run.hosts().kill_with_primary(run.hosts_that_know(), run.world());
+    } else {
+        run.world().crash_primary();
+    }
+    run.world().set_deaf(run.deaf(), false);
+    run.world().restart_renamed(run.newest());
+    scenario::pause(promotion_opportunity);
+    run.world().restart_renamed(run.primary());
+    run.await_service("service of the instances under new ids");
+}
+
+// Guards against hosts that do not take back a primary and a replica under new ids, or promote the
+// replica that lacks writes before.
+void instances_returned_renamed(scenario& run) { return_renamed(run, false); }
+
+// The same, without the hosts that remember the acknowledgements.
+void instances_returned_renamed_hosts_killed(scenario& run) { return_renamed(run, true); }
+
+// Guards against a group that never serves again after its primary has ended for good and a replica
+// with all writes has crashed and returned under another id.
+void primary_gone_replica_returned_renamed(scenario& run) {
+    run.world().crash_instance(run.newest());
+    run.world().crash_primary();
+    run.world().restart_renamed(run.newest());
+    run.await("a promotion", [&] { return run.world().promotions() > 0; });
+    run.await_service("service without the old primary");
+}
+
+// Guards against an attempt that steps down a primary which has returned with its log meanwhile,
+// and then promotes nobody for ever. The newest replica can't be held before the primary is back,
+// and has a new id; the hosts have no memory.
+void primary_returned_during_failover(scenario& run) {
+    run.world().crash_instance(run.newest());
+    run.hosts().kill_with_primary({0, 1, 2, 3}, run.world());
+    run.world().restart_instance(run.newest());
+    run.world().set_instance_link(run.newest(), link_fault::refuse);
+    run.await("a held replica", [&] { return run.world().is_held(run.deaf()); });
+    run.world().restart_instance(run.primary());
+    scenario::pause(entry_update);
+    run.world().set_instance_link(run.newest(), link_fault::none);
+    scenario::pause(promotion_opportunity);
+    run.await_service("service after the return of the primary");
+}
+
 struct scenario_entry {
     std::function<void(scenario&)> body;
     /// The number of hosts that callers use.
     std::size_t calling_hosts = host_count;
+    /// Of the store, before the hosts start.
+    store_fault first_fault = store_fault::none;
 };
 
 const std::map<std::string, scenario_entry> scenarios{
@@ -248,11 +320,18 @@
     {"replica_cut_off_calling_hosts_killed", {replica_cut_off_hosts_killed, 2}},
     {"replica_restarted_empty", {replica_restarted_empty}},
     {"replica_restarted_empty_hosts_killed", {replica_restarted_empty_hosts_killed}},
+    {"replica_restarted_empty_entry_late", {replica_restarted_empty_entry_late}},
+    {"log_holders_not_recorded",
+     {log_holders_not_recorded, host_count, store_fault::refuse_group_rows}},
     {"successor_not_listed", {successor_not_listed}},
     {"successor_not_listed_hosts_killed", {successor_not_listed_hosts_killed}},
     {"target_restarted_before_repeated_call", {target_restarted_before_repeated_call}},
     {"target_restarted_before_late_call", {target_restarted_before_late_call}},
     {"replica_gone_for_good", {replica_gone_for_good}},
+    {"instances_returned_renamed", {instances_returned_renamed}},
+    {"instances_returned_renamed_hosts_killed", {instances_returned_renamed_hosts_killed}},
+    {"primary_returned_during_failover", {primary_returned_during_failover}},
+    {"primary_gone_replica_returned_renamed", {primary_gone_replica_returned_renamed}},
 };
 
 }  // namespace
@@ -260,13 +339,15 @@
 int main(int count, char** arguments) {
     std::signal(SIGPIPE, SIG_IGN);
     std::string name;
+    std::string edge = MG_EDGE;
     std::string logs = "scenario-logs";
     std::uint64_t seed = 1;
     po::options_description flags{"promotion_scenario"};
     flags.add_options()("help", "print this text")("scenario", po::value(&name)->required(),
-                                                   "name of the scenario")(
-        "seed", po::value(&seed), "seed of the callers")("logs", po::value(&logs),
-                                                         "folder for settings and logs");
+                                                   "name of the scenario")("seed", po::value(&seed),
+                                                                           "seed of the callers")(
+        "edge", po::value(&edge), "edge program of the hosts")("logs", po::value(&logs),
+                                                               "folder for settings and logs");
     try {
         po::variables_map values;
         po::store(po::parse_command_line(count, arguments, flags), values);
@@ -276,7 +357,7 @@
         }
         po::notify(values);
         const auto& entry = scenarios.at(name);
-        scenario run{seed, logs, entry.calling_hosts};
+        scenario run{seed, edge, logs, entry.calling_hosts, entry.first_fault};
         entry.body(run);
         const bool passed = run.finish();
         std::cout << name << " seed " << seed << (passed ? " passed" : " FAILED")
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -134,6 +134,12 @@
 asio::awaitable<void> soak_world::keep_entries() {
     for (;;) {
         const auto now = steady_clock::now();
+        std::erase_if(lapsing_entries_, [&](const auto& entry) {
+            if (now > entry.second) {
+                rows_.remove("servers", entry.first);
+            }
+            return now > entry.second;
+        });
         for (std::size_t index = 0; index < places_.size(); ++index) {
             auto& item = places_[index];
             if (reports(item)) {
@@ -159,6 +165,10 @@
     if (fault == store_fault::refuse) {
         co_return make_json_response({}, 503);
     }
+    if (fault == store_fault::refuse_group_rows && request.target == "/rows-tx" &&
+        request.body.find("failover") != std::string::npos) {
+        co_return make_json_response({}, 503);
+    }
     if (fault == store_fault::silent) {
         co_await pause_for(longer_than_any_deadline);
         co_return make_json_response({}, 503);
@@ -243,29 +253,56 @@
     });
 }
 
-void soak_world::crash_primary() {
+std::optional<std::size_t> soak_world::crash_primary() {
+    std::optional<std::size_t> result;
     run_in_world([&] {
-        for (auto& item : places_) {
+        for (std::size_t index = 0; index < places_.size() && !result; ++index) {
+            auto& item = places_[index];
             if (databases_.is_primary(item.name) && databases_.is_up(item.name)) {
                 databases_.crash(item.name);
                 item.link->set_fault(link_fault::refuse);
-                return;
+                result = index;
             }
         }
     });
+    return result;
 }
 
-void soak_world::restart_instances() {
+void soak_world::restart_instance(std::size_t instance) {
     run_in_world([&] {
-        for (auto& item : places_) {
-            if (!databases_.is_up(item.name)) {
-                databases_.restart(item.name);
-                set_up(item);
-            }
+        auto& item = places_.at(instance);
+        if (!databases_.is_up(item.name)) {
+            databases_.restart(item.name);
+            set_up(item);
         }
     });
 }
 
+void soak_world::restart_renamed(std::size_t instance) {
+    run_in_world([&] {
+        auto& item = places_.at(instance);
+        if (!databases_.is_up(item.name)) {
+            lapsing_entries_[item.name] = item.last_seen + entry_lifetime;
+            follow(item, databases_.restart_renamed(item.name));
+        }
+    });
+}
+
+void soak_world::follow(place& item, std::string successor) {
+    item.name = std::move(successor);
+    databases_.note(item.name, "cut off from the store and the hosts", item.cut_off);
+    item.listed = false;
+    item.draining = false;
+    item.link->set_target(databases_.port_of(item.name));
+    set_up(item);
+}
+
+void soak_world::restart_instances() {
+    for (std::size_t instance = 0; instance < places_.size(); ++instance) {
+        restart_instance(instance);
+    }
+}
+
 void soak_world::set_deaf(std::size_t instance, bool deaf) {
     run_in_world([&] { databases_.set_deaf(places_.at(instance).name, deaf); });
 }
@@ -281,7 +318,7 @@
     });
 }
 
-void soak_world::restart_empty(std::size_t instance, milliseconds transfer) {
+void soak_world::restart_empty(std::size_t instance, milliseconds transfer, milliseconds unlisted) {
     run_in_world([&] {
         auto& item = places_.at(instance);
         databases_.crash(item.name);
@@ -289,6 +326,7 @@
             databases_.restart(item.name);
         } else {
             databases_.restart_empty(item.name, transfer);
+            item.unlisted_until = steady_clock::now() + unlisted;
         }
         set_up(item);
     });
@@ -317,12 +355,8 @@
     run_in_world([&] {
         auto& item = places_.at(instance);
         remove_entry(item);
-        item.name = databases_.replace(item.name, transfer);
-        databases_.note(item.name, "cut off from the store and the hosts", item.cut_off);
-        item.draining = false;
         item.unlisted_until = steady_clock::now() + unlisted;
-        item.link->set_target(databases_.port_of(item.name));
-        set_up(item);
+        follow(item, databases_.replace(item.name, transfer));
     });
 }
 
@@ -378,6 +412,12 @@
     return result;
 }
 
+bool soak_world::is_held(std::size_t instance) {
+    bool result = false;
+    run_in_world([&] { result = databases_.is_held(places_.at(instance).name); });
+    return result;
+}
+
 bool soak_world::is_listed(std::size_t instance) {
     bool result = false;
     run_in_world([&] { result = places_.at(instance).listed; });
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,7 +24,15 @@
     bool withdrawn = false;
 };
 
-enum class store_fault { none, refuse, silent, lose_answers, slow };
+enum class store_fault {
+    none,
+    refuse,
+    silent,
+    lose_answers,
+    slow,
+    /// Changes of the rows of groups are refused, as with a part of the store that is down.
+    refuse_group_rows,
+};
 
 /// What happens to the promotion calls that arrive; none of these is answered.
 enum class promotion_fault {
@@ -53,15 +62,22 @@
     void set_store_link(std::size_t host, link_fault fault);
     void set_instance_link(std::size_t instance, link_fault fault);
     void crash_instance(std::size_t instance);
-    void crash_primary();
+    /// Returns the instance that has crashed; nothing when no primary runs.
+    std::optional<std::size_t> crash_primary();
+    /// Starts the instance again with its log if it is down.
+    void restart_instance(std::size_t instance);
+    /// The same, under a new id at its address. The entry of the old id lapses.
+    void restart_renamed(std::size_t instance);
     void restart_instances();
     /// The instance gets nothing from the primary, and runs.
     void set_deaf(std::size_t instance, bool deaf);
     /// Neither the store nor a host hears of the instance, and it receives from the primary.
     void set_cut_off(std::size_t instance, bool cut_off);
     /// Starts the instance again, with an empty log if another instance leads; see
-    /// `database_cluster::restart_empty`.
-    void restart_empty(std::size_t instance, milliseconds transfer);
+    /// `database_cluster::restart_empty`. Its entry is that of before, until it has lapsed, and
+    /// its own comes after `unlisted`.
+    void restart_empty(std::size_t instance, milliseconds transfer,
+                       milliseconds unlisted = milliseconds{0});
     /// Gives the instance another address.
     void move(std::size_t instance);
     void set_draining(std::size_t instance, bool draining);
@@ -76,6 +92,7 @@
     /// The place of the instance that leads, also when it is down.
     [[nodiscard]] std::optional<std::size_t> primary();
     [[nodiscard]] bool is_up(std::size_t instance);
+    [[nodiscard]] bool is_held(std::size_t instance);
     /// Whether the entry of the instance is among the store's.
     [[nodiscard]] bool is_listed(std::size_t instance);
     [[nodiscard]] std::size_t missing_writes(std::size_t instance);
@@ -115,12 +132,15 @@
     boost::asio::awaitable<void> keep_entries();
     void publish(std::size_t index);
     void remove_entry(place& item);
+    void follow(place& item, std::string successor);
     [[nodiscard]] bool reports(const place& item) const;
     void set_up(place& item);
 
     boost::asio::io_context context_{1};
     database_cluster databases_{context_};
     std::vector<place> places_;
+    /// Entries of ids that have ended without notice, and when they lapse.
+    std::map<std::string, time_point> lapsing_entries_;
     /// Of addresses that instances have left.
     std::vector<std::unique_ptr<fault_proxy>> former_links_;
     edge_test::store_rows rows_;
