--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -79,6 +79,7 @@
                 .write();
         }
         if (restarted) {
+            keep_log_holder(log_holder_of(instance.entry));
             while (!instance.idle.empty()) {
                 auto connection = std::move(instance.idle.front());
                 instance.idle.pop_front();
@@ -115,8 +116,8 @@
         }
         event_line{"instance_gone"}.field("group", name_).field("instance", item->first).write();
         lost_instances_[item->first] = {now, item->second.entry.address,
-                                        last_failover().log_holders.contains(item->first),
                                         item->second.entry.start_time};
+        keep_log_holder(log_holder_of(item->second.entry));
         auto idle = std::move(item->second.idle);
         item = instances_.erase(item);
         for (auto& connection : idle) {
@@ -146,45 +147,58 @@
     return found != instances_.end() && found->second.entry.claims_primary;
 }
 
+bool backend_group::is_listed(const log_holder& holder) const {
+    const auto found = instances_.find(holder.instance);
+    return found != instances_.end() && log_holder_of(found->second.entry) == holder;
+}
+
+bool backend_group::has_ended(const log_holder& holder) const {
+    return std::any_of(instances_.begin(), instances_.end(), [&](const auto& instance) {
+        return is_successor(instance.second.entry, holder);
+    });
+}
+
+void backend_group::keep_log_holder(const log_holder& holder) {
+    if (!last_failover().log_holders.contains(holder)) {
+        unrecorded_log_holders_.insert(holder);
+    }
+}
+
+void backend_group::forget_log_holders(const std::set<log_holder>& ended) {
+    std::erase_if(unrecorded_log_holders_,
+                  [&](const auto& holder) { return ended.contains(holder); });
+}
+
 bool backend_group::log_holders_are_recorded() const {
     const auto& recorded = last_failover().log_holders;
-    return std::equal(recorded.begin(), recorded.end(), instances_.begin(), instances_.end(),
+    return unrecorded_log_holders_.empty() &&
+           std::equal(recorded.begin(), recorded.end(), instances_.begin(), instances_.end(),
                       [](const auto& holder, const auto& instance) {
-                          return holder.first == instance.first &&
-                                 holder.second == instance.second.entry.address;
+                          return holder == log_holder_of(instance.second.entry);
                       });
 }
 
-std::map<instance_id, endpoint_address> backend_group::log_holders(time_point now) const {
+std::set<log_holder> backend_group::log_holders() const {
     auto result = last_failover().log_holders;
-    for (const auto& [id, lost] : lost_instances_) {
-        if (!lost.recorded && now - lost.lost_at <= lost_instance_lifetime) {
-            result.emplace(id, lost.address);
-        }
-    }
-    // An instance that starts again at its address has a new id and the same log.
-    std::set<endpoint_address> listed_addresses;
-    for (const auto& [id, instance] : instances_) {
-        listed_addresses.insert(instance.entry.address);
-    }
-    std::erase_if(result, [&](const auto& holder) {
-        return !is_listed(holder.first) && listed_addresses.contains(holder.second);
-    });
+    result.insert(unrecorded_log_holders_.begin(), unrecorded_log_holders_.end());
     for (const auto& [id, instance] : instances_) {
-        result[id] = instance.entry.address;
+        result.insert(log_holder_of(instance.entry));
     }
     return result;
 }
 
-std::map<instance_id, endpoint_address> backend_group::lost_instances(time_point now) const {
-    std::map<instance_id, endpoint_address> result;
+std::set<log_holder> backend_group::unlisted_log_holders() const {
+    auto result = log_holders();
+    std::erase_if(result, [&](const auto& holder) { return is_listed(holder); });
+    return result;
+}
+
+std::set<log_holder> backend_group::lost_instances(time_point now) const {
+    std::set<log_holder> result;
     for (const auto& [id, lost] : lost_instances_) {
-        const auto& address = lost.address;
-        const bool is_replaced = std::any_of(
-            instances_.begin(), instances_.end(),
-            [&](const auto& instance) { return instance.second.entry.address == address; });
-        if (!is_replaced && now - lost.lost_at <= lost_instance_lifetime) {
-            result.emplace(id, address);
+        const log_holder holder{id, lost.address, lost.start_time};
+        if (!has_ended(holder) && now - lost.lost_at <= lost_instance_lifetime) {
+            result.insert(holder);
         }
     }
     return result;
@@ -408,6 +422,7 @@
     if (answer.position) {
         found->second.position = answer.position;
         found->second.position_at = now;
+        found->second.highest_position = std::max(found->second.highest_position, answer.position);
         found->second.log_term = std::max(found->second.log_term, answer.position->term);
     }
     // Answers that needed no slot don't reflect the instance's speed.
@@ -440,10 +455,17 @@
     }
 }
 
-void backend_group::on_acknowledged(log_index position) {
-    if (!acknowledged_ || *acknowledged_ < position) {
-        acknowledged_ = position;
-    }
+std::optional<log_index> backend_group::highest_position(const instance_id& instance) const {
+    const auto found = instances_.find(instance);
+    return found == instances_.end() ? std::nullopt : found->second.highest_position;
+}
+
+void backend_group::on_commit_answered(std::optional<log_index> position) {
+    acknowledgements_.on_answered(position, boot_clock::now());
+}
+
+void backend_group::on_acknowledged(log_index position, std::optional<log_index> seen_before) {
+    acknowledgements_.on_acknowledged(position, seen_before);
 }
 
 void backend_group::tick(time_point now) {
@@ -465,6 +487,11 @@
         environment_.refresh_directory();
         update_primary(now);
     }
+    if (has_usable_primary(now)) {
+        primary_unusable_since_.reset();
+    } else if (!primary_unusable_since_) {
+        primary_unusable_since_ = now;
+    }
     const auto newest = proofs_.newest();
     const bool is_old = !newest || boot_clock::now() - *newest > proof_refresh_age;
     if (is_old && position_customer(now) && !position_refresh_in_progress_ &&
@@ -489,13 +516,18 @@
     }
 }
 
-std::optional<position_proof> backend_group::newest_proof() const {
+std::optional<dated_position> backend_group::newest_proven_position() const {
     const auto moment = proofs_.newest();
     const auto position = moment ? proofs_.covering(*moment) : std::nullopt;
-    if (!position || !primary_) {
+    return position ? std::optional{dated_position{*moment, *position}} : std::nullopt;
+}
+
+std::optional<position_proof> backend_group::newest_proof() const {
+    const auto proof = newest_proven_position();
+    if (!proof || !primary_) {
         return std::nullopt;
     }
-    return position_proof{*primary_, *moment, *position};
+    return position_proof{*primary_, proof->moment, proof->position};
 }
 
 asio::awaitable<void> backend_group::refresh_position(customer_id customer) {
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -32,6 +32,7 @@
 /// Between rounds of a host that reaches replicas but too few hosts. Others wait for
 /// `delay_after_failure`, since their link may be full.
 constexpr milliseconds delay_while_isolated{100};
+constexpr milliseconds target_status_timeout{500};
 /// Calls with an unknown outcome are repeated for this long. The platform may carry out a call up
 /// to 12 s late.
 constexpr seconds promote_timeout{15};
@@ -51,6 +52,28 @@
     asio::steady_timer timer;
 };
 
+bool is_proven(const target_verdict& verdict) {
+    return std::holds_alternative<promotion_proof>(verdict);
+}
+
+/// Adds a log that cannot be promoted, unless it is held.
+void add_log(unheld_logs& logs, counted_log log) {
+    const bool is_primary =
+        log.state == log_state::primary_silent || log.state == log_state::primary_unrecorded;
+    if (is_primary && !logs.primary_is_unknown) {
+        logs.primary_is_unknown = true;
+    } else if (!is_known(log.state)) {
+        ++logs.unknown_replicas;
+    }
+    const bool is_compared = log.state == log_state::held || is_primary ||
+                             (log.state == log_state::stepped_down && logs.former_primary);
+    if (log.position && !is_compared) {
+        logs.longest_unlisted =
+            std::max(logs.longest_unlisted.value_or(log_index{}), *log.position);
+    }
+    logs.logs.push_back(std::move(log));
+}
+
 }  // namespace
 
 group_failover::group_failover(std::shared_ptr<backend_group> group,
@@ -58,7 +81,8 @@
     : group_(std::move(group)),
       environment_(std::move(environment)),
       rows_(environment_.store, group_->name(), environment_.self),
-      orders_(group_, environment_.connector) {}
+      orders_(group_, environment_.connector),
+      decisions_(group_->name(), environment_.metrics) {}
 
 asio::awaitable<void> group_failover::sleep(duration length) {
     asio::steady_timer timer{environment_.executor, length};
@@ -149,6 +173,7 @@
         co_return;
     }
     group_->on_failover_begun(lock_.record.fence);
+    census_ = {};
     asio::co_spawn(environment_.executor, announce(lock_.record.fence), asio::detached);
     event_line{"failover_started"}
         .field("group", group_->name())
@@ -159,6 +184,7 @@
         .write();
     const auto choice = co_await prepare_target(kind);
     if (!choice) {
+        decisions_.on_attempt_refused();
         co_await release_replicas();
         co_await release_lock();
         co_return;
@@ -199,7 +225,7 @@
     const auto entries = group_->entries();
     for (const auto& entry : entries) {
         if (entry.id != *primary) {
-            held_replicas_.push_back(entry.id);
+            held_replicas_.insert(log_holder_of(entry));
         }
     }
     auto target = *primary;
@@ -224,7 +250,17 @@
 asio::awaitable<std::optional<term_number>> group_failover::fence_pending_requests(
     instance_id primary) {
     const auto deadline = steady_clock::now() + promote_timeout;
+    const backend_request status_request = backend_status{};
     while (steady_clock::now() < deadline && co_await renew_lock()) {
+        const auto status = co_await orders_.send(primary, status_request);
+        if (!status) {
+            co_await sleep(check_interval);
+            continue;
+        }
+        if (!status->is_primary) {
+            // It has started again or has been replaced, so the request would promote it.
+            co_return std::nullopt;
+        }
         const auto outcome =
             co_await environment_.promotions.promote(group_->name(), primary, lock_.record.fence,
                                                      steady_clock::now() + promote_call_timeout);
@@ -233,7 +269,8 @@
             co_return std::nullopt;
         }
         if (outcome == promotion_outcome::done) {
-            co_return co_await wait_until_primary(primary);
+            promotion_choice present{primary, {}};
+            co_return co_await wait_until_primary(std::move(present));
         }
     }
     co_return std::nullopt;
@@ -269,6 +306,7 @@
 
 asio::awaitable<std::optional<promotion_choice>> group_failover::prepare_target(
     failover_kind kind) {
+    held_replicas_.clear();
     auto choice = co_await hold_replicas(kind);
     if (!choice) {
         co_return std::nullopt;
@@ -293,11 +331,13 @@
             co_return std::nullopt;
         }
         auto others = co_await find_unheld_logs(former_primary);
-        bool is_complete = contains_acknowledged_commits(choice->position, others);
-        if (is_complete) {
+        auto verdict = assess_target(choice->position, others, evaluate_acknowledgements());
+        if (is_proven(verdict)) {
             others = co_await ask_lost_instances(others);
-            is_complete = contains_acknowledged_commits(choice->position, others);
+            verdict = assess_target(choice->position, others, evaluate_acknowledgements());
         }
+        const bool is_complete = is_proven(verdict);
+        record_decision(verdict, choice, others);
         event_line{is_complete ? "failover_target" : "failover_waits"}
             .field("group", group_->name())
             .field("fence", lock_.record.fence)
@@ -305,7 +345,7 @@
             .field("position", choice->position)
             .field("unknown_replicas", others.unknown_replicas)
             .field("primary_known", !others.primary_is_unknown)
-            .field("acknowledged", others.acknowledged.value_or(log_index{}))
+            .field("acknowledged", acknowledged_here().value_or(log_index{}))
             .field("sync_replicas", others.sync_replicas)
             .field("former_primary", others.former_primary.value_or(log_index{}))
             .field("longest_unlisted", others.longest_unlisted.value_or(log_index{}))
@@ -322,72 +362,135 @@
     std::optional<instance_status> former_primary) {
     unheld_logs result;
     result.sync_replicas = group_->sync_replicas();
-    if (former_primary) {
+    const auto holders = group_->log_holders();
+    if (former_primary && primary_is_recorded() && !primary_has_predecessor(holders)) {
         result.former_primary = former_primary->received;
     }
-    const auto known = group_->acknowledged();
-    if (known && known->term >= group_->newest_term()) {
-        result.acknowledged = known;
+    for (const auto& holder : holders) {
+        auto log = co_await find_log(holder);
+        add_log(result, std::move(log));
     }
-    const backend_request request = backend_hold{hold_term_};
-    const auto holders = group_->log_holders(steady_clock::now());
-    for (const auto& [id, address] : holders) {
-        if (group_->primary() == id) {
-            result.primary_is_unknown = !former_primary;
-            continue;
+    co_return result;
+}
+
+asio::awaitable<counted_log> group_failover::find_log(log_holder holder) {
+    if (group_->is_listed(holder)) {
+        if (group_->primary() == holder.instance) {
+            co_return find_primary_log(holder);
         }
-        if (std::find(held_replicas_.begin(), held_replicas_.end(), id) != held_replicas_.end()) {
-            continue;
+        const auto held = held_logs_.find(holder);
+        if (held != held_logs_.end()) {
+            co_return counted_log{holder, log_state::held, held->second.received};
         }
-        if (!group_->is_listed(id)) {
-            const auto asked_at = boot_clock::now();
-            const auto answer = co_await orders_.send_unlisted(id, address, request);
-            log_order("unlisted_hold", id, answer.status, asked_at);
-            if (answer.status && answer.status->held == hold_term_) {
-                result.longest_unlisted = std::max(result.longest_unlisted.value_or(log_index{}),
-                                                   answer.status->received);
-                continue;
-            }
+        co_return counted_log{holder, log_state::not_held};
+    }
+    if (group_->is_listed(holder.instance)) {
+        co_return counted_log{holder, log_state::earlier_process};
+    }
+    if (group_->has_ended(holder)) {
+        co_return counted_log{holder, log_state::successor_only};
+    }
+    if (group_->primary() == holder.instance) {
+        co_return find_primary_log(holder);
+    }
+    co_return co_await hold_unlisted(holder);
+}
+
+counted_log group_failover::find_primary_log(const log_holder& holder) const {
+    if (!stepped_down_ || stepped_down_->first != holder) {
+        return {holder, log_state::primary_silent};
+    }
+    // If it has started again, what it has acknowledged before may be gone, and its earlier process
+    // counts as an unknown log of its own.
+    const bool is_known = primary_is_recorded() || primary_has_predecessor(group_->log_holders());
+    return {holder, is_known ? log_state::stepped_down : log_state::primary_unrecorded,
+            stepped_down_->second};
+}
+
+bool group_failover::primary_is_recorded() const {
+    return stepped_down_ && group_->last_failover().log_holders.contains(stepped_down_->first);
+}
+
+bool group_failover::primary_has_predecessor(const std::set<log_holder>& holders) const {
+    if (!stepped_down_) {
+        return false;
+    }
+    const auto& primary = stepped_down_->first;
+    return std::any_of(holders.begin(), holders.end(), [&](const auto& other) {
+        return other != primary &&
+               (other.instance == primary.instance || other.address == primary.address);
+    });
+}
+
+asio::awaitable<counted_log> group_failover::hold_unlisted(log_holder holder) {
+    const auto answer = co_await send_hold(holder);
+    if (answer.has_other_id) {
+        // An instance that takes over the address has a log of the group, but may not have received
+        // all of the earlier one yet.
+        log_holder any_instance;
+        any_instance.address = holder.address;
+        const auto successor = co_await send_hold(std::move(any_instance));
+        counted_log log{holder, log_state::successor_only};
+        if (successor.status) {
+            log.position = successor.status->received;
         }
-        ++result.unknown_replicas;
+        co_return log;
     }
-    co_return result;
+    if (!answer.status) {
+        co_return counted_log{holder, answer.is_running ? log_state::refused : log_state::silent};
+    }
+    const bool is_held = !answer.status->is_primary && answer.status->held == hold_term_;
+    co_return counted_log{holder, is_held ? log_state::held_unlisted : log_state::refused,
+                          answer.status->received};
 }
 
-asio::awaitable<unheld_logs> group_failover::ask_lost_instances(unheld_logs known) {
-    // A host that could not reach an instance may have removed it from the log holders although the
-    // primary still replicated to it.
+asio::awaitable<instance_orders::unlisted_answer> group_failover::send_hold(log_holder holder) {
     const backend_request request = backend_hold{hold_term_};
-    const auto now = steady_clock::now();
-    const auto holders = group_->log_holders(now);
-    const auto lost = group_->lost_instances(now);
-    for (const auto& [id, address] : lost) {
-        if (holders.contains(id)) {
+    const auto asked_at = boot_clock::now();
+    const auto answer = co_await orders_.send_unlisted(holder.instance, holder.address, request);
+    log_order("unlisted_hold", holder.instance, answer.status, asked_at);
+    if (answer.is_running) {
+        // The request may have been executed although its answer was lost.
+        held_replicas_.insert(std::move(holder));
+    }
+    co_return answer;
+}
+
+asio::awaitable<unheld_logs> group_failover::ask_lost_instances(unheld_logs known) {
+    const auto holders = group_->log_holders();
+    const auto lost = group_->lost_instances(steady_clock::now());
+    for (const auto& holder : lost) {
+        if (holders.contains(holder)) {
             continue;
         }
-        const auto asked_at = boot_clock::now();
-        const auto answer = co_await orders_.send_unlisted(id, address, request);
-        log_order("unlisted_hold", id, answer.status, asked_at);
-        if (answer.status) {
-            known.longest_unlisted =
-                std::max(known.longest_unlisted.value_or(log_index{}), answer.status->received);
-        } else if (answer.is_running) {
-            ++known.unknown_replicas;
+        auto log = co_await hold_unlisted(holder);
+        if (log.state != log_state::silent) {
+            add_log(known, std::move(log));
         }
     }
     co_return known;
 }
 
 asio::awaitable<std::optional<instance_status>> group_failover::demote_primary() {
+    stepped_down_.reset();
     const auto primary = group_->primary();
     if (!primary) {
         co_return std::nullopt;
     }
+    const auto entries = group_->entries();
+    const auto entry = std::find_if(entries.begin(), entries.end(),
+                                    [&](const auto& item) { return item.id == primary; });
     const backend_request request = backend_step_down{hold_term_};
     const auto asked_at = boot_clock::now();
     const auto status = co_await orders_.send(*primary, request);
     log_order("step_down", *primary, status, asked_at);
-    co_return status && !status->is_primary ? status : std::nullopt;
+    if (!status || status->is_primary) {
+        co_return std::nullopt;
+    }
+    if (entry != entries.end()) {
+        stepped_down_.emplace(log_holder_of(*entry), status->received);
+    }
+    co_return status;
 }
 
 asio::awaitable<void> group_failover::announce(std::uint64_t fence) {
@@ -395,7 +498,12 @@
     while (promoting_ && lock_.record.fence == fence && lock_.record.open) {
         try {
             auto group = group_->name();
-            const auto unconfirmed = co_await environment_.announce_begun(std::move(group), fence);
+            const auto told = co_await environment_.announce_begun(std::move(group), fence);
+            if (lock_.record.fence != fence) {
+                co_return;
+            }
+            add_to_census(told);
+            const auto unconfirmed = told.unconfirmed.size();
             event_line{"failover_announced"}
                 .field("group", group_->name())
                 .field("fence", fence)
@@ -416,6 +524,42 @@
     }
 }
 
+void group_failover::add_to_census(const failover_announcement& told) {
+    for (const auto& answer : told.confirmed) {
+        // A process that confirms acknowledges nothing more, so its first answer remains true.
+        census_.confirmed.emplace(answer.host, answer);
+    }
+    census_.unconfirmed = told.silent;
+    census_.unconfirmed.insert(told.unconfirmed.begin(), told.unconfirmed.end());
+    std::erase_if(census_.unconfirmed,
+                  [&](const auto& item) { return census_.confirmed.contains(item.first); });
+    census_.is_announced = true;
+}
+
+census_result group_failover::evaluate_acknowledgements() {
+    census_.own = {environment_.self, environment_.process_started, group_->acknowledged(),
+                   std::nullopt};
+    return evaluate_census(census_, group_->proven_position(uncovered_before(census_)));
+}
+
+std::optional<log_index> group_failover::acknowledged_here() const {
+    return group_->acknowledged().value_or(acknowledged_bounds{}).up_to;
+}
+
+void group_failover::record_decision(target_verdict verdict, std::optional<promotion_choice> choice,
+                                     const unheld_logs& others) {
+    promotion_decision decision;
+    decision.fence = lock_.record.fence;
+    decision.verdict = verdict;
+    decision.choice = std::move(choice);
+    decision.replicas = candidates_;
+    decision.held_at = held_at_;
+    decision.others = others;
+    decision.acknowledged = evaluate_acknowledgements();
+    decision.census = census_;
+    decisions_.record(decision);
+}
+
 asio::awaitable<void> group_failover::wait_until_primary_unused() {
     constexpr milliseconds poll_interval{10};
     const auto started = boot_clock::now();
@@ -683,12 +827,15 @@
 }
 
 asio::awaitable<std::optional<promotion_choice>> group_failover::hold_replicas(failover_kind kind) {
-    held_replicas_.clear();
+    held_logs_.clear();
     hold_term_ = group_->newest_term().next();
     const backend_request request = backend_hold{hold_term_};
     const auto deadline = steady_clock::now() + hold_timeout;
+    unheld_logs not_asked;
+    not_asked.sync_replicas = group_->sync_replicas();
     while (steady_clock::now() < deadline) {
-        std::vector<promotion_candidate> candidates;
+        candidates_.clear();
+        held_at_ = boot_clock::now();
         const auto entries = group_->entries();
         for (const auto& entry : entries) {
             if (group_->primary() == entry.id) {
@@ -701,29 +848,34 @@
             log_order("replica_hold", entry.id, candidate.held, asked_at);
             candidate.is_draining = group_->is_draining(entry.id);
             if (candidate.held) {
-                held_replicas_.push_back(entry.id);
+                held_replicas_.insert(log_holder_of(entry));
+                held_logs_.insert_or_assign(log_holder_of(entry), *candidate.held);
                 if (candidate.held->is_primary || candidate.held->term >= hold_term_) {
                     // Another promotion has finished; `survey_instances` will find its primary.
+                    candidates_.push_back(std::move(candidate));
+                    record_decision(promotion_refusal::superseded, std::nullopt, not_asked);
                     co_return std::nullopt;
                 }
             }
-            candidates.push_back(std::move(candidate));
+            candidates_.push_back(std::move(candidate));
         }
-        const auto choice = choose_promotion_target(candidates, hold_term_);
+        const auto choice = choose_promotion_target(candidates_, hold_term_);
         if (choice) {
             if (kind == failover_kind::planned && group_->is_draining(choice->target)) {
+                record_decision(promotion_refusal::target_draining, choice, not_asked);
                 co_return std::nullopt;
             }
             co_return choice;
         }
         co_await sleep(check_interval);
     }
+    record_decision(promotion_refusal::replicas_not_held, std::nullopt, not_asked);
     co_return std::nullopt;
 }
 
 asio::awaitable<void> group_failover::release_replicas() {
     // Only the current lock holder may resume replicas; a later holder may hold the same ones.
-    replicas_to_resume_ = {held_replicas_.begin(), held_replicas_.end()};
+    replicas_to_resume_.merge(held_replicas_);
     held_replicas_.clear();
     resume_fence_ = lock_.record.fence;
     co_await resume_pending_replicas();
@@ -733,8 +885,7 @@
     resume_after_ = steady_clock::now() + resume_interval;
     try {
         const auto row = co_await rows_.read();
-        if (row.record.fence != resume_fence_) {
-            replicas_to_resume_.clear();
+        if (row.record.open && row.record.fence != resume_fence_) {
             co_return;
         }
     } catch (const error& failure) {
@@ -744,50 +895,141 @@
             .write();
         co_return;
     }
-    const backend_request request = backend_resume{};
-    const auto instances = replicas_to_resume_;
-    for (const auto& instance : instances) {
-        const auto resumed = co_await orders_.send(instance, request);
-        if (resumed || !group_->is_listed(instance)) {
-            replicas_to_resume_.erase(instance);
+    const auto replicas = replicas_to_resume_;
+    for (const auto& replica : replicas) {
+        if (co_await resume(replica)) {
+            replicas_to_resume_.erase(replica);
         }
     }
 }
 
+asio::awaitable<void> group_failover::end_attempt(bool request_pending) {
+    lock_.record.request_pending = request_pending;
+    co_await release_replicas();
+    co_await release_lock();
+}
+
+asio::awaitable<group_failover::target_state> group_failover::check_target(
+    const promotion_choice& choice) {
+    const backend_request status_request = backend_status{};
+    const auto asked_at = boot_clock::now();
+    const auto deadline = steady_clock::now() + target_status_timeout;
+    auto answer = co_await orders_.send_until(choice.target, status_request, deadline);
+    if (answer.answered && !answer.status) {
+        // A busy instance refuses a status request only. If it has started again, this holds it
+        // once more, but at another position.
+        const backend_request hold_request = backend_hold{hold_term_};
+        answer = co_await orders_.send_until(choice.target, hold_request, deadline);
+    }
+    const auto& status = answer.status;
+    if (!status) {
+        log_order("target_status", choice.target, status, asked_at);
+        co_return target_state::silent;
+    }
+    if (status->is_primary) {
+        co_return target_state::leads;
+    }
+    if (status->held == hold_term_ && status->received == choice.position) {
+        co_return target_state::unchanged;
+    }
+    log_order("target_changed", choice.target, status, asked_at);
+    co_return target_state::changed;
+}
+
+void group_failover::report_unsafe_order(const promotion_choice& choice, std::string_view reason) {
+    event_line{"promotion_order_unsafe", event_severity::warning}
+        .field("group", group_->name())
+        .field("fence", lock_.record.fence)
+        .field("target", choice.target)
+        .field("position", choice.position)
+        .field("reason", reason)
+        .write();
+    environment_.metrics.count("masticgrade_promotion_orders_unsafe_total",
+                               "Promotion requests whose target has lost its log.",
+                               std::string{reason});
+}
+
+asio::awaitable<bool> group_failover::resume(log_holder replica) {
+    const backend_request request = backend_resume{};
+    const auto entries = group_->entries();
+    const auto listed = std::find_if(entries.begin(), entries.end(), [&](const auto& entry) {
+        return replica.instance.empty() ? entry.address == replica.address
+                                        : entry.id == replica.instance;
+    });
+    if (listed != entries.end()) {
+        const auto status = co_await orders_.send(listed->id, request);
+        co_return status.has_value();
+    }
+    if (group_->has_ended(replica)) {
+        co_return true;
+    }
+    // A restart ends the hold, so that an instance with another id need not be resumed.
+    const auto answer = co_await orders_.send_unlisted(replica.instance, replica.address, request);
+    co_return answer.status.has_value() || answer.has_other_id;
+}
+
 asio::awaitable<std::optional<term_number>> group_failover::promote(promotion_choice choice) {
-    const auto deadline = steady_clock::now() + promote_timeout;
+    const auto started = steady_clock::now();
     const bool earlier_requests_pending = lock_.record.request_pending;
     bool own_request_pending = false;
+    // A target that is silent before the first request may be replaced by another attempt.
+    const auto deadline = [&] {
+        return started + (own_request_pending ? duration{promote_timeout} : duration{hold_timeout});
+    };
     lock_.record.request_pending = true;
-    while (steady_clock::now() < deadline && co_await renew_lock()) {
+    while (steady_clock::now() < deadline()) {
+        if (!co_await renew_lock()) {
+            co_return std::nullopt;
+        }
+        const auto state = co_await check_target(choice);
+        if (state == target_state::silent) {
+            co_await sleep(check_interval);
+            continue;
+        }
+        const bool any_request_pending = earlier_requests_pending || own_request_pending;
+        if (state == target_state::changed ||
+            (state == target_state::leads && !any_request_pending)) {
+            if (state == target_state::changed && own_request_pending) {
+                report_unsafe_order(choice, "request_pending");
+            }
+            co_await end_attempt(any_request_pending);
+            co_return std::nullopt;
+        }
         const auto outcome = co_await environment_.promotions.promote(
             group_->name(), choice.target, lock_.record.fence,
             steady_clock::now() + promote_call_timeout);
         log_request(choice.target, outcome);
         if (outcome == promotion_outcome::refused) {
-            lock_.record.request_pending = earlier_requests_pending || own_request_pending;
-            co_await release_replicas();
-            co_await release_lock();
+            co_await end_attempt(any_request_pending);
             co_return std::nullopt;
         }
         own_request_pending = own_request_pending || outcome == promotion_outcome::unknown;
-        const auto term = co_await wait_until_primary(choice.target);
+        const auto term = co_await wait_until_primary(choice);
         // Without an answer, the platform may not know this fencing token yet, and would still
         // carry out earlier requests for other targets.
         if (term && (outcome == promotion_outcome::done || !earlier_requests_pending)) {
             co_return term;
         }
+        own_request_pending = true;
+    }
+    if (!own_request_pending) {
+        co_await end_attempt(earlier_requests_pending);
     }
     co_return std::nullopt;
 }
 
-asio::awaitable<std::optional<term_number>> group_failover::wait_until_primary(instance_id target) {
+asio::awaitable<std::optional<term_number>> group_failover::wait_until_primary(
+    promotion_choice choice) {
+    const auto& target = choice.target;
     const auto deadline = steady_clock::now() + new_primary_timeout;
     const backend_request status_request = backend_status{};
     while (steady_clock::now() < deadline) {
         co_await sleep(check_interval);
         const auto status = co_await orders_.send(target, status_request);
         if (status && status->is_primary) {
+            if (status->received < choice.position) {
+                report_unsafe_order(choice, "log_lost");
+            }
             group_->on_status(target, *status);
             group_->set_primary(target, status->term, "promotion");
             co_return status->term;
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -13,6 +13,8 @@
 /// may be out of date.
 constexpr milliseconds denial_lifetime{1500};
 constexpr milliseconds probe_timeout{300};
+/// Longer than a failover takes unless a log is missing.
+constexpr seconds max_failover_time{5};
 
 }  // namespace
 
@@ -125,6 +127,15 @@
                                    boot_clock::now());
 }
 
+bool backend_group::has_usable_primary(time_point now) const {
+    return primary_ && !primary_is_dead(now) && may_lead(*primary_, boot_clock::now());
+}
+
+bool backend_group::lacks_primary(time_point now) const {
+    return primary_unusable_since_ && now - *primary_unusable_since_ >= max_failover_time &&
+           !has_usable_primary(now);
+}
+
 leadership_evidence::claimant backend_group::claimant_of(const instance_id& instance) const {
     const auto found = instances_.find(instance);
     return {instance, found == instances_.end() ? term_number{} : found->second.log_term};
@@ -141,8 +152,19 @@
 void backend_group::on_failover_row(const std::optional<failover_record>& row, boot_time read_at,
                                     store_era era) {
     const bool was_lost = leadership_.is_lost();
+    const auto known_holders = last_failover().log_holders;
     const bool is_new_promotion = leadership_.on_row(row, read_at, era);
     const auto& record = leadership_.record();
+    if (era > failover_row_era_ || record.log_holders.empty()) {
+        // Only a row that was written after the known one removes log holders: one of a later era
+        // may come from an older copy, and an unreadable row names none.
+        std::for_each(known_holders.begin(), known_holders.end(),
+                      [&](const auto& holder) { keep_log_holder(holder); });
+    }
+    if (!leadership_.is_lost()) {
+        failover_row_era_ = std::max(failover_row_era_, era);
+    }
+    forget_log_holders(record.log_holders);
     if (leadership_.is_lost() != was_lost) {
         event_line{was_lost ? "failover_row_regained" : "failover_row_lost"}
             .field("group", name_)
@@ -190,6 +212,7 @@
         return;
     }
     proofs_.add(sent_at, position);
+    acknowledgements_.on_proof({sent_at, position});
     newest_term_ = std::max(newest_term_, position.term);
     if (position.term >= newest_term_) {
         set_primary(instance, position.term, "answer");
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -16,6 +16,22 @@
 const group_id group_name{"ledger"};
 const std::string lock_row = "failover/ledger";
 
+log_index first_term(std::uint64_t number) { return {term_number{1}, log_position{number}}; }
+
+/// A host that has confirmed the failover.
+host_acknowledgements confirmation(const char* host, acknowledged_bounds bounds) {
+    return {host_id{host}, boot_time{}, bounds, std::nullopt};
+}
+
+/// The announcement of a failover that this number of hosts does not confirm.
+failover_announcement unanswered(std::size_t hosts) {
+    failover_announcement result;
+    for (std::size_t i = 0; i < hosts; ++i) {
+        result.unconfirmed.emplace(host_id{"silent-" + std::to_string(i)}, boot_clock::now());
+    }
+    return result;
+}
+
 /// Runs the failover of a group without a primary and with the replicas "b" and "c" on one host.
 class failover_fixture {
 public:
@@ -27,7 +43,7 @@
         connector.add("c", false).position = 12;
         group_settings_.name = group_name;
         group_settings_.max_connections = 20;
-        auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
+        auto environment = make_local_environment(context_.get_executor(), connector, metrics);
         group = std::make_shared<backend_group>(group_name, std::move(environment));
         prove_leadership(*group);
         update();
@@ -41,7 +57,7 @@
 
     /// Replaces the host by one that knows only what the directory and the failover row tell.
     void restart_host() {
-        auto environment = make_local_environment(context_.get_executor(), connector, metrics_);
+        auto environment = make_local_environment(context_.get_executor(), connector, metrics);
         group = std::make_shared<backend_group>(group_name, std::move(environment));
         const auto row =
             decode_failover_row({lock_row, fleet_version{1}, store.value_of(lock_row)});
@@ -49,6 +65,27 @@
         update();
     }
 
+    /// Records the log holders and replaces the host by one that knows nothing else.
+    void record_log_holders(const std::set<log_holder>& holders) {
+        failover_record recorded;
+        recorded.log_holders = holders;
+        store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+        restart_host();
+    }
+
+    /// The instance crashes and its entry lapses.
+    void lose(const std::string& name) {
+        connector.at(name).refuses_connections = true;
+        connector.at(name).is_listed = false;
+    }
+
+    /// Runs the failover for at least one attempt that ends without a promotion.
+    void run_without_promotion() {
+        unsigned checks = 0;
+        run_until([&] { return ++checks > 200 || !promotions.orders.empty(); });
+        CHECK(promotions.orders.empty());
+    }
+
     /// Runs the failover until `done` returns true, for at most 10 s.
     void run_until(const std::function<bool()>& done) {
         failover_environment environment{
@@ -57,7 +94,7 @@
             store,
             promotions,
             connector,
-            metrics_,
+            metrics,
             [] { return std::vector{host_id{"host-1"}}; },
             [this] { return read_directory(); },
             [this](const group_id&, const instance_entry&) { return ask_others(); },
@@ -81,13 +118,20 @@
     fake_connector connector;
     fake_store& store;
     fake_promotions promotions{connector};
+    gateway_metrics metrics;
     std::shared_ptr<backend_group> group;
     std::function<void()> on_directory_read = [] {};
     /// Other hosts that don't confirm that they stopped using the primary.
     std::size_t silent_hosts = 0;
+    /// The answers of those that confirm.
+    std::vector<host_acknowledgements> confirmations;
 
 private:
-    boost::asio::awaitable<std::size_t> announce() { co_return silent_hosts; }
+    boost::asio::awaitable<failover_announcement> announce() {
+        auto told = unanswered(silent_hosts);
+        told.confirmed = confirmations;
+        co_return told;
+    }
     boost::asio::awaitable<primary_replies> ask_others() { co_return primary_replies{}; }
 
     boost::asio::awaitable<void> read_directory() {
@@ -97,7 +141,6 @@
     }
 
     boost::asio::io_context context_{1};
-    gateway_metrics metrics_;
     group_settings group_settings_;
 };
 
@@ -127,8 +170,7 @@
     }
     failover_record recorded;
     for (const auto* name : {"a", "b", "c", "d"}) {
-        recorded.log_holders[instance_id{name}] =
-            endpoint_address{std::string{name} + ".example:1"};
+        recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
@@ -144,6 +186,34 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
 }
 
+// A group that waits for a missing log must serve again without a promotion when its old primary is
+// back.
+TEST_CASE("a group that waits for a log is led by its old primary again when that returns") {
+    failover_fixture fixture;
+    auto& old_primary = fixture.connector.add("a", true);
+    old_primary.position = 14;
+    fixture.group->on_acknowledged(first_term(14), first_term(13));
+    old_primary.refuses_connections = true;
+    old_primary.is_listed = false;
+    fixture.update();
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 200 || !fixture.promotions.orders.empty(); });
+    REQUIRE(fixture.promotions.orders.empty());
+    CHECK(fixture.metrics.scrape().find("masticgrade_promotions_refused_total{kind=\"acknowledged_"
+                                        "commit_missing\"}") != std::string::npos);
+
+    old_primary.refuses_connections = false;
+    old_primary.is_listed = true;
+    fixture.update();
+    fixture.run_until([&] {
+        return fixture.group->primary() == instance_id{"a"} &&
+               fixture.group->may_lead(instance_id{"a"}, boot_clock::now());
+    });
+    CHECK(fixture.group->primary() == instance_id{"a"});
+    CHECK(fixture.group->may_lead(instance_id{"a"}, boot_clock::now()));
+    CHECK(fixture.promotions.orders.empty());
+}
+
 // Two unknown logs keep a group without a primary only if they may hold a promised commit.
 TEST_CASE("a promotion follows the configured number of synchronous replicas") {
     unsigned sync_replicas = 0;
@@ -158,8 +228,7 @@
     }
     failover_record recorded;
     for (const auto* name : {"a", "b", "c", "d"}) {
-        recorded.log_holders[instance_id{name}] =
-            endpoint_address{std::string{name} + ".example:1"};
+        recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
@@ -176,14 +245,13 @@
     fixture.connector.add("d", false).position = 14;
     failover_record recorded;
     for (const auto* name : {"b", "c", "d"}) {
-        recorded.log_holders[instance_id{name}] =
-            endpoint_address{std::string{name} + ".example:1"};
+        recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
     fixture.connector.at("d").is_listed = false;
     fixture.update();
-    recorded.log_holders.erase(instance_id{"d"});
+    recorded.log_holders.erase(holder_of("d"));
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     unsigned checks = 0;
     fixture.run_until([&] { return ++checks > 50 || !fixture.promotions.orders.empty(); });
@@ -212,6 +280,90 @@
     CHECK(fixture.promotions.orders.empty());
 }
 
+// Guards against the loss of acknowledged commits by a host that takes the logs it knows for all:
+// with no unknown log it did not compare the target with what it had acknowledged itself.
+TEST_CASE("a replica that lacks a commit acknowledged by a host is not promoted") {
+    failover_fixture fixture;
+    SUBCASE("by the host that promotes") {
+        fixture.group->on_acknowledged(first_term(14), first_term(13));
+    }
+    SUBCASE("by a host that confirms") {
+        fixture.confirmations = {confirmation("host-2", {first_term(9), first_term(10)}),
+                                 confirmation("host-3", {first_term(13), first_term(14)})};
+    }
+    unsigned checks = 0;
+    bool has_ended = false;
+    fixture.run_until([&] {
+        const bool is_held = fixture.connector.at("c").held != term_number{};
+        const auto row = decode_failover_row({lock_row, {}, fixture.store.value_of(lock_row)});
+        has_ended = has_ended || (row.record.fence > 0 && !row.record.open && !is_held);
+        return ++checks > 200 || !fixture.promotions.orders.empty();
+    });
+    CHECK(fixture.promotions.orders.empty());
+    // The replicas receive log entries while the group waits.
+    CHECK(has_ended);
+
+    fixture.connector.add("d", false).position = 14;
+    fixture.update();
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
+}
+
+// The position in an answer may include commits that were never acknowledged.
+TEST_CASE("a primary's unacknowledged commits do not delay its replacement") {
+    failover_fixture fixture;
+    fixture.group->on_acknowledged(first_term(14), first_term(11));
+    fixture.confirmations = {confirmation("host-2", {first_term(10), first_term(15)})};
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
+// A group need not wait for lost logs if all hosts tell that nothing more was acknowledged.
+TEST_CASE("two unknown logs are tolerated if the target has all that hosts have acknowledged") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.connector.add("d", false).position = 11;
+    for (const auto* name : {"a", "c"}) {
+        fixture.connector.at(name).refuses_connections = true;
+        fixture.connector.at(name).is_listed = false;
+    }
+    failover_record recorded;
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        recorded.log_holders.insert(holder_of(name));
+    }
+    fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+    fixture.restart_host();
+    auto answer = confirmation("host-2", {first_term(9), first_term(11)});
+    answer.newest_proof = dated_position{boot_clock::now(), first_term(11)};
+    bool is_allowed = true;
+    SUBCASE("all are heard") {}
+    SUBCASE("a host has acknowledged more") {
+        answer.bounds->up_to = first_term(12);
+        is_allowed = false;
+    }
+    SUBCASE("a host of an earlier release does not tell") {
+        answer.bounds.reset();
+        is_allowed = false;
+    }
+    SUBCASE("a host has started since the last position proof") {
+        answer.started = boot_clock::now() + milliseconds{1};
+        is_allowed = false;
+    }
+    SUBCASE("a host does not confirm") {
+        fixture.silent_hosts = 1;
+        is_allowed = false;
+    }
+    fixture.confirmations = {answer};
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 250 || !fixture.promotions.orders.empty(); });
+    REQUIRE(fixture.promotions.orders.size() == (is_allowed ? 1 : 0));
+    if (is_allowed) {
+        CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
+    }
+}
+
 // One unknown log beside a dead primary's holds no commit that the others lack, if the primary has
 // told the end of its own log.
 TEST_CASE("a primary that has stepped down is replaced although another instance is gone") {
@@ -222,8 +374,7 @@
     fixture.connector.at("a").entry.leaving = true;
     failover_record recorded;
     for (const auto* name : {"a", "b", "c"}) {
-        recorded.log_holders[instance_id{name}] =
-            endpoint_address{std::string{name} + ".example:1"};
+        recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
@@ -232,6 +383,139 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
 }
 
+// A replica that was cut off from the store and the hosts was the only one with the newest commits;
+// the remaining one was promoted.
+TEST_CASE("a log holder that is not listed but runs is held and has to be covered") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 14;
+    fixture.lose("a");
+    fixture.connector.at("c").position = 14;
+    fixture.connector.at("c").is_listed = false;
+    fixture.connector.add("d", false).position = 9;
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c"), holder_of("d")});
+    fixture.run_without_promotion();
+
+    fixture.connector.at("c").is_listed = true;
+    fixture.update();
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
+// A replica that stays held would lack all later commits when it is the only one left.
+TEST_CASE("an unlisted replica that was held is resumed after an attempt without a promotion") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 14;
+    fixture.lose("a");
+    auto& unlisted = fixture.connector.at("c");
+    unlisted.position = 14;
+    fixture.connector.add("d", false).position = 9;
+    std::set<log_holder> holders{holder_of("a"), holder_of("b"), holder_of("d")};
+    bool was_held = false;
+    SUBCASE("under its own id") {
+        unlisted.is_listed = false;
+        holders.insert(holder_of("c"));
+    }
+    SUBCASE("as the instance at the address of a log holder") {
+        unlisted.is_listed = false;
+        holders.insert({instance_id{"e"}, unlisted.entry.address, 0});
+    }
+    SUBCASE("after its entry lapsed during the attempt") {
+        holders.insert(holder_of("c"));
+        fixture.on_directory_read = [&] { unlisted.is_listed = false; };
+    }
+    fixture.record_log_holders(holders);
+    fixture.set_sync_replicas(2);
+    bool was_resumed = false;
+    fixture.run_until([&] {
+        was_held = was_held || unlisted.held != term_number{};
+        was_resumed = was_resumed || (was_held && unlisted.held == term_number{});
+        return was_resumed;
+    });
+    CHECK(was_held);
+    CHECK(was_resumed);
+    CHECK(fixture.promotions.orders.empty());
+}
+
+// The replica had the newest commits and knows nothing after its restart; its hold counted as that
+// of the earlier log, and the remaining replica was promoted.
+TEST_CASE("a replica that has started again is not counted as its earlier process") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.lose("a");
+    auto& restarted = fixture.connector.at("c");
+    const auto restart = [&] {
+        restarted.entry.start_time = 1;
+        restarted.position = 0;
+    };
+    SUBCASE("before the attempt") { restart(); }
+    SUBCASE("between the hold and the choice") { fixture.on_directory_read = restart; }
+    SUBCASE("at another address") {
+        restart();
+        restarted.entry.address = endpoint_address{"other.example:1"};
+    }
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c")});
+    fixture.run_without_promotion();
+}
+
+// An instance that takes over the address of another one has its log only when the transfer has
+// ended.
+TEST_CASE("an instance at the address of a log holder is not counted as that log holder") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.lose("a");
+    fixture.lose("c");
+    auto& successor = fixture.connector.add("d", false);
+    successor.entry.address = fixture.connector.at("c").entry.address;
+    successor.entry.start_time = 1;
+    successor.position = 3;
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c")});
+    fixture.run_without_promotion();
+}
+
+// The instance receives and acknowledges commits although its entry has not reached the directory.
+TEST_CASE("an unlisted instance at the address of a log holder has to be covered") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 14;
+    fixture.lose("a");
+    fixture.lose("c");
+    auto& successor = fixture.connector.add("d", false);
+    successor.entry.address = fixture.connector.at("c").entry.address;
+    successor.entry.start_time = 1;
+    successor.position = 14;
+    successor.is_listed = false;
+    fixture.connector.add("e", false).position = 9;
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c"), holder_of("e")});
+    // The logs of the primary and of the ended replica may be unknown, but not that of a third one.
+    fixture.set_sync_replicas(2);
+    fixture.run_without_promotion();
+
+    successor.position = 10;
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"b"});
+}
+
+// The short log of the new process was taken for all that the primary had ever acknowledged.
+TEST_CASE("a primary that has started again empty does not tell its earlier log") {
+    failover_fixture fixture;
+    auto& primary = fixture.connector.add("a", true);
+    primary.position = 0;
+    primary.entry.start_time = 1;
+    primary.entry.leaving = true;
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c")});
+    SUBCASE("another replica is lost") {
+        fixture.lose("c");
+        fixture.update();
+        fixture.run_without_promotion();
+    }
+    SUBCASE("all replicas are held") {
+        fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+        REQUIRE_FALSE(fixture.promotions.orders.empty());
+        CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+    }
+}
+
 // A second promotion after another host has finished one would lose the commits that the new
 // primary has acknowledged in the meantime.
 TEST_CASE("the result of another host's finished promotion is adopted") {
@@ -277,6 +561,96 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
 }
 
+namespace {
+
+/// Calls `change` once, when the attempt renews its lock for the first promotion request.
+void change_before_request(failover_fixture& fixture, std::function<void()> change) {
+    fixture.store.on_commit = [done = false,
+                               change = std::move(change)](const table_commit& written) mutable {
+        for (const auto& row : written.puts) {
+            if (!done && decode_failover_row({row.key, fleet_version{1}, row.value})
+                             .record.request_pending) {
+                done = true;
+                change();
+            }
+        }
+    };
+}
+
+/// The instance starts again under its id and has lost its log.
+void restart_empty(fake_instance& instance) {
+    instance.held = {};
+    instance.position = 0;
+}
+
+}  // namespace
+
+// Guards against the promotion of an instance that has lost its log since it was chosen.
+TEST_CASE("a target that starts again after it was chosen is not promoted") {
+    failover_fixture fixture;
+    fixture.group->on_acknowledged(first_term(12), first_term(11));
+    auto& target = fixture.connector.at("c");
+    bool has_restarted = false;
+    change_before_request(fixture, [&] {
+        has_restarted = true;
+        restart_empty(target);
+    });
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 100 || !fixture.promotions.orders.empty(); });
+    REQUIRE(has_restarted);
+    CHECK(fixture.promotions.orders.empty());
+    // No request is under way, so hosts may use a primary again.
+    const auto row = decode_failover_row({lock_row, {}, fixture.store.value_of(lock_row)}).record;
+    CHECK_FALSE(row.request_pending);
+
+    target.position = 12;
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE(fixture.promotions.orders.size() == 1);
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
+// A request whose answer is lost cannot be taken back, but must not be sent again for a target that
+// has lost its log.
+TEST_CASE("an unanswered promotion request is not repeated for a target that starts again") {
+    failover_fixture fixture;
+    fixture.group->on_acknowledged(first_term(12), first_term(11));
+    auto& target = fixture.connector.at("c");
+    fixture.promotions.outcomes = {promotion_outcome::unknown};
+    fixture.promotions.on_promote = [&] {
+        if (fixture.promotions.orders.size() == 1) {
+            restart_empty(target);
+        }
+    };
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 300 || fixture.promotions.orders.size() > 1; });
+    CHECK(fixture.promotions.orders.size() == 1);
+    const auto row = decode_failover_row({lock_row, {}, fixture.store.value_of(lock_row)}).record;
+    CHECK(row.open);
+    CHECK(row.request_pending);
+    CHECK(fixture.metrics.scrape().find("masticgrade_promotion_orders_unsafe_total") !=
+          std::string::npos);
+
+    target.position = 12;
+    fixture.run_until([&] { return fixture.group->primary() == instance_id{"c"}; });
+    REQUIRE(fixture.promotions.orders.size() == 2);
+    CHECK(fixture.promotions.orders[1].fence > fixture.promotions.orders[0].fence);
+}
+
+// A silent target may be starting again.
+TEST_CASE("no promotion request is sent while the target is silent") {
+    failover_fixture fixture;
+    auto& target = fixture.connector.at("c");
+    change_before_request(fixture, [&] { target.answer_delay = seconds{20}; });
+    unsigned checks = 0;
+    fixture.run_until([&] { return ++checks > 100 || !fixture.promotions.orders.empty(); });
+    REQUIRE(target.answer_delay == seconds{20});
+    CHECK(fixture.promotions.orders.empty());
+    target.answer_delay = milliseconds{0};
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
 // A promotion request whose answer is lost may still be carried out.
 TEST_CASE("an unanswered promotion request is repeated with the same target and fence") {
     failover_fixture fixture;
@@ -501,11 +875,15 @@
         co_return replies;
     }
 
-    boost::asio::awaitable<std::size_t> announce(std::size_t silent_hosts, std::uint64_t fence) {
+    boost::asio::awaitable<failover_announcement> announce(std::size_t silent_hosts,
+                                                           std::uint64_t fence) {
+        auto told = unanswered(silent_hosts);
         if (silent_hosts == 0) {
             second->on_failover_begun(fence);
+            told.confirmed.push_back({host_id{"host-2"}, boot_time{}, second->acknowledged(),
+                                      second->newest_proven_position()});
         }
-        co_return silent_hosts;
+        co_return told;
     }
 
     partitioned_connector first_connector_{connector, {"a"}};
@@ -563,6 +941,11 @@
     REQUIRE(target.position < primary.position);
     REQUIRE(outcome);
     CHECK(*outcome == write_outcome::in_doubt);
+    // Replicas have received it, so a later failover takes it into account.
+    const auto told = fixture.second->acknowledged();
+    REQUIRE(told);
+    CHECK(told->up_to == primary.end_of_log());
+    CHECK_FALSE(told->beyond);
 }
 
 // A holder that was suspended for longer than its lock lasts would promote a second instance after
