--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -84,6 +84,13 @@
     [[nodiscard]] bool is_promoting() const { return promoting_; }
 
 private:
+    static constexpr milliseconds check_interval{100};
+    /// A lock whose row has not changed for this long has lost its holder. Longer than a promotion
+    /// in which one answer is lost.
+    static constexpr seconds lock_expiry{5};
+    /// Time in which all replicas must be held.
+    static constexpr seconds hold_timeout{3};
+
     enum class failover_kind { none, planned, unplanned };
     [[nodiscard]] failover_kind required_failover(time_point now) const;
     boost::asio::awaitable<void> run_failover(failover_kind kind);
