--- a/libs/gateway/include/masticgrade/gateway/acknowledged_positions.hpp
+++ b/libs/gateway/include/masticgrade/gateway/acknowledged_positions.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 
 #include "masticgrade/base/time.hpp"
@@ -61,6 +62,8 @@
     /// Absent if unknown, as for a process of an earlier release.
     std::optional<acknowledged_bounds> bounds = {};
     std::optional<dated_position> newest_proof = {};
+    /// The highest position at which the host saw each replica, see replica_positions.
+    std::map<instance_id, log_index> replicas = {};
 };
 
 /// What is known in one failover about the commits that all hosts have acknowledged.
@@ -73,6 +76,14 @@
     std::map<host_id, boot_time> unconfirmed = {};
     /// Whether the registered hosts have been asked in this failover.
     bool is_announced = false;
+    /// The instances that have led since the last promotion. What only they have received was not
+    /// acknowledged.
+    std::set<instance_id> former_primaries = {};
+    /// The term of the last recorded promotion. A host that has not heard of it tells positions of
+    /// earlier terms, which the group may have given up.
+    term_number term = {};
+    /// What earlier attempts required of a target, see failover_record.
+    std::optional<log_index> required = {};
 };
 
 /// Why no upper bound of the acknowledged commits is known.
@@ -94,6 +105,10 @@
     std::optional<log_index> beyond = {};
     /// The highest position that a host which was heard may have acknowledged.
     std::optional<log_index> up_to = {};
+    /// The highest position at which a host which was heard saw a replica.
+    std::optional<log_index> replicated = {};
+    /// What earlier attempts required of a target.
+    std::optional<log_index> required = {};
     /// What processes that were not heard have acknowledged was acknowledged before this time.
     boot_time uncovered_before = {};
     /// Every acknowledged commit is at or below this position; absent if there is a gap.
--- a/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -7,6 +7,7 @@
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
 #include "masticgrade/gateway/log_holder.hpp"
+#include "masticgrade/gateway/log_index.hpp"
 
 namespace masticgrade {
 
@@ -25,6 +26,9 @@
     std::set<log_holder> log_holders = {};
     /// A promotion request may still be carried out, since its answer was lost or its sender ended.
     bool request_pending = false;
+    /// The end that the log of a target needs at least, as known to attempts that promoted nothing.
+    /// Hosts that start later would not know it.
+    std::optional<log_index> required = {};
 
     friend bool operator==(const failover_record&, const failover_record&) = default;
 };
--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -80,6 +80,12 @@
     /// received
     /// may have been acknowledged by answers that are still under way.
     longer_log_unlisted,
+    /// A host has seen another replica's log end beyond the target's, and the acknowledged commits
+    /// are not known to end before.
+    replicated_commit_missing,
+    /// As `acknowledged_commit_missing` or `replicated_commit_missing`, as known to an earlier
+    /// attempt.
+    required_commit_missing,
     /// Logs that may have acknowledged commits are unknown, and so is what hosts have acknowledged.
     logs_unknown,
     /// Logs are unknown, and hosts may have acknowledged commits beyond the target's log.
@@ -103,10 +109,15 @@
 /// Whether a replica whose log ends at `position`, the longest of the held replicas' logs, may be
 /// promoted. It may if the logs or what all hosts have acknowledged show that it has every
 /// acknowledged commit, unless it certainly lacks one: a log may have been replaced by an empty one
-/// without this host's knowledge. Thread safety: reentrant.
+/// without this host's knowledge. The logs alone show nothing for a target that ends before a
+/// position at which a replica was seen. Thread safety: reentrant.
 target_verdict assess_target(log_index position, const unheld_logs& others,
                              const census_result& acknowledged);
 
+/// The end that the log of a target needs at least, as known from what hosts have acknowledged and
+/// seen. Empty if nothing is known. Thread safety: reentrant.
+std::optional<log_index> least_target_position(const census_result& acknowledged);
+
 /// Delay before a host of the given rank starts a failover, so that hosts that detect the same
 /// failure don't all start at once. Zero for rank 0.
 milliseconds takeover_delay(std::size_t rank) noexcept;
--- a/libs/gateway/src/acknowledged_positions.cpp
+++ b/libs/gateway/src/acknowledged_positions.cpp
@@ -74,6 +74,7 @@
                               std::optional<log_index> own_proof) {
     census_result result;
     result.uncovered_before = uncovered_before(census);
+    result.required = census.required;
     auto proof = own_proof;
     bool is_known = true;
     const auto add = [&](const host_acknowledgements& told) {
@@ -82,6 +83,11 @@
             raise(result.up_to, told.bounds->up_to);
         }
         is_known = is_known && told.bounds.has_value();
+        for (const auto& [replica, position] : told.replicas) {
+            if (position.term >= census.term && !census.former_primaries.contains(replica)) {
+                raise(result.replicated, position);
+            }
+        }
         if (told.newest_proof && told.newest_proof->moment >= result.uncovered_before) {
             lower(proof, told.newest_proof->position);
         }
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -460,6 +460,7 @@
         found->second.position_at = now;
         found->second.highest_position = std::max(found->second.highest_position, answer.position);
         found->second.log_term = std::max(found->second.log_term, answer.position->term);
+        on_log_seen(instance, *answer.position);
     }
     // Answers that needed no slot don't reflect the instance's speed.
     if (answer.code == answer_code::done && answer.text != "-") {
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -21,6 +21,7 @@
 #include "masticgrade/gateway/placement.hpp"
 #include "masticgrade/gateway/position_proofs.hpp"
 #include "masticgrade/gateway/primary_failure_detector.hpp"
+#include "masticgrade/gateway/replica_positions.hpp"
 #include "masticgrade/gateway/session_state.hpp"
 #include "masticgrade/gateway/topology.hpp"
 #include "masticgrade/gateway/wait_queue.hpp"
@@ -268,6 +269,14 @@
     [[nodiscard]] std::optional<log_index> proven_position(boot_time moment) const {
         return proofs_.covering(moment);
     }
+    /// See replica_positions.
+    [[nodiscard]] const std::map<instance_id, log_index>& replica_positions_seen() const {
+        return replica_positions_.positions();
+    }
+    /// The log of an instance was seen to end at `position`.
+    void on_log_seen(const instance_id& instance, log_index position);
+    /// The instances that may have led the group since the last recorded promotion.
+    [[nodiscard]] std::set<instance_id> recent_primaries() const;
     /// As `newest_proof`, also while the group has no primary.
     [[nodiscard]] std::optional<dated_position> newest_proven_position() const;
     [[nodiscard]] std::vector<instance_entry> entries() const;
@@ -511,6 +520,9 @@
     time_point primary_since_{};
     term_number newest_term_;
     acknowledgement_history acknowledgements_;
+    replica_positions replica_positions_;
+    /// The instances that were the primary on this host since the last recorded promotion.
+    std::set<instance_id> recent_primaries_;
     position_proofs proofs_;
     leadership_evidence leadership_;
     primary_failure_detector failure_detector_;
--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -44,6 +44,23 @@
     return failure ? 0 : number;
 }
 
+json::value encode_position(const std::optional<log_index>& position) {
+    if (!position) {
+        return nullptr;
+    }
+    return json::object{{"term", position->term.value()}, {"number", position->number.value()}};
+}
+
+std::optional<log_index> read_position(const json::object& object, std::string_view name) {
+    const auto* value = object.if_contains(name);
+    if (value == nullptr || !value->is_object()) {
+        return std::nullopt;
+    }
+    const auto& position = value->as_object();
+    return log_index{term_number{number_or_zero(position, "term")},
+                     log_position{number_or_zero(position, "number")}};
+}
+
 json::array encode_log_holders(const std::set<log_holder>& holders) {
     json::array result;
     for (const auto& holder : holders) {
@@ -123,6 +140,7 @@
                      {"request_pending", record.request_pending},
                      {"log_holders", encode_holder_addresses(record.log_holders)},
                      {"log_processes", encode_log_holders(record.log_holders)},
+                     {"required", encode_position(record.required)},
                      {"mark", random_nonce()}});
 }
 
@@ -148,6 +166,7 @@
     // Hosts of earlier releases don't record their requests.
     result.record.request_pending = bool_or(object, "request_pending", result.record.open);
     result.record.log_holders = read_log_holders(object);
+    result.record.required = read_position(object, "required");
     result.holder = host_id{string_or_empty(object, "holder")};
     return result;
 }
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -137,6 +137,7 @@
     const auto choice = co_await prepare_target(kind);
     if (!choice) {
         decisions_.on_attempt_refused();
+        lock_.record.required = least_target_position(evaluate_acknowledgements());
         if (stepped_down_) {
             // The next attempt holds it like the other replicas.
             group_->on_primary_denied(stepped_down_->process.instance);
@@ -224,7 +225,10 @@
 
 census_result group_failover::evaluate_acknowledgements() {
     census_.own = {environment_.self, environment_.process_started, group_->acknowledged(),
-                   std::nullopt};
+                   std::nullopt, group_->replica_positions_seen()};
+    census_.former_primaries = group_->recent_primaries();
+    census_.term = group_->last_failover().term;
+    census_.required = lock_.record.required;
     return evaluate_census(census_, group_->proven_position(uncovered_before(census_)));
 }
 
--- a/libs/gateway/src/group_failover_lock.cpp
+++ b/libs/gateway/src/group_failover_lock.cpp
@@ -115,6 +115,7 @@
     lock_.record.term = term;
     lock_.record.open = false;
     lock_.record.request_pending = false;
+    lock_.record.required.reset();
     const auto deadline = steady_clock::now() + record_timeout;
     while (steady_clock::now() < deadline) {
         const auto written_at = boot_clock::now();
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -70,6 +70,7 @@
         .field("source", reason)
         .write();
     primary_ = instance;
+    recent_primaries_.insert(instance);
     primary_since_ = steady_clock::now();
     failure_detector_.reset(primary_since_);
     if (const auto found = instances_.find(instance); found != instances_.end()) {
@@ -155,6 +156,10 @@
     const auto known_holders = last_failover().log_holders;
     const bool is_new_promotion = leadership_.on_row(row, read_at, era);
     const auto& record = leadership_.record();
+    if (is_new_promotion) {
+        replica_positions_.on_promotion(record.term);
+        recent_primaries_.clear();
+    }
     if (era > failover_row_era_ || record.log_holders.empty()) {
         // Only a row that was written after the known one removes log holders: one of a later era
         // may come from an older copy, and an unreadable row names none.
@@ -182,6 +187,19 @@
     dispatch_waiting();
 }
 
+void backend_group::on_log_seen(const instance_id& instance, log_index position) {
+    // The end of a primary's log may be on no replica.
+    if (!recent_primaries().contains(instance)) {
+        replica_positions_.on_seen(instance, position);
+    }
+}
+
+std::set<instance_id> backend_group::recent_primaries() const {
+    auto result = recent_primaries_;
+    result.insert(last_failover().target);
+    return result;
+}
+
 void backend_group::on_failover_begun(std::uint64_t fence) {
     leadership_.revoke(fence, boot_clock::now());
     event_line{"primary_suspended"}
--- a/libs/gateway/src/instance_orders.cpp
+++ b/libs/gateway/src/instance_orders.cpp
@@ -23,6 +23,13 @@
                                  instance_connector& connector)
     : group_(std::move(group)), connector_(connector) {}
 
+void instance_orders::note_log(const instance_id& instance,
+                               const std::optional<instance_status>& status) {
+    if (status && !status->is_primary && !instance.empty()) {
+        group_->on_log_seen(instance, status->received);
+    }
+}
+
 asio::awaitable<std::optional<instance_status>> instance_orders::send(
     const instance_id& instance, const backend_request& request) {
     const auto now = steady_clock::now();
@@ -39,6 +46,7 @@
         const auto answer = co_await group_->run_control_request(instance, request, deadline);
         result.status = connector_.read_status(answer);
         result.answered = answer.code != answer_code::wrong_instance;
+        note_log(instance, result.status);
         if (!result.status) {
             if (result.answered) {
                 group_->on_order_refused(instance);
@@ -94,6 +102,7 @@
         const auto answers = co_await link->run(std::move(requests), deadline);
         link->close();
         result.status = connector_.read_status(answers.front());
+        note_log(instance, result.status);
     } catch (const connection_refused_error& failure) {
         result.has_other_id = failure.code() == answer_code::wrong_instance;
         result.is_running = !result.has_other_id;
--- a/libs/gateway/src/instance_orders.hpp
+++ b/libs/gateway/src/instance_orders.hpp
@@ -48,6 +48,8 @@
                                                           const backend_request& request);
 
 private:
+    void note_log(const instance_id& instance, const std::optional<instance_status>& status);
+
     std::shared_ptr<backend_group> group_;
     instance_connector& connector_;
 };
--- a/libs/gateway/src/lease_messages.cpp
+++ b/libs/gateway/src/lease_messages.cpp
@@ -237,10 +237,17 @@
         const auto up_to = position_field(told.up_to);
         const auto beyond = position_field(told.beyond);
         const auto proof = position_field(call.proof);
+        std::vector<Offset<wire::ReplicaPosition>> replicas;
+        for (const auto& [replica, seen] : call.replicas) {
+            const auto name = out.CreateString(replica.str());
+            const auto position = position_field(seen);
+            replicas.push_back(wire::CreateReplicaPosition(out, name, pointer_to(position)));
+        }
+        const auto list = out.CreateVector(replicas);
         return {wire::Call::FailoverConfirmed,
                 wire::CreateFailoverConfirmed(out, call.acknowledged.has_value(), pointer_to(up_to),
                                               pointer_to(beyond), pointer_to(proof),
-                                              time_field(call.proof_age))
+                                              time_field(call.proof_age), list)
                     .Union()};
     }
     std::pair<wire::Call, Offset<void>> operator()(const failover_recorded& call) const {
@@ -442,6 +449,13 @@
         result.acknowledged = acknowledged_bounds{index_of(call.acknowledged_beyond()),
                                                   index_of(call.acknowledged())};
     }
+    if (const auto* replicas = call.replicas()) {
+        for (const auto* item : *replicas) {
+            if (const auto seen = index_of(item->position())) {
+                result.replicas.insert_or_assign(instance_id{text_of(item->instance())}, *seen);
+            }
+        }
+    }
     return result;
 }
 
--- a/libs/gateway/src/lease_messages.hpp
+++ b/libs/gateway/src/lease_messages.hpp
@@ -157,6 +157,8 @@
     std::optional<log_index> proof = {};
     /// At most an hour.
     milliseconds proof_age{0};
+    /// See replica_positions.
+    std::map<instance_id, log_index> replicas = {};
 
     friend bool operator==(const failover_confirmed&, const failover_confirmed&) = default;
 };
--- a/libs/gateway/src/lease_service.cpp
+++ b/libs/gateway/src/lease_service.cpp
@@ -437,6 +437,7 @@
     failover_confirmed result;
     // Read afterwards: what is answered later is not acknowledged.
     result.acknowledged = group->acknowledged();
+    result.replicas = group->replica_positions_seen();
     const auto proof = group->newest_proven_position();
     const auto now = boot_clock::now();
     if (proof && now - proof->moment < max_reported_proof_age) {
@@ -455,7 +456,8 @@
         const auto reply = co_await exchange(host, std::move(message), deadline);
         if (const auto* confirmed = std::get_if<failover_confirmed>(&reply.call)) {
             host_acknowledgements result{host, boot_clock::now() - reply.sender_uptime,
-                                         confirmed->acknowledged, std::nullopt};
+                                         confirmed->acknowledged, std::nullopt,
+                                         confirmed->replicas};
             if (confirmed->proof) {
                 result.newest_proof =
                     dated_position{asked_at - confirmed->proof_age, *confirmed->proof};
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -68,6 +68,10 @@
             return "acknowledged_commit_missing";
         case promotion_refusal::longer_log_unlisted:
             return "longer_log_unlisted";
+        case promotion_refusal::replicated_commit_missing:
+            return "replicated_commit_missing";
+        case promotion_refusal::required_commit_missing:
+            return "required_commit_missing";
         case promotion_refusal::logs_unknown:
             return "logs_unknown";
         case promotion_refusal::position_not_reached:
@@ -107,16 +111,33 @@
     if (others.longest_unlisted && position < *others.longest_unlisted) {
         return promotion_refusal::longer_log_unlisted;
     }
+    if (acknowledged.bound && position >= *acknowledged.bound) {
+        return contains_acknowledged_commits(position, others) ? promotion_proof::logs
+                                                               : promotion_proof::acknowledgements;
+    }
+    if (acknowledged.replicated && position < *acknowledged.replicated) {
+        return promotion_refusal::replicated_commit_missing;
+    }
+    if (acknowledged.required && position < *acknowledged.required) {
+        return promotion_refusal::required_commit_missing;
+    }
     if (contains_acknowledged_commits(position, others)) {
         return promotion_proof::logs;
     }
     if (!acknowledged.bound) {
         return promotion_refusal::logs_unknown;
     }
-    if (position < *acknowledged.bound) {
-        return promotion_refusal::position_not_reached;
+    return promotion_refusal::position_not_reached;
+}
+
+std::optional<log_index> least_target_position(const census_result& acknowledged) {
+    auto result = std::max(acknowledged.replicated, acknowledged.required);
+    if (acknowledged.beyond) {
+        const log_index next{acknowledged.beyond->term,
+                             log_position{acknowledged.beyond->number.value() + 1}};
+        result = std::max(result, std::optional{next});
     }
-    return promotion_proof::acknowledgements;
+    return acknowledged.bound && result ? std::min(result, acknowledged.bound) : result;
 }
 
 milliseconds takeover_delay(std::size_t rank) noexcept {
--- a/libs/gateway/src/promotion_decision_log.cpp
+++ b/libs/gateway/src/promotion_decision_log.cpp
@@ -58,6 +58,12 @@
     return result;
 }
 
+/// Whether a target was chosen that ends before a position which may have been acknowledged.
+bool is_below_acknowledged(const promotion_decision& decision) {
+    return std::holds_alternative<promotion_proof>(decision.verdict) && decision.choice &&
+           decision.acknowledged.up_to && decision.choice->position < *decision.acknowledged.up_to;
+}
+
 /// Adds the verdict to a line.
 struct verdict_fields {
     event_line& line;
@@ -94,6 +100,8 @@
     line.field("acknowledged_here", text_of(own.up_to))
         .field("acknowledged_elsewhere", text_of(acknowledged_by_others(census)))
         .field("acknowledged_beyond", text_of(decision.acknowledged.beyond))
+        .field("replicated", text_of(decision.acknowledged.replicated))
+        .field("required", text_of(decision.acknowledged.required))
         .field("confirmed", census.confirmed.size())
         .field("confirmed_unknown", count_unknown(census))
         .field("unconfirmed", census.unconfirmed.size())
@@ -112,6 +120,12 @@
     fence_ = decision.fence;
     verdict_ = decision.verdict;
     write(decision);
+    if (is_below_acknowledged(decision)) {
+        metrics_.count(
+            "masticgrade_promotions_below_up_to_total",
+            "Targets chosen by their logs whose log ends before a position that may have "
+            "been acknowledged.");
+    }
 }
 
 void promotion_decision_log::on_attempt_refused() {
@@ -132,6 +146,7 @@
     } else {
         line.field("target", "none");
     }
+    line.field("evidence", is_below_acknowledged(decision) ? "below_up_to" : "consistent");
     add_logs(line, decision);
     add_acknowledgements(line, decision);
     line.write();
--- a/libs/gateway/test/acknowledged_positions_test.cpp
+++ b/libs/gateway/test/acknowledged_positions_test.cpp
@@ -1,4 +1,5 @@
 #include "masticgrade/gateway/acknowledged_positions.hpp"
+#include "masticgrade/gateway/replica_positions.hpp"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -232,6 +233,42 @@
 
 }  // namespace
 
+// What a host saw on a replica may have been acknowledged by one that was killed.
+TEST_CASE("the census has the highest position at which a replica was seen") {
+    acknowledgement_census census;
+    census.own.replicas = {{instance_id{"b"}, {term_number{3}, log_position{40}}}};
+    census.confirmed[host_id{"host-2"}].replicas = {
+        {instance_id{"c"}, {term_number{3}, log_position{44}}}};
+    CHECK(evaluate_census(census, std::nullopt).replicated ==
+          log_index{term_number{3}, log_position{44}});
+
+    SUBCASE("the end of a former primary's log may be on no replica") {
+        census.former_primaries = {instance_id{"c"}};
+        CHECK(evaluate_census(census, std::nullopt).replicated ==
+              log_index{term_number{3}, log_position{40}});
+    }
+    SUBCASE("a promotion has given up what was not acknowledged in earlier terms") {
+        census.term = term_number{4};
+        CHECK(evaluate_census(census, std::nullopt).replicated == std::nullopt);
+    }
+}
+
+TEST_CASE("a replica's positions of earlier terms are forgotten on a promotion") {
+    replica_positions seen;
+    seen.on_seen(instance_id{"b"}, {term_number{3}, log_position{44}});
+    seen.on_seen(instance_id{"b"}, {term_number{3}, log_position{0}});
+    seen.on_seen(instance_id{"c"}, {term_number{4}, log_position{45}});
+    CHECK(seen.positions().at(instance_id{"b"}) == log_index{term_number{3}, log_position{44}});
+    seen.on_promotion(term_number{4});
+    seen.on_seen(instance_id{"b"}, {term_number{3}, log_position{46}});
+    CHECK(seen.positions().size() == 1);
+    for (std::uint64_t i = 0; i < 2 * replica_positions::max_replicas; ++i) {
+        seen.on_seen(instance_id{"moved-" + std::to_string(i)}, {term_number{4}, log_position{i}});
+    }
+    CHECK(seen.positions().size() == replica_positions::max_replicas);
+    CHECK(seen.positions().contains(instance_id{"c"}));
+}
+
 // Guards against promotions that lose what a host has acknowledged that was killed, has started
 // again or was not heard.
 TEST_CASE("a promotion that the acknowledgements allow has every acknowledged commit") {
--- a/libs/gateway/test/failover_row_test.cpp
+++ b/libs/gateway/test/failover_row_test.cpp
@@ -23,6 +23,14 @@
     CHECK(decode(encode_failover_row(record, host_id{"host-1"})) == record);
 }
 
+// Guards against promotions that forget what a refused attempt knew.
+TEST_CASE("the failover row keeps what a target needs") {
+    failover_record record{7, false, instance_id{"a"}, term_number{3}};
+    record.required = log_index{term_number{3}, log_position{52}};
+    CHECK(decode(encode_failover_row(record, host_id{"host-1"})) == record);
+    CHECK(decode(R"({"fence":7,"open":false})").required == std::nullopt);
+}
+
 // A host that is updated must not forget the log holders that the others have recorded.
 TEST_CASE("log holders recorded by an earlier release are of unknown start time") {
     const auto record =
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -319,6 +319,53 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
 }
 
+// Guards against the promotion of a target that lacks a commit which a running replica had: its log
+// was counted as known too early, and no host that was heard had acknowledged the commit.
+TEST_CASE("a replica that lacks a commit which another replica was seen to have is not promoted") {
+    failover_fixture fixture;
+    SUBCASE("by the host that promotes") {
+        fixture.group->on_log_seen(instance_id{"d"}, first_term(13));
+    }
+    SUBCASE("by a host that confirms") {
+        auto told = confirmation("host-2", {});
+        told.replicas = {{instance_id{"d"}, first_term(13)}};
+        fixture.confirmations = {told};
+    }
+    fixture.run_without_promotion();
+
+    fixture.connector.add("d", false).position = 13;
+    fixture.update();
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
+}
+
+// Guards against promotions by hosts that have started since the commit was acknowledged, when
+// those that knew of it have been killed.
+TEST_CASE("what a refused attempt knew of acknowledged commits binds hosts that started since") {
+    failover_fixture fixture;
+    SUBCASE("a replica was seen to have it") {
+        fixture.group->on_log_seen(instance_id{"d"}, first_term(13));
+    }
+    SUBCASE("it was acknowledged") {
+        fixture.confirmations = {confirmation("host-2", {first_term(12), first_term(14)})};
+    }
+    fixture.run_without_promotion();
+    fixture.confirmations.clear();
+    fixture.restart_host();
+    fixture.run_without_promotion();
+
+    fixture.connector.add("d", false).position = 13;
+    fixture.update();
+    fixture.run_until([&] {
+        const auto row = decode_failover_row({lock_row, {}, fixture.store.value_of(lock_row)});
+        return !row.record.open && row.record.target == instance_id{"d"};
+    });
+    const auto row = decode_failover_row({lock_row, {}, fixture.store.value_of(lock_row)});
+    CHECK(row.record.target == instance_id{"d"});
+    CHECK(row.record.required == std::nullopt);
+}
+
 // The position in an answer may include commits that were never acknowledged.
 TEST_CASE("a primary's unacknowledged commits do not delay its replacement") {
     failover_fixture fixture;
--- a/libs/gateway/test/lease_messages_test.cpp
+++ b/libs/gateway/test/lease_messages_test.cpp
@@ -53,6 +53,8 @@
                 acknowledged_bounds{index_of(number % 500), index_of(number % 1000)};
             confirmed.proof = index_of(number % 2000);
             confirmed.proof_age = milliseconds{14};
+            confirmed.replicas = {{instance_id{text + "a"}, {term_number{2}, log_position{number}}},
+                                  {instance_id{text + "b"}, {term_number{1}, log_position{7}}}};
         }
         RC_ASSERT(std::get<failover_confirmed>(transmit(confirmed)) == confirmed);
         // Nothing acknowledged is not the same as unknown.
--- a/libs/gateway/test/promotion_choice_test.cpp
+++ b/libs/gateway/test/promotion_choice_test.cpp
@@ -51,6 +51,33 @@
     CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {0, false, {}, at(2, 6)}));
 }
 
+// Guards against a wrong count of the logs: in the users' runs a target was promoted without a
+// commit that another replica had and that clients had seen acknowledged.
+TEST_CASE(
+    "a target below a replica's position is promoted only if the commit was not acknowledged") {
+    const auto at = [](std::uint64_t number) {
+        return log_index{term_number{3}, log_position{number}};
+    };
+    const unheld_logs all_known;
+    census_result known;
+    known.replicated = at(40);
+    CHECK(is_proven_by(promotion_proof::logs, assess_target(at(40), all_known, known)));
+    CHECK(assess_target(at(39), all_known, known) ==
+          target_verdict{promotion_refusal::replicated_commit_missing});
+    known.bound = at(39);
+    CHECK(is_proven_by(promotion_proof::logs, assess_target(at(39), all_known, known)));
+    CHECK(least_target_position(known) == at(39));
+
+    census_result recorded;
+    recorded.required = at(40);
+    CHECK(is_proven_by(promotion_proof::logs, assess_target(at(40), all_known, recorded)));
+    CHECK(assess_target(at(39), all_known, recorded) ==
+          target_verdict{promotion_refusal::required_commit_missing});
+    recorded.beyond = at(40);
+    CHECK(least_target_position(recorded) == at(41));
+    CHECK(least_target_position({}) == std::nullopt);
+}
+
 // Guards against the promotion of a replica that has missed a whole term: its log may be longer in
 // entries, yet lacks every commit of the new primary.
 TEST_CASE("a log of an earlier term lacks the commits acknowledged in a later one") {
