--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -199,6 +199,10 @@
         silent,
     };
     boost::asio::awaitable<target_state> check_target(const promotion_choice& choice);
+    /// Whether the other held replicas still end where they did when the target was chosen. An
+    /// order of an earlier attempt that is carried out late may have released one, which may then
+    /// have received commits that the target lacks. Replicas that do not answer count as unchanged.
+    boost::asio::awaitable<bool> check_other_replicas(const promotion_choice& choice);
     /// Reports a promotion request that cannot be taken back although its target has changed, or
     /// that was carried out after the target had lost its log.
     void report_unsafe_order(const promotion_choice& choice, std::string_view reason);
--- a/libs/gateway/src/group_failover_promotion.cpp
+++ b/libs/gateway/src/group_failover_promotion.cpp
@@ -138,6 +138,29 @@
     co_return target_state::changed;
 }
 
+asio::awaitable<bool> group_failover::check_other_replicas(const promotion_choice& choice) {
+    const backend_request hold_request = backend_hold{hold_term_};
+    const auto candidates = candidates_;
+    for (const auto& candidate : candidates) {
+        if (candidate.id == choice.target || !candidate.held) {
+            continue;
+        }
+        // A hold request also holds a replica that a late order has released without effect.
+        const auto asked_at = boot_clock::now();
+        const auto deadline = steady_clock::now() + target_status_timeout;
+        const auto answer = co_await orders_.send_until(candidate.id, hold_request, deadline);
+        if (!answer.status) {
+            continue;
+        }
+        if (answer.status->is_primary || answer.status->held != hold_term_ ||
+            answer.status->received != candidate.held->received) {
+            log_order("held_replica_changed", candidate.id, answer.status, asked_at);
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
 void group_failover::report_unsafe_order(const promotion_choice& choice, std::string_view reason) {
     event_line{"promotion_order_unsafe", event_severity::warning}
         .field("group", group_->name())
@@ -164,7 +187,11 @@
         if (!co_await renew_lock()) {
             co_return std::nullopt;
         }
-        const auto state = co_await check_target(choice);
+        auto state = co_await check_target(choice);
+        if (state == target_state::unchanged && !own_request_pending &&
+            !co_await check_other_replicas(choice)) {
+            state = target_state::changed;
+        }
         if (state == target_state::silent) {
             co_await sleep(check_interval);
             continue;
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -704,6 +704,20 @@
     CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
 }
 
+// Guards against a resume order of an earlier attempt that is carried out after the hold: the
+// released replica receives, and so acknowledges, commits that the chosen target lacks.
+TEST_CASE("a target is chosen anew if another replica has received more since the choice") {
+    failover_fixture fixture;
+    auto& other = fixture.connector.at("b");
+    change_before_request(fixture, [&] {
+        other.held = {};
+        other.position = 14;
+    });
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"b"});
+}
+
 // A request whose answer is lost cannot be taken back, but must not be sent again for a target that
 // has lost its log.
 TEST_CASE("an unanswered promotion request is not repeated for a target that starts again") {
