--- a/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -3,13 +3,29 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
 #include "masticgrade/gateway/log_holder.hpp"
+#include "masticgrade/gateway/log_index.hpp"
 
 namespace masticgrade {
 
+/// A promotion call that may still be carried out.
+struct promotion_request {
+    std::uint64_t fence = 0;
+    instance_id target;
+    /// The process that was chosen, see instance_entry::start_time; zero if unknown.
+    std::int64_t start_time = 0;
+    /// The end of its log when it was chosen.
+    log_index position;
+    /// The term at which its attempt held the replicas.
+    term_number hold_term;
+
+    friend bool operator==(const promotion_request&, const promotion_request&) = default;
+};
+
 /// The state of a group's failovers, as stored in its failover row.
 struct failover_record {
     /// Increases with each failover attempt.
@@ -25,6 +41,8 @@
     std::set<log_holder> log_holders = {};
     /// A promotion request may still be carried out, since its answer was lost or its sender ended.
     bool request_pending = false;
+    /// These requests, if known: hosts of earlier releases set `request_pending` only.
+    std::vector<promotion_request> requests = {};
 
     friend bool operator==(const failover_record&, const failover_record&) = default;
 };
--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -25,6 +25,8 @@
 struct promotion_choice {
     instance_id target;
     log_index position;
+    /// The process that was held, see instance_entry::start_time; zero if unknown.
+    std::int64_t start_time = 0;
 };
 
 /// Chooses a replica to promote without losing any acknowledged commit.
--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -36,14 +36,59 @@
     return value != nullptr && value->is_string() ? std::string{value->as_string()} : std::string{};
 }
 
-std::int64_t start_time_or_zero(const json::object& object) {
-    const auto* value = object.if_contains("start_time");
+std::int64_t start_time_or_zero(const json::object& object, std::string_view name = "start_time") {
+    const auto* value = object.if_contains(name);
     boost::system::error_code failure;
     const auto number =
         value != nullptr && value->is_number() ? value->to_number<std::int64_t>(failure) : 0;
     return failure ? 0 : number;
 }
 
+json::object encode_position(const log_index& position) {
+    return {{"term", position.term.value()}, {"number", position.number.value()}};
+}
+
+/// The position in a member of the object, or that of an empty log.
+log_index position_or_empty(const json::object& object, std::string_view name) {
+    const auto* value = object.if_contains(name);
+    if (value == nullptr || !value->is_object()) {
+        return {};
+    }
+    const auto& position = value->as_object();
+    return {term_number{number_or_zero(position, "term")},
+            log_position{number_or_zero(position, "number")}};
+}
+
+json::array encode_requests(const std::vector<promotion_request>& requests) {
+    json::array result;
+    for (const auto& request : requests) {
+        result.push_back(json::object{{"fence", request.fence},
+                                      {"target", request.target.str()},
+                                      {"start_time", request.start_time},
+                                      {"position", encode_position(request.position)},
+                                      {"hold_term", request.hold_term.value()}});
+    }
+    return result;
+}
+
+std::vector<promotion_request> read_requests(const json::object& row) {
+    std::vector<promotion_request> result;
+    const auto* requests = row.if_contains("requests");
+    if (requests == nullptr || !requests->is_array()) {
+        return result;
+    }
+    for (const auto& item : requests->as_array()) {
+        if (item.is_object()) {
+            const auto& request = item.as_object();
+            result.push_back({number_or_zero(request, "fence"),
+                              instance_id{string_or_empty(request, "target")},
+                              start_time_or_zero(request), position_or_empty(request, "position"),
+                              term_number{number_or_zero(request, "hold_term")}});
+        }
+    }
+    return result;
+}
+
 json::array encode_log_holders(const std::set<log_holder>& holders) {
     json::array result;
     for (const auto& holder : holders) {
@@ -121,6 +166,7 @@
                      {"term", record.term.value()},
                      {"open", record.open},
                      {"request_pending", record.request_pending},
+                     {"requests", encode_requests(record.requests)},
                      {"log_holders", encode_holder_addresses(record.log_holders)},
                      {"log_processes", encode_log_holders(record.log_holders)},
                      {"mark", random_nonce()}});
@@ -147,6 +193,7 @@
     result.record.open = bool_or(object, "open", true);
     // Hosts of earlier releases don't record their requests.
     result.record.request_pending = bool_or(object, "request_pending", result.record.open);
+    result.record.requests = read_requests(object);
     result.record.log_holders = read_log_holders(object);
     result.holder = host_id{string_or_empty(object, "holder")};
     return result;
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -113,6 +113,9 @@
     if (!co_await acquire_lock()) {
         co_return;
     }
+    if (!co_await settle_earlier_requests()) {
+        co_return;
+    }
     // The next attempt needs a verdict of its own.
     suspicion_.clear();
     // Another host may have finished a promotion in the meantime.
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -105,6 +105,8 @@
     /// the time until which it is valid is not sufficient. Returns whether this host still holds
     /// it. Throws masticgrade::error if the store does not answer before the lock expires.
     boost::asio::awaitable<bool> renew_lock();
+    /// As `renew_lock` with one write. Throws masticgrade::error if its outcome is unknown.
+    boost::asio::awaitable<bool> renew_lock_once();
     /// Adopts the result of a promotion that another holder has finished. Returns whether this
     /// changed the primary.
     bool adopt_result(const failover_row& observed, boot_time read_at);
@@ -112,10 +114,37 @@
     /// promotion request of this or an earlier attempt may still be carried out: it would discard
     /// what the primary has acknowledged in the meantime.
     boost::asio::awaitable<void> release_lock();
-    /// Makes the platform refuse the pending promotion requests of earlier attempts, by designating
-    /// the present primary once more under this attempt's fencing token. Returns the term in
-    /// which it leads, or nullopt if that could not be confirmed.
-    boost::asio::awaitable<std::optional<term_number>> fence_pending_requests(instance_id primary);
+    /// Adds the call for the chosen target to those that may still be carried out. They are in the
+    /// row before the call is sent.
+    void add_request(const promotion_choice& choice);
+    /// No promotion call may be carried out any more.
+    void clear_requests();
+    /// Makes the platform refuse all calls sent so far, by a call under a higher fencing token. It
+    /// names an instance that does not exist: one for the former primary could promote that again
+    /// while an accepted call takes effect. Returns false if the platform does not answer, or the
+    /// lock is lost.
+    boost::asio::awaitable<bool> void_requests();
+    /// An instance id that no process has.
+    [[nodiscard]] instance_id absent_instance() const;
+    struct carried_out_request {
+        promotion_request request;
+        instance_status status;
+    };
+    struct settlement {
+        /// No call may be carried out any more.
+        bool is_complete = false;
+        /// The call whose target leads a term of its attempt or a later one, if any.
+        std::optional<carried_out_request> carried_out = {};
+    };
+    /// Voids all calls that may still be carried out and waits until those that the platform had
+    /// accepted have taken effect. Throws masticgrade::error if the store does not answer.
+    boost::asio::awaitable<settlement> settle_requests();
+    /// Settles the calls of earlier attempts, and records the promotion if one was carried out.
+    /// Returns whether the attempt goes on.
+    boost::asio::awaitable<bool> settle_earlier_requests();
+    /// Returns the term in which the instance leads, or nullopt if it does not answer or no longer
+    /// leads.
+    boost::asio::awaitable<std::optional<term_number>> confirm_primary(instance_id primary);
     /// Records the promotion of `target`, which leads in `term`.
     boost::asio::awaitable<void> record_promotion(instance_id target, term_number term);
     /// Repeats the announcement until all hosts have confirmed or the attempt has ended.
@@ -208,9 +237,26 @@
     void report_unsafe_order(const promotion_choice& choice, std::string_view reason);
     /// Resumes the replicas and releases the lock, unless a promotion request may still be carried
     /// out.
-    boost::asio::awaitable<void> end_attempt(bool request_pending);
-    /// Returns the term in which the chosen instance leads, or nullopt if it does not in time.
-    boost::asio::awaitable<std::optional<term_number>> wait_until_primary(promotion_choice choice);
+    boost::asio::awaitable<void> end_attempt();
+    struct request_result {
+        promotion_outcome outcome = promotion_outcome::unknown;
+        bool target_changed = false;
+    };
+    /// Sends a promotion call and observes the target until it is answered. Returns earlier if the
+    /// target changes.
+    boost::asio::awaitable<request_result> send_request(promotion_choice choice);
+    struct promotion_effect {
+        /// The term in which the target leads.
+        std::optional<term_number> term = {};
+        bool target_changed = false;
+    };
+    /// Waits until the chosen instance leads or has changed.
+    boost::asio::awaitable<promotion_effect> wait_until_primary(promotion_choice choice);
+    /// Ends an attempt whose calls may still be carried out although its target has changed or does
+    /// not lead in time. Returns the term of the target if it leads after all.
+    boost::asio::awaitable<std::optional<term_number>> settle_attempt(promotion_choice choice);
+    /// Adopts a target that leads after its promotion.
+    void adopt_target(const promotion_choice& choice, const instance_status& status);
     void log_request(const instance_id& target, promotion_outcome outcome) const;
     /// Logs the answer to an order that decides what may be promoted. Precondition: `event` is a
     /// string literal.
--- a/libs/gateway/src/group_failover_choice.cpp
+++ b/libs/gateway/src/group_failover_choice.cpp
@@ -181,8 +181,12 @@
             candidates_.push_back(std::move(candidate));
         }
         held_logs_.end_round();
-        const auto choice = choose_promotion_target(candidates_, hold_term_);
+        auto choice = choose_promotion_target(candidates_, hold_term_);
         if (choice) {
+            const auto chosen =
+                std::find_if(entries.begin(), entries.end(),
+                             [&](const auto& entry) { return entry.id == choice->target; });
+            choice->start_time = chosen->start_time;
             if (kind == failover_kind::planned && group_->is_draining(choice->target)) {
                 record_decision(promotion_refusal::target_draining, choice, not_asked);
                 co_return std::nullopt;
--- a/libs/gateway/src/group_failover_lock.cpp
+++ b/libs/gateway/src/group_failover_lock.cpp
@@ -14,6 +14,15 @@
 /// Outcomes that the store did not accept are written again for this long.
 constexpr seconds record_timeout{10};
 
+void add_missing(std::vector<promotion_request>& requests,
+                 const std::vector<promotion_request>& others) {
+    for (const auto& other : others) {
+        if (std::find(requests.begin(), requests.end(), other) == requests.end()) {
+            requests.push_back(other);
+        }
+    }
+}
+
 }  // namespace
 
 asio::awaitable<bool> group_failover::acquire_lock() {
@@ -45,6 +54,12 @@
     // A restore of the store may have erased the mark of a request that was sent.
     record.request_pending =
         known.request_pending || (record.request_pending && !known_to_have_ended);
+    if (known_to_have_ended) {
+        record.requests = known.requests;
+    } else {
+        add_missing(record.requests, known.requests);
+    }
+    record.request_pending = record.request_pending || !record.requests.empty();
     record.fence = std::max(record.fence, fence_base(observed.era)) + 1;
     record.open = true;
     const auto valid_until = boot_clock::now() + lock_expiry;
@@ -61,20 +76,8 @@
 
 asio::awaitable<bool> group_failover::renew_lock() {
     for (;;) {
-        const auto now = boot_clock::now();
         try {
-            const auto version = co_await rows_.write(lock_.record, {lock_.version, lock_.era});
-            if (!version) {
-                event_line{"failover_lock_lost"}
-                    .field("group", group_->name())
-                    .field("fence", lock_.record.fence)
-                    .field("era", lock_.era)
-                    .write();
-                co_return false;
-            }
-            lock_.version = *version;
-            lock_valid_until_ = now + lock_expiry;
-            co_return true;
+            co_return co_await renew_lock_once();
         } catch (const error&) {
             // `write` has logged the failure.
             if (boot_clock::now() + check_interval >= lock_valid_until_) {
@@ -85,6 +88,22 @@
     }
 }
 
+asio::awaitable<bool> group_failover::renew_lock_once() {
+    const auto now = boot_clock::now();
+    const auto version = co_await rows_.write(lock_.record, {lock_.version, lock_.era});
+    if (!version) {
+        event_line{"failover_lock_lost"}
+            .field("group", group_->name())
+            .field("fence", lock_.record.fence)
+            .field("era", lock_.era)
+            .write();
+        co_return false;
+    }
+    lock_.version = *version;
+    lock_valid_until_ = now + lock_expiry;
+    co_return true;
+}
+
 bool group_failover::adopt_result(const failover_row& observed, boot_time read_at) {
     const auto previous = group_->primary();
     if (observed.version != fleet_version{}) {
@@ -114,7 +133,6 @@
     lock_.record.target = std::move(target);
     lock_.record.term = term;
     lock_.record.open = false;
-    lock_.record.request_pending = false;
     const auto deadline = steady_clock::now() + record_timeout;
     while (steady_clock::now() < deadline) {
         const auto written_at = boot_clock::now();
--- a/libs/gateway/src/group_failover_promotion.cpp
+++ b/libs/gateway/src/group_failover_promotion.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr milliseconds promote_call_timeout{1500};
 /// Time from a promotion call until the target is the primary; instances take up to 1 s.
 constexpr seconds new_primary_timeout{3};
 constexpr milliseconds target_status_timeout{500};
@@ -53,7 +52,10 @@
             asio::co_spawn(environment_.executor, announce(lock_.record.fence), asio::detached);
             co_await wait_until_primary_unused();
         }
-        const auto leads_in = co_await fence_pending_requests(target);
+        if (!co_await settle_earlier_requests()) {
+            co_return;
+        }
+        const auto leads_in = co_await confirm_primary(target);
         if (!leads_in) {
             co_return;
         }
@@ -63,33 +65,42 @@
     co_await record_promotion(std::move(target), term);
 }
 
-asio::awaitable<std::optional<term_number>> group_failover::fence_pending_requests(
-    instance_id primary) {
-    const auto deadline = steady_clock::now() + promote_timeout;
+asio::awaitable<bool> group_failover::settle_earlier_requests() {
+    const auto settled = co_await settle_requests();
+    if (settled.carried_out) {
+        const auto& request = settled.carried_out->request;
+        const promotion_choice choice{request.target, request.position, request.start_time};
+        adopt_target(choice, settled.carried_out->status);
+        clear_requests();
+        co_await release_replicas();
+        co_await record_promotion(choice.target, settled.carried_out->status.term);
+        co_return false;
+    }
+    if (!settled.is_complete) {
+        event_line{"promotion_requests_pending"}
+            .field("group", group_->name())
+            .field("fence", lock_.record.fence)
+            .field("requests", lock_.record.requests.size())
+            .write();
+    }
+    co_return settled.is_complete;
+}
+
+asio::awaitable<std::optional<term_number>> group_failover::confirm_primary(instance_id primary) {
+    const auto deadline = steady_clock::now() + new_primary_timeout;
     const backend_request status_request = backend_status{};
-    while (steady_clock::now() < deadline && co_await renew_lock()) {
+    while (steady_clock::now() < deadline) {
         const auto asked_at = boot_clock::now();
         const auto status = co_await orders_.send(primary, status_request);
-        if (!status) {
-            co_await sleep(check_interval);
-            continue;
-        }
-        if (!status->is_primary || status->term < group_->newest_term()) {
-            // It has started again or has been replaced, so the request would promote it.
+        if (status) {
+            if (status->is_primary && status->term >= group_->newest_term()) {
+                co_return status->term;
+            }
+            // It has started again or has been replaced.
             log_order("primary_not_leading", primary, status, asked_at);
             co_return std::nullopt;
         }
-        const auto outcome =
-            co_await environment_.promotions.promote(group_->name(), primary, lock_.record.fence,
-                                                     steady_clock::now() + promote_call_timeout);
-        log_request(primary, outcome);
-        if (outcome == promotion_outcome::refused) {
-            co_return std::nullopt;
-        }
-        if (outcome == promotion_outcome::done) {
-            promotion_choice present{primary, {}};
-            co_return co_await wait_until_primary(std::move(present));
-        }
+        co_await sleep(check_interval);
     }
     co_return std::nullopt;
 }
@@ -105,8 +116,7 @@
         .write();
 }
 
-asio::awaitable<void> group_failover::end_attempt(bool request_pending) {
-    lock_.record.request_pending = request_pending;
+asio::awaitable<void> group_failover::end_attempt() {
     co_await release_replicas();
     co_await release_lock();
 }
@@ -176,19 +186,20 @@
 
 asio::awaitable<std::optional<term_number>> group_failover::promote(promotion_choice choice) {
     const auto started = steady_clock::now();
-    const bool earlier_requests_pending = lock_.record.request_pending;
-    bool own_request_pending = false;
+    /// A call may be carried out late.
+    bool is_outstanding = false;
+    bool was_sent = false;
     // A target that is silent before the first request may be replaced by another attempt.
     const auto deadline = [&] {
-        return started + (own_request_pending ? duration{promote_timeout} : duration{hold_timeout});
+        return started + (was_sent ? duration{promote_timeout} : duration{hold_timeout});
     };
-    lock_.record.request_pending = true;
     while (steady_clock::now() < deadline()) {
+        add_request(choice);
         if (!co_await renew_lock()) {
             co_return std::nullopt;
         }
         auto state = co_await check_target(choice);
-        if (state == target_state::unchanged && !own_request_pending &&
+        if (state == target_state::unchanged && !was_sent &&
             !co_await check_other_replicas(choice)) {
             state = target_state::changed;
         }
@@ -196,63 +207,87 @@
             co_await sleep(check_interval);
             continue;
         }
-        const bool any_request_pending = earlier_requests_pending || own_request_pending;
-        if (state == target_state::changed ||
-            (state == target_state::leads && !any_request_pending)) {
-            if (state == target_state::changed && own_request_pending) {
-                report_unsafe_order(choice, "request_pending");
-            }
-            co_await end_attempt(any_request_pending);
-            co_return std::nullopt;
+        if (state == target_state::changed || (state == target_state::leads && !was_sent)) {
+            break;
         }
-        const auto outcome = co_await environment_.promotions.promote(
-            group_->name(), choice.target, lock_.record.fence,
-            steady_clock::now() + promote_call_timeout);
-        log_request(choice.target, outcome);
-        if (outcome == promotion_outcome::refused) {
-            co_await end_attempt(any_request_pending);
-            co_return std::nullopt;
+        const auto sent = co_await send_request(choice);
+        if (sent.outcome == promotion_outcome::refused) {
+            break;
+        }
+        was_sent = true;
+        is_outstanding = is_outstanding || sent.outcome == promotion_outcome::unknown;
+        if (sent.target_changed) {
+            break;
+        }
+        const auto effect = co_await wait_until_primary(choice);
+        if (effect.term) {
+            if (!is_outstanding) {
+                clear_requests();
+            }
+            co_return effect.term;
         }
-        own_request_pending = own_request_pending || outcome == promotion_outcome::unknown;
-        const auto term = co_await wait_until_primary(choice);
-        // Without an answer, the platform may not know this fencing token yet, and would still
-        // carry out earlier requests for other targets.
-        if (term && (outcome == promotion_outcome::done || !earlier_requests_pending)) {
-            co_return term;
+        is_outstanding = true;
+        if (effect.target_changed) {
+            break;
         }
-        own_request_pending = true;
     }
-    if (!own_request_pending) {
-        co_await end_attempt(earlier_requests_pending);
+    if (is_outstanding) {
+        co_return co_await settle_attempt(std::move(choice));
+    }
+    clear_requests();
+    co_await end_attempt();
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<term_number>> group_failover::settle_attempt(
+    promotion_choice choice) {
+    const auto settled = co_await settle_requests();
+    if (settled.carried_out) {
+        adopt_target(choice, settled.carried_out->status);
+        clear_requests();
+        co_return settled.carried_out->status.term;
+    }
+    if (!settled.is_complete) {
+        report_unsafe_order(choice, "request_pending");
     }
+    co_await end_attempt();
     co_return std::nullopt;
 }
 
-asio::awaitable<std::optional<term_number>> group_failover::wait_until_primary(
+asio::awaitable<group_failover::promotion_effect> group_failover::wait_until_primary(
     promotion_choice choice) {
     const auto& target = choice.target;
     const auto deadline = steady_clock::now() + new_primary_timeout;
     const backend_request status_request = backend_status{};
     while (steady_clock::now() < deadline) {
         co_await sleep(check_interval);
+        const auto asked_at = boot_clock::now();
         const auto status = co_await orders_.send(target, status_request);
         if (status && status->is_primary) {
-            if (status->received < choice.position) {
-                report_unsafe_order(choice, "log_lost");
-            }
-            group_->on_status(target, *status);
-            group_->set_primary(target, status->term, "promotion");
-            co_return status->term;
+            adopt_target(choice, *status);
+            co_return promotion_effect{status->term};
+        }
+        if (status && (status->held != hold_term_ || status->received != choice.position)) {
+            log_order("target_changed", target, status, asked_at);
+            co_return promotion_effect{std::nullopt, true};
         }
         if (!status) {
             co_await environment_.read_directory();
         }
         if (group_->claims_primary(target)) {
             group_->set_primary(target, hold_term_, "promotion");
-            co_return hold_term_;
+            co_return promotion_effect{hold_term_};
         }
     }
-    co_return std::nullopt;
+    co_return promotion_effect{};
+}
+
+void group_failover::adopt_target(const promotion_choice& choice, const instance_status& status) {
+    if (status.received < choice.position) {
+        report_unsafe_order(choice, "log_lost");
+    }
+    group_->on_status(choice.target, status);
+    group_->set_primary(choice.target, status.term, "promotion");
 }
 
 }  // namespace masticgrade
--- a/libs/gateway/test/failover_row_test.cpp
+++ b/libs/gateway/test/failover_row_test.cpp
@@ -23,6 +23,16 @@
     CHECK(decode(encode_failover_row(record, host_id{"host-1"})) == record);
 }
 
+// The next holder of the lock must know which processes may still be promoted.
+TEST_CASE("the failover row keeps the promotion requests that may still be carried out") {
+    failover_record record{7, true, instance_id{"a"}, term_number{3}};
+    record.request_pending = true;
+    record.requests = {
+        {6, instance_id{"b"}, 1765074693094, {term_number{3}, log_position{41}}, term_number{4}},
+        {7, instance_id{"c"}, 0, {}, term_number{4}}};
+    CHECK(decode(encode_failover_row(record, host_id{"host-1"})) == record);
+}
+
 // A host that is updated must not forget the log holders that the others have recorded.
 TEST_CASE("log holders recorded by an earlier release are of unknown start time") {
     const auto record =
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -122,6 +122,10 @@
 
     [[nodiscard]] std::vector<instance_entry> entries() const;
     fake_instance& at(const std::string& name) { return instances_.at(name); }
+    [[nodiscard]] bool is_running(const std::string& name) const {
+        const auto found = instances_.find(name);
+        return found != instances_.end() && !found->second.refuses_connections;
+    }
 
 private:
     /// The running instance with the address, or null.
@@ -234,11 +238,19 @@
         instance_id target;
         std::uint64_t fence = 0;
     };
+    /// Carries out a call as it arrives now. Calls with a lower fencing token than an earlier one
+    /// are refused, also if that one named an instance that is not running.
+    promotion_outcome carry_out(const order& call);
+
     std::vector<order> orders;
     std::function<void()> on_promote = [] {};
+    /// The outcomes of the next calls. Those of unknown outcome are not carried out.
     std::deque<promotion_outcome> outcomes;
+    /// Time until a call of unknown outcome ends.
+    milliseconds unknown_after{0};
 
 private:
+    std::uint64_t newest_fence_ = 0;
     fake_connector& instances_;
 };
 
