--- a/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -43,6 +43,10 @@
     bool request_pending = false;
     /// These requests, if known: hosts of earlier releases set `request_pending` only.
     std::vector<promotion_request> requests = {};
+    /// The process of `target` that was chosen, see instance_entry::start_time; zero if unknown.
+    std::int64_t target_start_time = 0;
+    /// The end of its log when it was chosen. Each later primary has as many entries at least.
+    log_index target_position = {};
 
     friend bool operator==(const failover_record&, const failover_record&) = default;
 };
@@ -76,7 +80,28 @@
         instance_id id;
         /// The term at the end of the instance's log; zero if unknown.
         term_number log_term;
+        /// See instance_entry::start_time; zero if unknown.
+        std::int64_t start_time = 0;
+        /// The end of the log that the listed process has reported as the primary, if it has.
+        std::optional<log_index> reported_end = {};
+        /// The process may have started again since it reported the end of its log.
+        bool may_have_restarted = false;
+        /// It leads with a shorter log than it is known to have had.
+        bool position_fell = false;
     };
+    /// Whether the instance leads without its log: it has started again, and nothing that it says
+    /// of itself shows that it may lead.
+    [[nodiscard]] bool has_lost_log(const claimant& instance) const {
+        return instance.position_fell;
+    }
+    /// Whether the process started after the one that was promoted last under this id.
+    [[nodiscard]] bool is_later_process(const claimant& instance) const;
+    /// Whether the instance has to report the end of its log before it may be used as the primary,
+    /// since it may have started again without it.
+    [[nodiscard]] bool is_unconfirmed(const claimant& instance) const;
+    /// Whether a primary of this term whose log ends at `received` lacks entries of the instance
+    /// that was promoted last.
+    [[nodiscard]] bool is_below_record(term_number term, log_index received) const;
     /// Whether the instance may be used as the primary. `target_is_listed` tells whether the
     /// directory lists the instance that was promoted last.
     [[nodiscard]] bool allows(const claimant& instance, bool target_is_listed, boot_time now) const;
--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -87,6 +87,9 @@
             }
             instance.service_time = {};
             instance.log_term = {};
+            instance.reported_end.reset();
+            instance.may_have_restarted = true;
+            instance.position_fell = false;
             instance.denied_until = {};
             instance.connect_after = {};
             instance.restarted_at = now;
@@ -459,6 +462,8 @@
         found->second.position = answer.position;
         found->second.position_at = now;
         found->second.highest_position = std::max(found->second.highest_position, answer.position);
+        found->second.highest_number =
+            std::max(found->second.highest_number, answer.position->number);
         found->second.log_term = std::max(found->second.log_term, answer.position->term);
     }
     // Answers that needed no slot don't reflect the instance's speed.
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -312,7 +312,27 @@
     void on_primary_reported_alive(const instance_id& instance);
     /// The instance has answered an order, if only with a refusal.
     void on_order_refused(const instance_id& instance);
-    void on_status(const instance_id& instance, const instance_status& status);
+    /// `seen_before` is the highest position of the instance's log that was known when the status
+    /// was requested.
+    void on_status(const instance_id& instance, const instance_status& status,
+                   std::optional<log_index> seen_before = {});
+    /// The primary has answered a commit at a position below one that was seen before.
+    void on_position_fell(const instance_id& instance, log_index position);
+    /// See leadership_evidence.
+    [[nodiscard]] bool has_lost_log(const instance_id& instance) const;
+    /// Whether the listed process started after the one that was promoted last under this id.
+    [[nodiscard]] bool started_after_promotion(const instance_id& instance) const {
+        return leadership_.is_later_process(claimant_of(instance));
+    }
+    /// Whether the primary has to report the end of its log, see leadership_evidence.
+    [[nodiscard]] bool primary_is_unconfirmed() const;
+    /// Whether a log that ends there lacks entries of the instance that was promoted last, although
+    /// it has later ones.
+    [[nodiscard]] bool lacks_recorded_log(log_index received) const {
+        return leadership_.is_below_record(received.term, received);
+    }
+    /// The end of the log that the listed process has reported as the primary, if it has.
+    [[nodiscard]] std::optional<log_index> reported_end(const instance_id& instance) const;
     /// Runs a control request on an idle connection, or on a new one if there is none.
     /// Throws connection_error or connection_refused_error.
     boost::asio::awaitable<statement_answer> run_control_request(instance_id instance,
@@ -382,6 +402,12 @@
         std::optional<log_index> position;
         time_point position_at{};
         std::optional<log_index> highest_position;
+        /// The highest number in the answers since the last connection that found a lower one.
+        log_position highest_number;
+        /// See leadership_evidence::claimant.
+        std::optional<log_index> reported_end;
+        bool may_have_restarted = false;
+        bool position_fell = false;
         /// The highest term that the instance has reported.
         term_number log_term;
         /// The instance has denied being the primary; its directory entry is ignored until then.
@@ -469,6 +495,13 @@
                                                                     std::uint64_t generation,
                                                                     customer_id customer,
                                                                     time_point deadline);
+    /// A new connection has found this position, and `known` was the highest number before. A lower
+    /// one may be that of a process that has started again without its log.
+    void check_restart(const instance_id& instance, std::optional<log_index> found,
+                       log_position known);
+    /// Checks the log of an instance that reports that it is the primary.
+    void check_reported_log(const instance_id& instance, instance_state& state,
+                            const instance_status& status, std::optional<log_index> seen_before);
     void on_connect_failed(const instance_id& instance, std::uint64_t generation,
                            time_point started, std::optional<answer_code> code);
     instance_state* find_state(const instance_id& instance, std::uint64_t generation);
--- a/libs/gateway/src/connection_lease.cpp
+++ b/libs/gateway/src/connection_lease.cpp
@@ -161,6 +161,9 @@
     auto answers = co_await run_observed(std::move(requests), is_commit, deadline);
     auto answer = std::move(answers.front());
     if (is_commit && proves_position && answer.code == answer_code::done) {
+        if (answer.position && seen_before && *answer.position < *seen_before) {
+            group_->on_position_fell(connection_->instance, *answer.position);
+        }
         group_->on_commit_answered(answer.position);
         check_acknowledgement(answer, sent_at);
         if (answer.position) {
--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -167,6 +167,8 @@
                      {"open", record.open},
                      {"request_pending", record.request_pending},
                      {"requests", encode_requests(record.requests)},
+                     {"target_start_time", record.target_start_time},
+                     {"target_position", encode_position(record.target_position)},
                      {"log_holders", encode_holder_addresses(record.log_holders)},
                      {"log_processes", encode_log_holders(record.log_holders)},
                      {"mark", random_nonce()}});
@@ -194,6 +196,8 @@
     // Hosts of earlier releases don't record their requests.
     result.record.request_pending = bool_or(object, "request_pending", result.record.open);
     result.record.requests = read_requests(object);
+    result.record.target_start_time = start_time_or_zero(object, "target_start_time");
+    result.record.target_position = position_or_empty(object, "target_position");
     result.record.log_holders = read_log_holders(object);
     result.holder = host_id{string_or_empty(object, "holder")};
     return result;
--- a/libs/gateway/src/group_connections.cpp
+++ b/libs/gateway/src/group_connections.cpp
@@ -173,6 +173,7 @@
     const auto started = steady_clock::now();
     if (const auto* state = find_state(instance, generation)) {
         const auto entry = state->entry;
+        const auto known = state->highest_number;
         try {
             on_request_sent(instance, false);
             auto link = co_await environment_.connector.connect(
@@ -184,6 +185,7 @@
                 weight;
             statement_answer opened;
             opened.position = link->initial_position();
+            check_restart(instance, opened.position, known);
             on_answer(instance, false, elapsed, opened);
             auto connection = std::make_unique<pooled_connection>();
             connection->link = std::move(link);
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -21,6 +21,7 @@
 /// Between rounds of a host that reaches replicas but too few hosts. Others wait for
 /// `delay_after_failure`, since their link may be full.
 constexpr milliseconds delay_while_isolated{100};
+constexpr milliseconds primary_status_timeout{500};
 
 }  // namespace
 
@@ -57,6 +58,14 @@
     const auto self = shared_from_this();
     while (!stopping_) {
         co_await sleep(check_interval);
+        if (group_->primary_is_unconfirmed()) {
+            const auto primary = *group_->primary();
+            const auto answer =
+                co_await query_status(primary, steady_clock::now() + primary_status_timeout);
+            if (answer.status && !answer.status->is_primary) {
+                group_->on_primary_denied(primary);
+            }
+        }
         const auto now = steady_clock::now();
         const auto kind = required_failover(now);
         if (kind == failover_kind::none) {
@@ -92,7 +101,10 @@
 asio::awaitable<void> group_failover::run_failover(failover_kind kind) {
     retry_after_ = steady_clock::now() + delay_after_failure;
     const auto replaced = group_->primary();
-    if (kind == failover_kind::planned) {
+    // Other hosts may not know yet that the primary has lost its log, and would report that it
+    // answers.
+    const bool log_is_lost = replaced && group_->has_lost_log(*replaced);
+    if (kind == failover_kind::planned || log_is_lost) {
         co_await survey_instances();
     } else {
         const auto verdict = co_await assess_primary();
@@ -156,12 +168,14 @@
         .field("fence", lock_.record.fence)
         .field("leads", term.has_value())
         .write();
+    const bool is_done = term && !group_->has_lost_log(choice->target);
     environment_.metrics.count("masticgrade_promotions_total", "Promotions by outcome.",
-                               term ? "done" : "failed");
-    if (term) {
+                               is_done ? "done" : "failed");
+    if (is_done) {
         retry_after_ = steady_clock::now() + delay_after_promotion;
-        auto target = choice->target;
-        co_await record_promotion(std::move(target), *term);
+    }
+    if (term) {
+        co_await record_promotion(*choice, *term);
     }
 }
 
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -145,8 +145,11 @@
     /// Returns the term in which the instance leads, or nullopt if it does not answer or no longer
     /// leads.
     boost::asio::awaitable<std::optional<term_number>> confirm_primary(instance_id primary);
-    /// Records the promotion of `target`, which leads in `term`.
-    boost::asio::awaitable<void> record_promotion(instance_id target, term_number term);
+    /// Records the promotion of the chosen instance, which leads in `term`.
+    boost::asio::awaitable<void> record_promotion(promotion_choice choice, term_number term);
+    /// The present primary as recorded, or as it has reported itself.
+    [[nodiscard]] promotion_choice present_primary(const instance_id& primary,
+                                                   term_number term) const;
     /// Repeats the announcement until all hosts have confirmed or the attempt has ended.
     boost::asio::awaitable<void> announce(std::uint64_t fence);
     void add_to_census(const failover_announcement& told);
@@ -255,7 +258,8 @@
     /// Ends an attempt whose calls may still be carried out although its target has changed or does
     /// not lead in time. Returns the term of the target if it leads after all.
     boost::asio::awaitable<std::optional<term_number>> settle_attempt(promotion_choice choice);
-    /// Adopts a target that leads after its promotion.
+    /// Adopts a target that leads after its promotion, unless it has lost its log. The record of
+    /// the promotion shows that to all hosts.
     void adopt_target(const promotion_choice& choice, const instance_status& status);
     void log_request(const instance_id& target, promotion_outcome outcome) const;
     /// Logs the answer to an order that decides what may be promoted. Precondition: `event` is a
--- a/libs/gateway/src/group_failover_choice.cpp
+++ b/libs/gateway/src/group_failover_choice.cpp
@@ -131,8 +131,15 @@
     }
     const auto process = primary_process();
     const backend_request status_request = backend_status{};
+    const auto seen_before = group_->highest_position(*primary);
     const auto before = co_await orders_.send(*primary, status_request);
-    const bool led = before && before->is_primary && before->term >= group_->newest_term();
+    if (before) {
+        group_->on_status(*primary, *before, seen_before);
+    }
+    // If the directory lists the process that has started without the log, the earlier one is
+    // another log holder, and this one's log is known.
+    const bool led = before && before->is_primary && before->term >= group_->newest_term() &&
+                     (!group_->has_lost_log(*primary) || group_->started_after_promotion(*primary));
     const backend_request request = backend_step_down{hold_term_};
     const auto asked_at = boot_clock::now();
     const auto status = co_await orders_.send(*primary, request);
@@ -181,7 +188,14 @@
             candidates_.push_back(std::move(candidate));
         }
         held_logs_.end_round();
-        auto choice = choose_promotion_target(candidates_, hold_term_);
+        auto replicas = candidates_;
+        for (auto& replica : replicas) {
+            if (replica.held && group_->lacks_recorded_log(replica.held->received)) {
+                // It led without its log; its term would make it the longest one.
+                replica.held->received.term = {};
+            }
+        }
+        auto choice = choose_promotion_target(replicas, hold_term_);
         if (choice) {
             const auto chosen =
                 std::find_if(entries.begin(), entries.end(),
--- a/libs/gateway/src/group_failover_lock.cpp
+++ b/libs/gateway/src/group_failover_lock.cpp
@@ -129,8 +129,10 @@
     }
 }
 
-asio::awaitable<void> group_failover::record_promotion(instance_id target, term_number term) {
-    lock_.record.target = std::move(target);
+asio::awaitable<void> group_failover::record_promotion(promotion_choice choice, term_number term) {
+    lock_.record.target = std::move(choice.target);
+    lock_.record.target_start_time = choice.start_time;
+    lock_.record.target_position = choice.position;
     lock_.record.term = term;
     lock_.record.open = false;
     const auto deadline = steady_clock::now() + record_timeout;
--- a/libs/gateway/src/group_failover_promotion.cpp
+++ b/libs/gateway/src/group_failover_promotion.cpp
@@ -43,7 +43,7 @@
             held_replicas_.insert(holder);
         }
     }
-    auto target = *primary;
+    const auto& target = *primary;
     auto term = group_->newest_term();
     if (lock_.record.request_pending) {
         if (!took_over_) {
@@ -62,7 +62,19 @@
         term = *leads_in;
     }
     co_await release_replicas();
-    co_await record_promotion(std::move(target), term);
+    co_await record_promotion(present_primary(target, term), term);
+}
+
+promotion_choice group_failover::present_primary(const instance_id& primary,
+                                                 term_number term) const {
+    const auto& record = lock_.record;
+    if (record.target == primary && record.term == term && record.target_start_time != 0) {
+        return {primary, record.target_position, record.target_start_time};
+    }
+    const auto process = primary_process();
+    const bool is_listed = process && process->instance == primary;
+    return {primary, group_->reported_end(primary).value_or(log_index{}),
+            is_listed ? process->start_time : 0};
 }
 
 asio::awaitable<bool> group_failover::settle_earlier_requests() {
@@ -73,7 +85,7 @@
         adopt_target(choice, settled.carried_out->status);
         clear_requests();
         co_await release_replicas();
-        co_await record_promotion(choice.target, settled.carried_out->status.term);
+        co_await record_promotion(choice, settled.carried_out->status.term);
         co_return false;
     }
     if (!settled.is_complete) {
@@ -91,9 +103,12 @@
     const backend_request status_request = backend_status{};
     while (steady_clock::now() < deadline) {
         const auto asked_at = boot_clock::now();
+        const auto seen_before = group_->highest_position(primary);
         const auto status = co_await orders_.send(primary, status_request);
         if (status) {
-            if (status->is_primary && status->term >= group_->newest_term()) {
+            group_->on_status(primary, *status, seen_before);
+            if (status->is_primary && status->term >= group_->newest_term() &&
+                !group_->has_lost_log(primary)) {
                 co_return status->term;
             }
             // It has started again or has been replaced.
@@ -283,8 +298,11 @@
 }
 
 void group_failover::adopt_target(const promotion_choice& choice, const instance_status& status) {
-    if (status.received < choice.position) {
+    // The log goes on in the new term, whose first position may be of any number.
+    if (status.received.number < choice.position.number) {
         report_unsafe_order(choice, "log_lost");
+        group_->on_position_fell(choice.target, status.received);
+        return;
     }
     group_->on_status(choice.target, status);
     group_->set_primary(choice.target, status.term, "promotion");
--- a/libs/gateway/src/group_failover_verdict.cpp
+++ b/libs/gateway/src/group_failover_verdict.cpp
@@ -32,9 +32,10 @@
 asio::awaitable<instance_orders::order_answer> group_failover::query_status(instance_id instance,
                                                                             time_point deadline) {
     const backend_request request = backend_status{};
+    const auto seen_before = group_->highest_position(instance);
     auto answer = co_await orders_.send_until(instance, request, deadline);
     if (answer.status) {
-        group_->on_status(instance, *answer.status);
+        group_->on_status(instance, *answer.status, seen_before);
     }
     co_return answer;
 }
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -24,7 +24,8 @@
     const auto is_denied = [&](const instance_state& instance) {
         return instance.denied_until > now ||
                leadership_.contradicts(claimant_of(instance.entry.id), target_is_listed,
-                                       checked_at);
+                                       checked_at) ||
+               has_lost_log(instance.entry.id);
     };
     if (primary_) {
         const auto found = instances_.find(*primary_);
@@ -82,17 +83,76 @@
     dispatch_waiting();
 }
 
-void backend_group::on_status(const instance_id& instance, const instance_status& status) {
+void backend_group::on_status(const instance_id& instance, const instance_status& status,
+                              std::optional<log_index> seen_before) {
     if (const auto found = instances_.find(instance); found != instances_.end()) {
         found->second.log_term = std::max(found->second.log_term, status.term);
+        if (status.is_primary) {
+            check_reported_log(instance, found->second, status, seen_before);
+        }
     }
-    if (status.is_primary && status.term >= newest_term_) {
+    if (status.is_primary && status.term >= newest_term_ && !has_lost_log(instance)) {
         set_primary(instance, status.term, "status");
         failure_detector_.on_answer(steady_clock::now());
     }
     newest_term_ = std::max(newest_term_, status.term);
 }
 
+void backend_group::check_reported_log(const instance_id& instance, instance_state& state,
+                                       const instance_status& status,
+                                       std::optional<log_index> seen_before) {
+    // A replica that was ahead of a promoted one is rolled back, but never within a term.
+    const bool fell = seen_before && seen_before->term >= status.term &&
+                      status.received.number < seen_before->number;
+    if (!fell && !leadership_.is_below_record(status.term, status.received)) {
+        state.reported_end = status.received;
+        state.may_have_restarted = false;
+        state.position_fell = false;
+        return;
+    }
+    on_position_fell(instance, status.received);
+}
+
+void backend_group::on_position_fell(const instance_id& instance, log_index position) {
+    const auto found = instances_.find(instance);
+    if (found == instances_.end() || found->second.position_fell) {
+        return;
+    }
+    found->second.position_fell = true;
+    event_line{"primary_log_lost", event_severity::warning}
+        .field("group", name_)
+        .field("instance", instance)
+        .field("position", position)
+        .field("seen", found->second.highest_position.value_or(log_index{}))
+        .field("recorded", leadership_.record().target_position)
+        .field("born", found->second.entry.start_time)
+        .write();
+}
+
+void backend_group::check_restart(const instance_id& instance, std::optional<log_index> found,
+                                  log_position known) {
+    const auto number = found.value_or(log_index{}).number;
+    const auto state = instances_.find(instance);
+    if (state != instances_.end() && number < known) {
+        state->second.may_have_restarted = true;
+        state->second.highest_number = number;
+    }
+}
+
+bool backend_group::has_lost_log(const instance_id& instance) const {
+    return leadership_.has_lost_log(claimant_of(instance));
+}
+
+bool backend_group::primary_is_unconfirmed() const {
+    return primary_ && leadership_.is_unconfirmed(claimant_of(*primary_)) &&
+           !has_lost_log(*primary_);
+}
+
+std::optional<log_index> backend_group::reported_end(const instance_id& instance) const {
+    const auto found = instances_.find(instance);
+    return found == instances_.end() ? std::nullopt : found->second.reported_end;
+}
+
 primary_reply backend_group::report_primary(const instance_id& instance) const {
     const auto now = steady_clock::now();
     const auto answered = failure_detector_.last_answer();
@@ -122,7 +182,7 @@
 }
 
 bool backend_group::primary_is_dead(time_point now) const {
-    return !primary_ || failure_detector_.is_dead(now) ||
+    return !primary_ || failure_detector_.is_dead(now) || has_lost_log(*primary_) ||
            leadership_.contradicts(claimant_of(*primary_), promoted_instance_is_listed(),
                                    boot_clock::now());
 }
@@ -138,7 +198,16 @@
 
 leadership_evidence::claimant backend_group::claimant_of(const instance_id& instance) const {
     const auto found = instances_.find(instance);
-    return {instance, found == instances_.end() ? term_number{} : found->second.log_term};
+    leadership_evidence::claimant result{instance, {}};
+    if (found != instances_.end()) {
+        const auto& state = found->second;
+        result.log_term = state.log_term;
+        result.start_time = state.entry.start_time;
+        result.reported_end = state.reported_end;
+        result.may_have_restarted = state.may_have_restarted;
+        result.position_fell = state.position_fell;
+    }
+    return result;
 }
 
 bool backend_group::promoted_instance_is_listed() const {
--- a/libs/gateway/src/leadership_evidence.cpp
+++ b/libs/gateway/src/leadership_evidence.cpp
@@ -57,9 +57,27 @@
            (instance.log_term == record_.term && !target_is_listed);
 }
 
+bool leadership_evidence::is_below_record(term_number term, log_index received) const {
+    // Numbers go on when a new primary leads, so the term does not matter.
+    return !record_.target.empty() && term >= record_.term &&
+           received.number < record_.target_position.number;
+}
+
+bool leadership_evidence::is_later_process(const claimant& instance) const {
+    return instance.id == record_.target && record_.target_start_time != 0 &&
+           instance.start_time > record_.target_start_time;
+}
+
+bool leadership_evidence::is_unconfirmed(const claimant& instance) const {
+    const bool reaches_record =
+        instance.reported_end && instance.reported_end->number >= record_.target_position.number;
+    return instance.may_have_restarted || (is_later_process(instance) && !reaches_record);
+}
+
 bool leadership_evidence::allows(const claimant& instance, bool target_is_listed,
                                  boot_time now) const {
-    return is_settled(now) && leads(instance, target_is_listed);
+    return is_settled(now) && leads(instance, target_is_listed) && !has_lost_log(instance) &&
+           !is_unconfirmed(instance);
 }
 
 bool leadership_evidence::contradicts(const claimant& instance, bool target_is_listed,
--- a/libs/gateway/test/failover_row_test.cpp
+++ b/libs/gateway/test/failover_row_test.cpp
@@ -20,6 +20,8 @@
 TEST_CASE("the failover row keeps the processes of the log holders") {
     failover_record record{7, false, instance_id{"a"}, term_number{3}};
     record.log_holders = {holder_of("a", 1765074693094), holder_of("b", 4), holder_of("b", 5)};
+    record.target_start_time = 1765074693094;
+    record.target_position = {term_number{2}, log_position{41}};
     CHECK(decode(encode_failover_row(record, host_id{"host-1"})) == record);
 }
 
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -848,6 +848,125 @@
     }
 }
 
+// A call that the platform has accepted takes effect although it is voided. An empty log was then
+// used as that of the new primary.
+TEST_CASE("a target that was promoted after it had lost its log is not used") {
+    failover_fixture fixture;
+    fixture.group->on_acknowledged(first_term(12), first_term(11));
+    auto& target = fixture.connector.at("c");
+    auto& promotions = fixture.promotions;
+    promotions.outcomes = {promotion_outcome::unknown};
+    promotions.on_promote = [&] {
+        if (promotions.orders.size() == 1) {
+            restart_empty(target);
+        } else if (promotions.orders.size() == 2) {
+            promotions.carry_out(promotions.orders[0]);
+            REQUIRE(target.is_primary);
+        }
+    };
+    const instance_id lost{"c"};
+    bool was_used = false;
+    const auto watch = [&] {
+        was_used = was_used || (fixture.group->primary() == lost &&
+                                fixture.group->may_lead(lost, boot_clock::now()));
+    };
+    fixture.run_until([&] {
+        watch();
+        return promotions.orders.size() > 1 && !row_is_open(fixture);
+    });
+    const auto row = present_record(fixture);
+    CHECK(row.target == lost);
+    CHECK(row.target_position == first_term(12));
+    CHECK(row.requests.empty());
+    CHECK(fixture.metrics.scrape().find("log_lost") != std::string::npos);
+
+    // Its term does not make it the longest log.
+    fixture.connector.add("d", false).position = 13;
+    fixture.update();
+    fixture.run_until([&] {
+        watch();
+        return fixture.group->primary() == instance_id{"d"};
+    });
+    CHECK(fixture.group->primary() == instance_id{"d"});
+    CHECK_FALSE(was_used);
+    for (std::size_t i = 1; i < promotions.orders.size(); ++i) {
+        CHECK(promotions.orders[i].target != lost);
+    }
+}
+
+// An instance that starts again under its id has lost its log, and says that it leads until another
+// one is promoted. Commits that it acknowledges then replace those that it had acknowledged before.
+TEST_CASE("a primary that has started again is used only if it has its log") {
+    failover_fixture fixture;
+    auto& primary = fixture.connector.add("a", true);
+    const instance_id id{"a"};
+    primary.position = 12;
+    primary.entry.start_time = 1;
+    failover_record recorded{3, false, id, term_number{1}};
+    recorded.log_holders = {holder_of("a", 1), holder_of("b"), holder_of("c")};
+    recorded.target_start_time = 1;
+    recorded.target_position = first_term(11);
+    fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+    fixture.restart_host();
+    fixture.run_until([&] { return fixture.group->may_lead(id, boot_clock::now()); });
+    REQUIRE(fixture.group->primary() == id);
+    REQUIRE(fixture.group->may_lead(id, boot_clock::now()));
+
+    primary.entry.start_time = 2;
+    SUBCASE("with its log") {
+        fixture.update();
+        CHECK_FALSE(fixture.group->may_lead(id, boot_clock::now()));
+        fixture.run_until([&] { return fixture.group->may_lead(id, boot_clock::now()); });
+        CHECK(fixture.group->may_lead(id, boot_clock::now()));
+        CHECK(fixture.promotions.orders.empty());
+    }
+    SUBCASE("without its log") {
+        primary.position = 0;
+        fixture.update();
+        bool was_used = fixture.group->may_lead(id, boot_clock::now());
+        fixture.run_until([&] {
+            was_used = was_used || fixture.group->may_lead(id, boot_clock::now());
+            return !fixture.promotions.orders.empty();
+        });
+        CHECK_FALSE(was_used);
+        REQUIRE_FALSE(fixture.promotions.orders.empty());
+        CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+    }
+}
+
+// No statement is sent to it, so that none is refused because it does not lead.
+TEST_CASE("a primary that has started again as a replica is replaced") {
+    failover_fixture fixture;
+    auto& primary = fixture.connector.add("a", true);
+    primary.position = 12;
+    primary.entry.start_time = 1;
+    fixture.update();
+    REQUIRE(fixture.group->primary() == instance_id{"a"});
+    primary.entry.start_time = 2;
+    fixture.update();
+    primary.is_primary = false;
+    primary.position = 11;
+    fixture.run_until([&] { return fixture.group->primary() == instance_id{"c"}; });
+    CHECK(fixture.group->primary() == instance_id{"c"});
+}
+
+// The directory may list the earlier process for a while.
+TEST_CASE("a primary that reports a shorter log than it had is not used") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.update();
+    const instance_id id{"a"};
+    const auto now = boot_clock::now();
+    fixture.group->on_status(id, {true, term_number{1}, first_term(12), {}});
+    REQUIRE(fixture.group->may_lead(id, now));
+    // The status was requested before the commit at 13 was seen.
+    fixture.group->on_status(id, {true, term_number{1}, first_term(12), {}}, first_term(12));
+    CHECK(fixture.group->may_lead(id, now));
+    fixture.group->on_status(id, {true, term_number{1}, first_term(0), {}}, first_term(13));
+    CHECK_FALSE(fixture.group->may_lead(id, now));
+    CHECK(fixture.group->primary_is_dead(steady_clock::now()));
+}
+
 // A silent target may be starting again.
 TEST_CASE("no promotion request is sent while the target is silent") {
     failover_fixture fixture;
@@ -1162,6 +1281,26 @@
     CHECK_FALSE(told->beyond);
 }
 
+// The directory lists the earlier process for a while after a primary has started again empty.
+TEST_CASE("a primary is not used after a connection has found its log shorter") {
+    partitioned_fixture fixture;
+    auto& primary = fixture.connector.at("a");
+    const instance_id id{"a"};
+    REQUIRE(fixture.second_host_uses_primary());
+    REQUIRE(fixture.second->may_lead(id, boot_clock::now()));
+    primary.position = 0;
+    primary.breaks_connections = true;
+    CHECK_FALSE(fixture.second_host_uses_primary());
+    primary.breaks_connections = false;
+    CHECK_FALSE(fixture.second_host_uses_primary());
+    CHECK_FALSE(fixture.second->may_lead(id, boot_clock::now()));
+    CHECK(fixture.second->primary_is_unconfirmed());
+    primary.position = 12;
+    fixture.second->on_status(id, {true, term_number{1}, primary.end_of_log(), {}},
+                              fixture.second->highest_position(id));
+    CHECK(fixture.second->may_lead(id, boot_clock::now()));
+}
+
 // A holder that was suspended for longer than its lock lasts would promote a second instance after
 // its successor has promoted one.
 TEST_CASE("a holder whose lock was taken while it was suspended sends no promotion request") {
--- a/libs/gateway/test/fakes.cpp
+++ b/libs/gateway/test/fakes.cpp
@@ -65,6 +65,10 @@
 asio::awaitable<std::vector<statement_answer>> fake_link::run(std::vector<backend_request> requests,
                                                               time_point deadline) {
     co_await delay_answer(instance_, deadline);
+    if (instance_.breaks_connections) {
+        open_ = false;
+        throw connection_error("answer", instance_.entry.id.str(), "broken for the test", true);
+    }
     std::vector<statement_answer> answers;
     for (const auto& request : requests) {
         std::string text;
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -46,6 +46,8 @@
     std::set<std::string> mismatched_answers;
     /// Texts of statements before which the connection breaks, once per entry.
     std::multiset<std::string> breaks_before;
+    /// Open connections break at the next request.
+    bool breaks_connections = false;
     bool refuses_connections = false;
     /// Whether the directory has an entry of the instance.
     bool is_listed = true;
--- a/libs/gateway/test/leadership_evidence_test.cpp
+++ b/libs/gateway/test/leadership_evidence_test.cpp
@@ -114,6 +114,40 @@
     CHECK(allows(evidence, successor, start, 3));
 }
 
+// A target that crashed soon after its promotion and started again empty under its id went on as
+// the primary on its own word.
+TEST_CASE("a promoted instance that has started again has to show its log") {
+    leadership_evidence evidence;
+    auto record = closed(4, new_primary, 2);
+    record.target_start_time = 100;
+    record.target_position = {term_number{1}, log_position{12}};
+    evidence.on_row(record, start);
+    const auto is_allowed = [&](leadership_evidence::claimant instance) {
+        instance.id = new_primary;
+        instance.log_term = term_number{2};
+        return evidence.allows(instance, true, start);
+    };
+    leadership_evidence::claimant chosen;
+    chosen.start_time = 100;
+    CHECK(is_allowed(chosen));
+    chosen.start_time = 0;
+    CHECK(is_allowed(chosen));
+    auto later = chosen;
+    later.start_time = 101;
+    CHECK_FALSE(is_allowed(later));
+    later.reported_end = log_index{term_number{2}, log_position{11}};
+    CHECK_FALSE(is_allowed(later));
+    later.reported_end = log_index{term_number{2}, log_position{12}};
+    CHECK(is_allowed(later));
+    later.may_have_restarted = true;
+    CHECK_FALSE(is_allowed(later));
+    chosen.position_fell = true;
+    CHECK_FALSE(is_allowed(chosen));
+    CHECK(evidence.is_below_record(term_number{2}, {term_number{2}, log_position{11}}));
+    CHECK_FALSE(evidence.is_below_record(term_number{2}, {term_number{1}, log_position{12}}));
+    CHECK_FALSE(evidence.is_below_record(term_number{1}, {term_number{1}, log_position{11}}));
+}
+
 // The promise that reads of current data depend on: a host that promotes follows the protocol,
 // other hosts read the row at any time, through relays of any age, or are suspended, or don't hear
 // of the failover; none may use the old primary once the promotion request has been sent.
