--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -16,6 +16,7 @@
 #include "backend_group.hpp"
 #include "caller_session.hpp"
 #include "control_state.hpp"
+#include "entry_history.hpp"
 #include "failover_row.hpp"
 #include "gateway_metrics.hpp"
 #include "group_failover.hpp"
@@ -380,7 +381,8 @@
                                               announce_recorded(group_name, fence);
                                           },
                                           started_,
-                                          settings_.entry_lifetime};
+                                          settings_.entry_lifetime,
+                                          entry_history_};
             if (failover_rows_) {
                 apply_failover_row(name, *group);
             }
@@ -621,8 +623,9 @@
         // Relays read at different times, so an answer may be older than the previous one.
         if (snapshot.read_at > directory_read_at_) {
             directory_read_at_ = snapshot.read_at;
-            directory_.apply(services_.documents.decode_instances(snapshot.rows),
-                             boot_clock::now());
+            const auto entries = services_.documents.decode_instances(snapshot.rows);
+            directory_.apply(entries, boot_clock::now());
+            entry_history_.on_read(entries, snapshot.read_at);
             update_groups();
         }
     }
@@ -641,6 +644,7 @@
                 }
             } catch (const error& failure) {
                 directory_.on_store_lost();
+                entry_history_.on_read_failed();
                 metrics_.count("masticgrade_store_failures_total",
                                "Readings of the store that failed.", "instances");
             }
@@ -843,6 +847,7 @@
     usage_limiter limiter_;
     gateway_metrics metrics_;
     instance_directory directory_;
+    entry_history entry_history_{settings_.entry_lifetime};
     host_registry hosts_;
     shared_rows rows_;
     /// Digest of the operators' rows that were decoded last.
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -30,7 +30,6 @@
       environment_(std::move(environment)),
       rows_(environment_.store, group_->name(), environment_.self),
       orders_(group_, environment_.connector),
-      held_logs_(environment_.entry_lifetime),
       decisions_(group_->name(), environment_.metrics) {}
 
 asio::awaitable<void> group_failover::sleep(duration length) {
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "backend_group.hpp"
+#include "entry_history.hpp"
 #include "failover_row_store.hpp"
 #include "held_logs.hpp"
 #include "instance_orders.hpp"
@@ -56,8 +57,11 @@
     std::function<void(const group_id& group, std::uint64_t fence)> announce_recorded;
     /// The start of this process.
     boot_time process_started = {};
-    /// The directory lists no process for longer than this after it has ended.
-    milliseconds entry_lifetime{4000};
+    /// The store removes the entry of a process that has ended within this time, unless it is slow
+    /// or down.
+    milliseconds entry_lifetime;
+    /// What the reads of the directory have shown. Outlives the failover.
+    const entry_history& entries;
 };
 
 /// Replaces a group's primary that is dead, shutting down or in an evacuated failure domain.
--- a/libs/gateway/src/group_failover_choice.cpp
+++ b/libs/gateway/src/group_failover_choice.cpp
@@ -164,13 +164,12 @@
             promotion_candidate candidate;
             candidate.id = entry.id;
             const auto asked_at = boot_clock::now();
-            const auto held_since = steady_clock::now();
             candidate.held = co_await orders_.send(entry.id, request);
             log_order("replica_hold", entry.id, candidate.held, asked_at);
             candidate.is_draining = group_->is_draining(entry.id);
             if (candidate.held) {
                 held_replicas_.insert(log_holder_of(entry));
-                held_logs_.add(log_holder_of(entry), *candidate.held, held_since);
+                held_logs_.add(log_holder_of(entry), *candidate.held, boot_clock::now());
                 if (candidate.held->is_primary || candidate.held->term >= hold_term_) {
                     // Another promotion has finished; `survey_instances` will find its primary.
                     candidates_.push_back(std::move(candidate));
--- a/libs/gateway/src/group_failover_logs.cpp
+++ b/libs/gateway/src/group_failover_logs.cpp
@@ -75,7 +75,7 @@
     if (!position) {
         return {holder, log_state::not_held};
     }
-    const bool is_confirmed = held_logs_.is_confirmed(holder, directory_read_at_);
+    const bool is_confirmed = held_logs_.is_confirmed(holder, environment_.entries);
     return {holder, is_confirmed ? log_state::held : log_state::held_unconfirmed, position};
 }
 
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -16,7 +16,7 @@
 const group_id group_name{"ledger"};
 const std::string lock_row = "failover/ledger";
 /// Of the entries in the directory, which the fakes remove at once.
-constexpr milliseconds entry_lifetime{40};
+constexpr milliseconds entry_lifetime{400};
 
 log_index first_term(std::uint64_t number) { return {term_number{1}, log_position{number}}; }
 
@@ -103,7 +103,8 @@
             [this](const group_id&, std::uint64_t) { return announce(); },
             [](const group_id&, std::uint64_t) {},
             {},
-            entry_lifetime};
+            entry_lifetime,
+            entries};
         auto failover = std::make_shared<group_failover>(group, std::move(environment));
         boost::asio::co_spawn(context_, failover->run(), boost::asio::detached);
         const auto deadline = steady_clock::now() + seconds{10};
@@ -130,6 +131,7 @@
     gateway_metrics metrics;
     std::shared_ptr<backend_group> group;
     std::function<void()> on_directory_read = [] {};
+    entry_history entries{entry_lifetime};
     /// Other hosts that don't confirm that they stopped using the primary.
     std::size_t silent_hosts = 0;
     /// The answers of those that confirm.
@@ -146,6 +148,7 @@
     boost::asio::awaitable<void> read_directory() {
         on_directory_read();
         update();
+        entries.on_read(connector.entries(), boot_clock::now());
         co_return;
     }
 
@@ -531,6 +534,34 @@
     fixture.run_without_promotion();
 }
 
+// The store has turned the new process away and still lists the earlier one, whose log counted as
+// known 4 s after the hold of the empty one.
+TEST_CASE("a replica whose entry outlives its process is not counted as held") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.lose("a");
+    auto& restarted = fixture.connector.at("c");
+    auto& other = fixture.connector.at("b");
+    restarted.position = 0;
+    other.entry.start_time = 1;
+    fixture.record_log_holders({holder_of("a"), holder_of("b", 1), holder_of("c")});
+    fixture.on_directory_read = [&] { ++other.entry.sequence; };
+    fixture.run_without_promotion();
+
+    // The process with the log is back.
+    restarted.position = 12;
+    restarted.entry.start_time = 1;
+    fixture.update();
+    fixture.on_directory_read = [&] {
+        ++other.entry.sequence;
+        ++restarted.entry.sequence;
+    };
+    fixture.record_log_holders({holder_of("a"), holder_of("b", 1), holder_of("c", 1)});
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
 // The attempt ordered the only instance with all commits to step down, and promoted none.
 TEST_CASE("a primary that returns with its log during an attempt is not replaced") {
     failover_fixture fixture;
@@ -821,6 +852,7 @@
             [] { return std::vector{host_id{"host-1"}}; },
             [this]() -> boost::asio::awaitable<void> {
                 first->update(settings_, connector.entries(), {});
+                entries_.on_read(connector.entries(), boot_clock::now());
                 co_return;
             },
             [this](const group_id&, const instance_entry& primary) { return ask_others(primary); },
@@ -829,7 +861,8 @@
             },
             [](const group_id&, std::uint64_t) {},
             {},
-            entry_lifetime};
+            entry_lifetime,
+            entries_};
         auto failover = std::make_shared<group_failover>(first, std::move(environment));
         boost::asio::co_spawn(context, failover->run(), boost::asio::detached);
         start_unanswered_statements();
@@ -986,6 +1019,7 @@
     partitioned_connector first_connector_{connector, {"a"}};
     gateway_metrics metrics_;
     group_settings settings_;
+    entry_history entries_{entry_lifetime};
 };
 
 }  // namespace
