--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -52,6 +52,8 @@
     std::size_t sync_replicas = 1;
     /// All logs that may have acknowledged commits, those of the held replicas included.
     std::vector<counted_log> logs = {};
+    /// Whether no other log may have acknowledged commits.
+    bool are_complete = true;
 };
 
 /// What shows that a target has every acknowledged commit.
@@ -96,7 +98,8 @@
 /// contains every acknowledged commit. Such a commit is in the log of the primary and of
 /// `sync_replicas` replicas, so that it is in a known one unless more than `sync_replicas` logs are
 /// unknown. Logs are compared by term first: one that ends in an earlier term lacks the commits of
-/// the later one, whatever its length. With no synchronous replica, commits are acknowledged before
+/// the later one, whatever its length. If there may be further logs, only the end of the old
+/// primary's log shows it. With no synchronous replica, commits are acknowledged before
 /// any replica has them, and every position is sufficient. Thread safety: reentrant.
 bool contains_acknowledged_commits(log_index position, const unheld_logs& others);
 
--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -114,8 +114,7 @@
 std::string failover_row_key(const group_id& group) { return failover_row::prefix + group.str(); }
 
 std::string encode_failover_row(const failover_record& record, const host_id& holder) {
-    return json::serialize(
-        json::object{{"fence", record.fence},
+    json::object row{{"fence", record.fence},
                      {"holder", holder.str()},
                      {"target", record.target.str()},
                      {"term", record.term.value()},
@@ -123,7 +122,11 @@
                      {"request_pending", record.request_pending},
                      {"log_holders", encode_holder_addresses(record.log_holders)},
                      {"log_processes", encode_log_holders(record.log_holders)},
-                     {"mark", random_nonce()}});
+                     {"mark", random_nonce()}};
+    if (record.log_holders_complete_in) {
+        row["log_holders_complete_in"] = record.log_holders_complete_in->value();
+    }
+    return json::serialize(row);
 }
 
 failover_row decode_failover_row(const table_row& row) {
@@ -148,6 +151,10 @@
     // Hosts of earlier releases don't record their requests.
     result.record.request_pending = bool_or(object, "request_pending", result.record.open);
     result.record.log_holders = read_log_holders(object);
+    if (object.contains("log_holders_complete_in")) {
+        result.record.log_holders_complete_in =
+            store_era{number_or_zero(object, "log_holders_complete_in")};
+    }
     result.holder = host_id{string_or_empty(object, "holder")};
     return result;
 }
--- a/libs/gateway/src/log_holder_registry.cpp
+++ b/libs/gateway/src/log_holder_registry.cpp
@@ -56,14 +56,15 @@
 }
 
 bool log_holder_registry::is_outdated() const {
-    if (group_->log_holders_are_recorded() || group_->entries().empty()) {
+    if (group_->entries().empty() ||
+        (group_->log_holders_are_recorded() && group_->log_holders_are_complete())) {
         return false;
     }
     const auto holders = group_->log_holders();
     // Without a primary there is nothing to compare the replicas with.
-    const bool can_end = group_->primary() && !group_->last_failover().open;
+    const bool can_compare = group_->primary() && !group_->last_failover().open;
     return holders != group_->last_failover().log_holders ||
-           (can_end && !ended_among(holders).empty());
+           (can_compare && (!ended_among(holders).empty() || !group_->log_holders_are_complete()));
 }
 
 std::set<log_holder> log_holder_registry::ended_among(const std::set<log_holder>& holders) const {
@@ -75,6 +76,13 @@
 }
 
 asio::awaitable<void> log_holder_registry::update() {
+    const auto holders_known = group_->log_holders();
+    const bool is_recorded = holders_known == group_->last_failover().log_holders;
+    if (is_recorded && !group_->log_holders_are_complete() &&
+        !co_await is_replicated(group_->entries())) {
+        // Nothing to write, so the read of the row is saved.
+        co_return;
+    }
     const auto read_at = boot_clock::now();
     auto row = co_await rows_.read();
     if (row.version != fleet_version{}) {
@@ -83,17 +91,22 @@
     if (row.record.open || group_->last_failover_is_lost()) {
         co_return;
     }
-    const auto recorded = row.record.log_holders;
+    const auto recorded = row.record;
     auto& holders = row.record.log_holders;
     const auto known = group_->log_holders();
     holders.insert(known.begin(), known.end());
     // The positions are read after the successors were listed.
     auto ended = ended_among(holders);
-    if (!ended.empty() && !co_await is_replicated(group_->entries())) {
-        ended.clear();
+    const bool is_complete = has_complete_log_holders(row.record, row.era);
+    if (!ended.empty() || !is_complete) {
+        if (co_await is_replicated(group_->entries())) {
+            row.record.log_holders_complete_in = row.era;
+        } else {
+            ended.clear();
+        }
     }
     std::erase_if(holders, [&](const auto& holder) { return ended.contains(holder); });
-    if (holders == recorded) {
+    if (row.record == recorded) {
         group_->forget_log_holders(ended);
         co_return;
     }
@@ -108,7 +121,9 @@
 
 void log_holder_registry::log_recorded(const failover_record& record) const {
     event_line line{"log_holders_recorded"};
-    line.field("group", group_->name()).field("fence", record.fence);
+    line.field("group", group_->name())
+        .field("fence", record.fence)
+        .field("complete", record.log_holders_complete_in.has_value());
     for (const auto& holder : record.log_holders) {
         line.field("instance", holder.instance)
             .field("address", holder.address)
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -83,6 +83,9 @@
     if (others.longest_unlisted && position < *others.longest_unlisted) {
         return false;
     }
+    if (!others.are_complete) {
+        return others.former_primary && position >= *others.former_primary;
+    }
     if (others.unknown_replicas == 0) {
         // A commit that the primary alone has was never acknowledged.
         return true;
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -34,6 +34,14 @@
     return result;
 }
 
+/// A row whose log holders are these and no others.
+failover_record complete_record(std::set<log_holder> holders = {}) {
+    failover_record result;
+    result.log_holders = std::move(holders);
+    result.log_holders_complete_in = store_era{1};
+    return result;
+}
+
 /// Runs the failover of a group without a primary and with the replicas "b" and "c" on one host.
 class failover_fixture {
 public:
@@ -48,6 +56,11 @@
         auto environment = make_local_environment(context_.get_executor(), connector, metrics);
         group = std::make_shared<backend_group>(group_name, std::move(environment));
         prove_leadership(*group);
+        if (store.value_of(lock_row).empty()) {
+            auto recorded = complete_record({holder_of("b"), holder_of("c")});
+            recorded.log_holders_complete_in = store.era();
+            store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+        }
         update();
     }
 
@@ -69,9 +82,7 @@
 
     /// Records the log holders and replaces the host by one that knows nothing else.
     void record_log_holders(const std::set<log_holder>& holders) {
-        failover_record recorded;
-        recorded.log_holders = holders;
-        store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+        store.put(lock_row, encode_failover_row(complete_record(holders), host_id{"host-2"}));
         restart_host();
     }
 
@@ -170,6 +181,31 @@
     CHECK(fixture.store.value_of(lock_row).find("\"target\":\"c\"") != std::string::npos);
 }
 
+// Hosts that knew a replica with the newest commits died with the primary before any had recorded
+// it, and the others were taken for all log holders.
+TEST_CASE("log holders that were never found to be complete prove nothing") {
+    failover_fixture fixture;
+    auto recorded = complete_record({holder_of("b"), holder_of("c")});
+    SUBCASE("recorded without the primary, or by an earlier release") {
+        recorded.log_holders_complete_in = {};
+    }
+    SUBCASE("recorded before a restore of the store") {
+        recorded.log_holders_complete_in = store_era{2};
+    }
+    SUBCASE("no row") { recorded = {}; }
+    fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
+    fixture.restart_host();
+    fixture.run_without_promotion();
+
+    // What all hosts have acknowledged proves as before.
+    auto answer = confirmation("host-2", {first_term(9), first_term(12)});
+    answer.newest_proof = dated_position{boot_clock::now(), first_term(12)};
+    fixture.confirmations = {answer};
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
 // Guards against the loss of acknowledged commits by a host that has just started, or has served
 // readers only: two instances are down, and only one of them has the latest commits.
 TEST_CASE("nothing is promoted while two instances that may have the latest commits are down") {
@@ -180,7 +216,7 @@
         fixture.connector.at(name).refuses_connections = true;
         fixture.connector.at(name).is_listed = false;
     }
-    failover_record recorded;
+    auto recorded = complete_record();
     for (const auto* name : {"a", "b", "c", "d"}) {
         recorded.log_holders.insert(holder_of(name));
     }
@@ -238,7 +274,7 @@
         fixture.connector.at(name).refuses_connections = true;
         fixture.connector.at(name).is_listed = false;
     }
-    failover_record recorded;
+    auto recorded = complete_record();
     for (const auto* name : {"a", "b", "c", "d"}) {
         recorded.log_holders.insert(holder_of(name));
     }
@@ -255,7 +291,7 @@
 TEST_CASE("a running instance that was removed from the log holders is asked before a promotion") {
     failover_fixture fixture;
     fixture.connector.add("d", false).position = 14;
-    failover_record recorded;
+    auto recorded = complete_record();
     for (const auto* name : {"b", "c", "d"}) {
         recorded.log_holders.insert(holder_of(name));
     }
@@ -341,7 +377,7 @@
         fixture.connector.at(name).refuses_connections = true;
         fixture.connector.at(name).is_listed = false;
     }
-    failover_record recorded;
+    auto recorded = complete_record();
     for (const auto* name : {"a", "b", "c", "d"}) {
         recorded.log_holders.insert(holder_of(name));
     }
@@ -384,7 +420,7 @@
     fixture.connector.at("b").is_listed = false;
     fixture.connector.at("b").refuses_connections = true;
     fixture.connector.at("a").entry.leaving = true;
-    failover_record recorded;
+    auto recorded = complete_record();
     for (const auto* name : {"a", "b", "c"}) {
         recorded.log_holders.insert(holder_of(name));
     }
@@ -820,6 +856,9 @@
         connector.add("c", false).position = 10;
         settings_.name = group_name;
         settings_.max_connections = 20;
+        store.put(lock_row, encode_failover_row(
+                                complete_record({holder_of("a"), holder_of("b"), holder_of("c")}),
+                                host_id{"host-2"}));
         first = make_group(first_connector_);
         second = make_group(connector);
     }
@@ -968,6 +1007,11 @@
         return *used;
     }
 
+    /// Whether a host has acquired the failover lock.
+    [[nodiscard]] bool lock_was_acquired() const {
+        return decode_failover_row({lock_row, {}, store.value_of(lock_row)}).record.fence > 0;
+    }
+
     void first_reaches_primary(bool reached) {
         first_connector_.set_unreachable(reached ? std::set<std::string>{}
                                                  : std::set<std::string>{"a"});
@@ -1272,6 +1316,9 @@
     fixture.store.put(lock_row, "not json");
     const auto row = decode_failover_row({lock_row, fleet_version{1}, "not json"});
     CHECK(row.record.open);
+    // The log holders of the row are lost, so that only the acknowledgements prove anything.
+    fixture.confirmations = {confirmation("host-2", {first_term(9), first_term(12)})};
+    fixture.confirmations[0].newest_proof = dated_position{boot_clock::now(), first_term(12)};
     fixture.run_until([&] { return fixture.group->primary() == instance_id{"c"}; });
     CHECK(fixture.store.value_of(lock_row).find("\"target\":\"c\"") != std::string::npos);
 }
@@ -1340,7 +1387,7 @@
     fixture.run_for(2 * inconclusive_limit);
     failover->stop();
     REQUIRE(fixture.first_asked_at);
-    CHECK(fixture.store.value_of(lock_row).empty());
+    CHECK_FALSE(fixture.lock_was_acquired());
     CHECK(fixture.second_host_uses_primary());
 }
 
@@ -1356,7 +1403,7 @@
     failover->stop();
     REQUIRE(fixture.first_asked_at);
     CHECK(fixture.promotions.orders.empty());
-    CHECK(fixture.store.value_of(lock_row).empty());
+    CHECK_FALSE(fixture.lock_was_acquired());
 }
 
 // Over a slow link, replicas answered in their 500 ms and hosts in their 250 ms, but a primary that
@@ -1382,7 +1429,7 @@
     failover->stop();
     REQUIRE(fixture.first_asked_at);
     CHECK(fixture.promotions.orders.empty());
-    CHECK(fixture.store.value_of(lock_row).empty());
+    CHECK_FALSE(fixture.lock_was_acquired());
     CHECK_FALSE(fixture.first->primary_is_dead(steady_clock::now()));
 }
 
@@ -1400,12 +1447,12 @@
     fixture.connector.at("a").fails_probes = true;
     const auto failover = fixture.start_failover(0);
     const auto deadline = steady_clock::now() + seconds{5};
-    while (fixture.store.value_of(lock_row).empty() && steady_clock::now() < deadline) {
+    while (!fixture.lock_was_acquired() && steady_clock::now() < deadline) {
         fixture.run_for(milliseconds{20});
     }
     failover->stop();
     REQUIRE(fixture.first_asked_at);
-    CHECK_FALSE(fixture.store.value_of(lock_row).empty());
+    CHECK(fixture.lock_was_acquired());
     CHECK(steady_clock::now() - *fixture.first_asked_at < seconds{1});
 }
 
@@ -1427,10 +1474,10 @@
     }
     const auto failover = fixture.start_failover(0);
     const auto deadline = steady_clock::now() + seconds{5};
-    while (fixture.store.value_of(lock_row).empty() && steady_clock::now() < deadline) {
+    while (!fixture.lock_was_acquired() && steady_clock::now() < deadline) {
         fixture.run_for(milliseconds{20});
     }
-    CHECK_FALSE(fixture.store.value_of(lock_row).empty());
+    CHECK(fixture.lock_was_acquired());
     for (const auto* name : {"b", "c"}) {
         fixture.connector.at(name).at_connection_limit = false;
     }
@@ -1451,7 +1498,7 @@
     fixture.run_for(seconds{1});
     failover->stop();
     REQUIRE(fixture.first_asked_at);
-    CHECK(fixture.store.value_of(lock_row).empty());
+    CHECK_FALSE(fixture.lock_was_acquired());
 }
 
 // Replicas are busy for moments in an overload; each such round started the limit anew.
@@ -1623,7 +1670,7 @@
     fixture.store.copy();
     fixture.promotions.on_promote = [&] { fixture.store.restore(); };
     fixture.run_until([&] {
-        return !fixture.store.value_of(lock_row).empty() && fixture.group->primary().has_value() &&
+        return fixture.group->primary().has_value() &&
                !fixture.group->last_failover().target.empty();
     });
     CHECK(fixture.promotions.orders.size() == 1);
--- a/libs/gateway/test/fakes.hpp
+++ b/libs/gateway/test/fakes.hpp
@@ -198,6 +198,7 @@
 
     void put(const std::string& key, const std::string& value);
     [[nodiscard]] std::string value_of(const std::string& key) const;
+    [[nodiscard]] store_era era() const { return era_; }
 
     /// Keeps a copy of all rows and of the version counter.
     void copy();
