--- a/libs/gateway/include/masticgrade/gateway/counted_log.hpp
+++ b/libs/gateway/include/masticgrade/gateway/counted_log.hpp
@@ -17,8 +17,8 @@
     held_unconfirmed,
     /// A running instance that is not in the directory, so that its process is not known.
     held_unlisted,
-    /// A held instance with another id has its address, and has taken over its log.
-    inherited,
+    /// The process has ended, and a held log reaches its bound, see failover_record.
+    covered,
     /// The old primary, which has confirmed that it no longer leads.
     stepped_down,
     /// Listed, but not held as this process: it has started or registered since the last hold.
--- a/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
 #include "masticgrade/gateway/log_holder.hpp"
+#include "masticgrade/gateway/log_index.hpp"
 
 namespace masticgrade {
 
@@ -23,6 +25,9 @@
     /// The processes that may have acknowledged commits which no other process has. Empty if not
     /// recorded yet.
     std::set<log_holder> log_holders = {};
+    /// Of log holders that have ended: the end of the primary's log as read after that. No commit
+    /// that they have received lies beyond it.
+    std::map<log_holder, log_index> log_bounds = {};
     /// The era of the store in which the log holders were found to be complete: while the primary
     /// led, as many recorded replicas as an acknowledged commit takes had all of its log. Absent if
     /// they never were. A row of another era may come from an older copy.
--- a/libs/gateway/src/counted_log.cpp
+++ b/libs/gateway/src/counted_log.cpp
@@ -10,8 +10,8 @@
             return "held_unconfirmed";
         case log_state::held_unlisted:
             return "held_unlisted";
-        case log_state::inherited:
-            return "inherited";
+        case log_state::covered:
+            return "covered";
         case log_state::stepped_down:
             return "stepped_down";
         case log_state::not_held:
@@ -33,7 +33,7 @@
 }
 
 bool is_known(log_state state) {
-    return state == log_state::held || state == log_state::inherited ||
+    return state == log_state::held || state == log_state::covered ||
            state == log_state::stepped_down;
 }
 
--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -44,12 +44,32 @@
     return failure ? 0 : number;
 }
 
-json::array encode_log_holders(const std::set<log_holder>& holders) {
+json::object encode_position(log_index position) {
+    return {{"term", position.term.value()}, {"number", position.number.value()}};
+}
+
+/// Returns nullopt if the member is missing or is no position.
+std::optional<log_index> decode_position(const json::object& object, std::string_view name) {
+    const auto* value = object.if_contains(name);
+    if (value == nullptr || !value->is_object()) {
+        return std::nullopt;
+    }
+    const auto& position = value->as_object();
+    const log_index result{term_number{number_or_zero(position, "term")},
+                           log_position{number_or_zero(position, "number")}};
+    return result.term == term_number{} ? std::nullopt : std::optional{result};
+}
+
+json::array encode_log_holders(const failover_record& record) {
     json::array result;
-    for (const auto& holder : holders) {
-        result.push_back(json::object{{"instance", holder.instance.str()},
-                                      {"address", holder.address.str()},
-                                      {"start_time", holder.start_time}});
+    for (const auto& holder : record.log_holders) {
+        json::object item{{"instance", holder.instance.str()},
+                          {"address", holder.address.str()},
+                          {"start_time", holder.start_time}};
+        if (const auto bound = record.log_bounds.find(holder); bound != record.log_bounds.end()) {
+            item["bound"] = encode_position(bound->second);
+        }
+        result.push_back(std::move(item));
     }
     return result;
 }
@@ -71,14 +91,32 @@
     return result;
 }
 
+log_holder decode_log_holder(const json::object& holder) {
+    return {instance_id{string_or_empty(holder, "instance")},
+            endpoint_address{string_or_empty(holder, "address")}, start_time_or_zero(holder)};
+}
+
 std::set<log_holder> decode_log_holders(const json::array& holders) {
     std::set<log_holder> result;
     for (const auto& item : holders) {
         if (item.is_object()) {
-            const auto& holder = item.as_object();
-            result.insert({instance_id{string_or_empty(holder, "instance")},
-                           endpoint_address{string_or_empty(holder, "address")},
-                           start_time_or_zero(holder)});
+            result.insert(decode_log_holder(item.as_object()));
+        }
+    }
+    return result;
+}
+
+std::map<log_holder, log_index> read_log_bounds(const json::object& row) {
+    std::map<log_holder, log_index> result;
+    const auto* holders = row.if_contains("log_processes");
+    if (holders == nullptr || !holders->is_array()) {
+        return result;
+    }
+    for (const auto& item : holders->as_array()) {
+        const auto bound =
+            item.is_object() ? decode_position(item.as_object(), "bound") : std::nullopt;
+        if (bound) {
+            result.emplace(decode_log_holder(item.as_object()), *bound);
         }
     }
     return result;
@@ -121,7 +159,7 @@
                      {"open", record.open},
                      {"request_pending", record.request_pending},
                      {"log_holders", encode_holder_addresses(record.log_holders)},
-                     {"log_processes", encode_log_holders(record.log_holders)},
+                     {"log_processes", encode_log_holders(record)},
                      {"mark", random_nonce()}};
     if (record.log_holders_complete_in) {
         row["log_holders_complete_in"] = record.log_holders_complete_in->value();
@@ -151,6 +189,7 @@
     // Hosts of earlier releases don't record their requests.
     result.record.request_pending = bool_or(object, "request_pending", result.record.open);
     result.record.log_holders = read_log_holders(object);
+    result.record.log_bounds = read_log_bounds(object);
     if (object.contains("log_holders_complete_in")) {
         result.record.log_holders_complete_in =
             store_era{number_or_zero(object, "log_holders_complete_in")};
--- a/libs/gateway/src/group_failover_logs.cpp
+++ b/libs/gateway/src/group_failover_logs.cpp
@@ -26,7 +26,7 @@
     const bool was_primary = is_primary || log.state == log_state::stepped_down;
     const bool is_compared = log.state == log_state::held ||
                              log.state == log_state::held_unconfirmed ||
-                             log.state == log_state::inherited;
+                             log.state == log_state::covered;
     if (log.position && !was_primary && !is_compared) {
         logs.longest_unlisted =
             std::max(logs.longest_unlisted.value_or(log_index{}), *log.position);
@@ -81,15 +81,15 @@
 }
 
 counted_log group_failover::find_ended_log(const log_holder& holder) const {
-    const auto heir = group_->heir_of(holder);
-    if (!heir) {
-        return {holder, log_state::earlier_process};
+    const auto& bounds = lock_.record.log_bounds;
+    const auto bound = bounds.find(holder);
+    const auto best = choose_promotion_target(candidates_, hold_term_);
+    if (bound != bounds.end() && best && best->position >= bound->second) {
+        return {holder, log_state::covered, bound->second};
     }
-    auto log = find_listed_log(*heir);
-    const bool is_complete = log.state == log_state::held || log.state == log_state::stepped_down;
-    const bool is_empty = log.position.value_or(log_index{}).number == log_position{};
-    const bool is_inherited = is_complete && !is_empty;
-    return {holder, is_inherited ? log_state::inherited : log_state::successor_only, log.position};
+    // A successor may not have received all of the log, and receives nothing while it is held.
+    const auto heir = group_->heir_of(holder);
+    return {holder, heir ? log_state::successor_only : log_state::earlier_process};
 }
 
 counted_log group_failover::find_primary_log(const log_holder& holder) const {
--- a/libs/gateway/src/log_holder_registry.cpp
+++ b/libs/gateway/src/log_holder_registry.cpp
@@ -79,7 +79,7 @@
     const auto holders_known = group_->log_holders();
     const bool is_recorded = holders_known == group_->last_failover().log_holders;
     if (is_recorded && !group_->log_holders_are_complete() &&
-        !co_await is_replicated(group_->entries())) {
+        !(co_await read_replication(group_->entries())).is_complete) {
         // Nothing to write, so the read of the row is saved.
         co_return;
     }
@@ -99,13 +99,17 @@
     auto ended = ended_among(holders);
     const bool is_complete = has_complete_log_holders(row.record, row.era);
     if (!ended.empty() || !is_complete) {
-        if (co_await is_replicated(group_->entries())) {
+        const auto found = co_await read_replication(group_->entries());
+        if (found.is_complete) {
             row.record.log_holders_complete_in = row.era;
         } else {
+            add_bounds(row.record, ended, found);
             ended.clear();
         }
     }
     std::erase_if(holders, [&](const auto& holder) { return ended.contains(holder); });
+    std::erase_if(row.record.log_bounds,
+                  [&](const auto& item) { return !holders.contains(item.first); });
     if (row.record == recorded) {
         group_->forget_log_holders(ended);
         co_return;
@@ -161,16 +165,32 @@
     line.write();
 }
 
-asio::awaitable<bool> log_holder_registry::is_replicated(std::vector<instance_entry> listed) {
+void log_holder_registry::add_bounds(failover_record& record, const std::set<log_holder>& ended,
+                                     const replication& found) const {
+    const auto entries = group_->entries();
+    const auto primary = std::find_if(entries.begin(), entries.end(), [&](const auto& entry) {
+        return entry.id == group_->primary();
+    });
+    if (!found.primary || primary == entries.end() ||
+        group_->has_earlier_process(log_holder_of(*primary))) {
+        return;
+    }
+    for (const auto& holder : ended) {
+        record.log_bounds.emplace(holder, *found.primary);
+    }
+}
+
+asio::awaitable<log_holder_registry::replication> log_holder_registry::read_replication(
+    std::vector<instance_entry> listed) {
     const auto primary = group_->primary();
     const auto is_primary = [&](const auto& entry) { return entry.id == primary; };
     if (std::none_of(listed.begin(), listed.end(), is_primary)) {
-        co_return false;
+        co_return replication{};
     }
     const backend_request status_request = backend_status{};
     const auto leading = co_await orders_.send(*primary, status_request);
     if (!leading || !leading->is_primary || leading->term < group_->newest_term()) {
-        co_return false;
+        co_return replication{};
     }
     const std::size_t required = group_->sync_replicas();
     std::size_t replicated = 0;
@@ -188,7 +208,7 @@
             ++replicated;
         }
     }
-    co_return replicated >= required;
+    co_return replication{leading->received, replicated >= required};
 }
 
 }  // namespace masticgrade
--- a/libs/gateway/src/log_holder_registry.hpp
+++ b/libs/gateway/src/log_holder_registry.hpp
@@ -51,9 +51,18 @@
     [[nodiscard]] bool is_outdated() const;
     /// The log holders that are known to have ended.
     [[nodiscard]] std::set<log_holder> ended_among(const std::set<log_holder>& holders) const;
-    /// Whether as many of the listed replicas as an acknowledged commit takes have received
-    /// everything that the primary holds.
-    boost::asio::awaitable<bool> is_replicated(std::vector<instance_entry> listed);
+    struct replication {
+        /// The end of the primary's log; absent if it does not lead.
+        std::optional<log_index> primary = {};
+        /// Whether as many of the listed replicas as an acknowledged commit takes have received
+        /// everything up to there.
+        bool is_complete = false;
+    };
+    boost::asio::awaitable<replication> read_replication(std::vector<instance_entry> listed);
+    /// Adds the end of the primary's log as the bound of the ended processes without one, unless
+    /// the primary may have lost its log in a restart.
+    void add_bounds(failover_record& record, const std::set<log_holder>& ended,
+                    const replication& found) const;
     void log_recorded(const failover_record& record) const;
     /// Logs the log holders that are not listed, if they or the reasons for keeping them have
     /// changed.
--- a/libs/gateway/test/failover_row_test.cpp
+++ b/libs/gateway/test/failover_row_test.cpp
@@ -21,6 +21,7 @@
     failover_record record{7, false, instance_id{"a"}, term_number{3}};
     record.log_holders = {holder_of("a", 1765074693094), holder_of("b", 4), holder_of("b", 5)};
     record.log_holders_complete_in = store_era{3};
+    record.log_bounds.emplace(holder_of("b", 4), log_index{term_number{2}, log_position{7}});
     CHECK(decode(encode_failover_row(record, host_id{"host-1"})) == record);
 }
 
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -81,8 +81,11 @@
     }
 
     /// Records the log holders and replaces the host by one that knows nothing else.
-    void record_log_holders(const std::set<log_holder>& holders) {
-        store.put(lock_row, encode_failover_row(complete_record(holders), host_id{"host-2"}));
+    void record_log_holders(const std::set<log_holder>& holders,
+                            const std::map<log_holder, log_index>& bounds = {}) {
+        auto recorded = complete_record(holders);
+        recorded.log_bounds = bounds;
+        store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
         restart_host();
     }
 
@@ -537,16 +540,19 @@
     successor.entry.start_time = 1;
     successor.position = 12;
     std::set<log_holder> holders{holder_of("a"), holder_of("b"), holder_of("c")};
+    std::map<log_holder, log_index> bounds{{holder_of("c"), first_term(12)}};
     bool is_allowed = true;
-    SUBCASE("it has started once") {}
-    SUBCASE("an instance there has started again empty in between") {
-        successor.entry.start_time = 3;
-        for (const std::int64_t start : {1, 2}) {
-            holders.insert({instance_id{"e"}, successor.entry.address, start});
-        }
+    SUBCASE("up to the bound") {}
+    // It counted as complete 4 s after the hold, which stops the transfer.
+    SUBCASE("not up to the bound") {
+        bounds[holder_of("c")] = first_term(13);
         is_allowed = false;
     }
-    fixture.record_log_holders(holders);
+    SUBCASE("the bound is unknown") {
+        bounds.clear();
+        is_allowed = false;
+    }
+    fixture.record_log_holders(holders, bounds);
     if (!is_allowed) {
         fixture.run_without_promotion();
         return;
--- a/libs/gateway/test/log_holder_registry_test.cpp
+++ b/libs/gateway/test/log_holder_registry_test.cpp
@@ -74,6 +74,11 @@
         return row.record.log_holders;
     }
 
+    [[nodiscard]] std::map<log_holder, log_index> bounds() const {
+        return decode_failover_row({row_key, fleet_version{1}, store.value_of(row_key)})
+            .record.log_bounds;
+    }
+
     /// Whether the row states that no other process may have acknowledged commits.
     [[nodiscard]] bool is_complete(store_era era = store_era{1}) const {
         const auto row = decode_failover_row({row_key, fleet_version{1}, store.value_of(row_key)});
@@ -183,6 +188,37 @@
     CHECK(fixture.update() == names{"a", "b", "d"});
 }
 
+// A successor that had received a part of the log only counted as having all of it.
+TEST_CASE("the log of an ended process is bounded by what the primary held after its end") {
+    registry_fixture fixture;
+    fixture.update();
+    fixture.connector.at("b").position = 10;
+    bool is_bounded = true;
+    SUBCASE("the primary leads") {}
+    SUBCASE("the primary may have lost its log") {
+        fixture.restart("a");
+        is_bounded = false;
+    }
+    SUBCASE("the primary does not answer") {
+        fixture.connector.at("a").refuses_connections = true;
+        is_bounded = false;
+    }
+    fixture.replace("c", "d").position = 3;
+    if (!is_bounded && fixture.connector.at("a").position == 0) {
+        fixture.connector.at("a").position = 11;
+    }
+    fixture.update();
+    const log_index end{term_number{1}, log_position{12}};
+    const std::map<log_holder, log_index> expected{{holder_of("c"), end}};
+    CHECK(fixture.bounds() == (is_bounded ? expected : std::map<log_holder, log_index>{}));
+    fixture.connector.at("a").refuses_connections = false;
+    fixture.connector.at("a").position = 15;
+    fixture.update();
+    if (is_bounded) {
+        CHECK(fixture.bounds() == expected);
+    }
+}
+
 // Silence is no proof of an end: a replica that was cut off from the store and the hosts went on
 // receiving, was the only one with the newest commits, and another replica was promoted.
 TEST_CASE("an instance that is merely out of sight remains a log holder") {
