--- a/tests/soak/database_cluster.cpp
+++ b/tests/soak/database_cluster.cpp
@@ -24,11 +24,12 @@
 constexpr std::size_t most_connections = 20;
 constexpr milliseconds work_time{2};
 constexpr milliseconds replica_poll{5};
-constexpr milliseconds promotion_time{200};
+constexpr milliseconds shortest_promotion{300};
+constexpr milliseconds longest_promotion{1000};
 /// Share of the statements that an instance which repeats answers refuses as busy.
 constexpr double busy_share = 0.02;
 /// A commit that no replica receives stays without an answer for this long.
-constexpr seconds commit_patience{6};
+constexpr seconds commit_patience{20};
 /// The users' bound: over every 5 s, (rate x 5 + burst) x 1.1 + 20.
 constexpr seconds limit_window{5};
 constexpr double limit_overage = 1.1;
@@ -173,19 +174,38 @@
                        std::uniform_int_distribution<>{1, 3}(random_), random_() % 2 == 0});
 }
 
-asio::awaitable<bool> database_cluster::promote(std::string name, std::uint64_t fence) {
-    auto& target = *instances_.at(name);
-    if (!target.up || fence < fence_) {
-        co_return false;
+bool database_cluster::promote(const std::string& name, std::uint64_t fence,
+                               std::optional<milliseconds> time) {
+    if (fence < fence_) {
+        return false;
     }
     fence_ = fence;
-    if (target.primary) {
-        co_return true;
-    }
-    asio::steady_timer pause{context_, promotion_time};
+    const auto found = instances_.find(name);
+    if (found == instances_.end() || !found->second->up) {
+        return false;
+    }
+    if (!found->second->primary) {
+        std::uniform_int_distribution<milliseconds::rep> drawn{shortest_promotion.count(),
+                                                               longest_promotion.count()};
+        ++pending_promotions_;
+        asio::co_spawn(
+            context_,
+            take_effect(name, fence, time.value_or(milliseconds{drawn(promotion_random_)})),
+            asio::detached);
+    }
+    return true;
+}
+
+asio::awaitable<void> database_cluster::take_effect(std::string name, std::uint64_t fence,
+                                                    milliseconds time) {
+    asio::steady_timer pause{context_, time};
     co_await pause.async_wait(asio::use_awaitable);
-    if (!target.up) {
-        co_return false;
+    --pending_promotions_;
+    auto& target = *instances_.at(name);
+    if (fence < fence_ || !target.up || target.primary) {
+        std::cout << "time_ms=" << unix_ms() << " no effect of the promotion call for " << name
+                  << ", fence " << fence << std::endl;
+        co_return;
     }
     check_promotion(target);
     ++promotions_;
@@ -195,10 +215,14 @@
         server->held = 0;
     }
     target.term = last_term_;
+    target.has_lost_log = false;
+    roll_back_replicas(target);
     for (auto& [other, server] : instances_) {
         catch_up(*server);
     }
-    co_return true;
+    if (promotion_listener_) {
+        promotion_listener_();
+    }
 }
 
 void database_cluster::observe(const std::string& customer) {
@@ -312,7 +336,11 @@
     }
     const bool may_be_busy =
         word == "BEGIN" || word == "READ" || word == "WRITE" || word == "COMMIT";
-    if (may_be_busy && repeated_share_ > 0 && std::bernoulli_distribution{busy_share}(random_)) {
+    const bool is_order =
+        word == "STATUS" || word == "PAUSE" || word == "RESUME" || word == "STEPDOWN";
+    const bool is_busy = server.is_busy() && (may_be_busy || is_order);
+    if (is_busy ||
+        (may_be_busy && repeated_share_ > 0 && std::bernoulli_distribution{busy_share}(random_))) {
         result.error = "BUSY";
         caller.failed = caller.open;
         co_return result;
@@ -355,10 +383,13 @@
     } else if (word == "DISCARD") {
         caller.value.clear();
         caller.prepared.clear();
+    } else if (word == "RESUME" && resumes_held_back_ == server.name) {
+        late_resumes_.emplace_back(server.name, server.born);
+        throw boost::system::system_error{asio::error::connection_aborted};
     } else if (order_delay_ && (word == "PAUSE" || word == "RESUME")) {
         asio::co_spawn(context_, order_late(server, word, text, *order_delay_), asio::detached);
         throw boost::system::system_error{asio::error::connection_aborted};
-    } else if (word == "STATUS" || word == "PAUSE" || word == "RESUME" || word == "STEPDOWN") {
+    } else if (is_order) {
         result = order(server, word, text);
     }
     co_return result;
@@ -453,6 +484,7 @@
             for (const auto& write : writes) {
                 acknowledged_[write.statement] = {write.index, receivers};
             }
+            count_acknowledged(writes.size());
             co_return true;
         }
         asio::steady_timer pause{context_, replica_poll};
--- a/tests/soak/database_cluster.hpp
+++ b/tests/soak/database_cluster.hpp
@@ -6,12 +6,14 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "masticgrade/base/time.hpp"
@@ -58,12 +60,20 @@
     /// Writes that callers know to be kept and the instance's log lacks.
     [[nodiscard]] std::size_t missing_writes(const std::string& name) const;
 
+    /// Number of commits in the instance's log.
+    [[nodiscard]] std::size_t log_size(const std::string& name) const;
+
     void crash(const std::string& name);
     /// Starts the instance again with its log; as a replica if another one leads.
     void restart(const std::string& name);
     /// Starts the instance again as a replica with an empty log. While a primary runs, its log is
     /// transferred during `transfer`, and the instance receives nothing before that.
     void restart_empty(const std::string& name, milliseconds transfer);
+    /// Starts the instance that leads again with an empty log. It still leads, and replicas keep
+    /// their logs until it commits.
+    void restart_empty_leading(const std::string& name);
+    /// Starts a further replica, whose id is returned. The primary's log is transferred to it.
+    std::string join(milliseconds transfer);
     /// Ends the instance. A new one, whose id is returned, has its log after `transfer`, and a part
     /// of it until then.
     std::string replace(const std::string& name, milliseconds transfer);
@@ -72,8 +82,19 @@
     std::string restart_renamed(const std::string& name);
     /// While it is deaf, an instance runs and answers orders, and receives nothing.
     void set_deaf(const std::string& name, bool deaf);
+    /// The instance is deaf, and all others are once this many further writes have been
+    /// acknowledged.
+    void stop_receiving_after(const std::string& name, std::size_t writes);
+    /// Whether that number has been reached.
+    [[nodiscard]] bool has_stopped_receiving() const { return !writes_until_deaf_; }
     /// PAUSE and RESUME are carried out after this delay and not answered; at once without one.
     void delay_orders(std::optional<milliseconds> delay) { order_delay_ = delay; }
+    /// A RESUME of this instance is not answered from now on, and carried out late.
+    void hold_back_resumes(const std::string& name) { resumes_held_back_ = name; }
+    /// Carries out the RESUMEs that were held back. Returns their number.
+    std::size_t carry_out_resumes();
+    [[nodiscard]] std::size_t resumes_held_back() const { return late_resumes_.size(); }
+    void stop_holding_back() { resumes_held_back_.reset(); }
     /// A fault of the instance's surroundings that reports of lost writes name.
     void note(const std::string& name, const std::string& fault, bool present);
     /// Statements of the customer count as faults from `deadline` on.
@@ -84,8 +105,18 @@
     void repeat_answers(double share, std::uint64_t seed);
     /// Reports the writes that callers believe to be kept and the leader does not have.
     void check_acknowledged();
-    /// Makes the instance lead; false when it does not run or a higher fence has been seen.
-    boost::asio::awaitable<bool> promote(std::string name, std::uint64_t fence);
+    /// Accepts a promotion call; false when a call with a higher fence has been seen, or the
+    /// instance does not run. A higher fence voids the earlier calls that have not taken effect,
+    /// also when its own call is refused. An accepted call takes effect after `time`, which is
+    /// drawn from 0.3 to 1 s if it is not given.
+    bool promote(const std::string& name, std::uint64_t fence,
+                 std::optional<milliseconds> time = std::nullopt);
+    /// Called when another instance leads.
+    void set_promotion_listener(std::function<void()> listener) {
+        promotion_listener_ = std::move(listener);
+    }
+    /// Accepted calls that have not taken effect.
+    [[nodiscard]] std::size_t pending_promotions() const { return pending_promotions_; }
 
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
     [[nodiscard]] std::size_t promotions() const { return promotions_; }
@@ -132,8 +163,12 @@
                                        std::string text);
     boost::asio::awaitable<answer> run_on_data(instance& server, session& caller, std::string id,
                                                std::string word, std::string rest);
+    boost::asio::awaitable<void> take_effect(std::string name, std::uint64_t fence,
+                                             milliseconds time);
+    void roll_back_replicas(const instance& target);
     void check_promotion(const instance& target);
     /// The logs that have or had the write, and what is the matter with their instances.
+    void count_acknowledged(std::size_t writes);
     [[nodiscard]] std::string describe_logs(const std::string& statement,
                                             const acknowledgement& write) const;
     void check_statement(session& caller, const std::string& id, const std::string& text);
@@ -171,6 +206,13 @@
     std::map<std::string, acknowledgement> acknowledged_;
     std::uint64_t last_born_ = 0;
     std::optional<milliseconds> order_delay_;
+    std::optional<std::size_t> writes_until_deaf_;
+    std::optional<std::string> resumes_held_back_;
+    /// Instances to resume, with the start of the process that the RESUME was sent to.
+    std::vector<std::pair<std::string, std::uint64_t>> late_resumes_;
+    std::mt19937_64 promotion_random_;
+    std::function<void()> promotion_listener_;
+    std::size_t pending_promotions_ = 0;
     std::uint64_t fence_ = 0;
     std::uint64_t last_term_ = 1;
     std::size_t promotions_ = 0;
--- a/tests/soak/database_faults.cpp
+++ b/tests/soak/database_faults.cpp
@@ -14,6 +14,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// A replica that was ahead of a promoted one is busy for this long.
+constexpr milliseconds rollback_time{300};
+
+}  // namespace
+
 database_cluster::instance& database_cluster::add(const std::string& name) {
     auto& server = *(instances_[name] = std::make_unique<instance>(context_, name));
     set_new_start(server);
@@ -63,6 +70,22 @@
     begin_transfer(server, has_source ? primary->log : std::vector<commit>{}, length);
 }
 
+void database_cluster::restart_empty_leading(const std::string& name) {
+    auto& server = *instances_.at(name);
+    set_new_start(server);
+    server.log.clear();
+    server.has_lost_log = true;
+    server.notes.insert("started again empty");
+}
+
+std::string database_cluster::join(milliseconds length) {
+    auto& server = add("i-" + std::to_string(instances_.size() + 1));
+    const auto* primary = leader();
+    const bool has_source = primary != nullptr && primary->up;
+    begin_transfer(server, has_source ? primary->log : std::vector<commit>{}, length);
+    return server.name;
+}
+
 database_cluster::instance& database_cluster::add_successor(instance& old) {
     crash(old.name);
     old.notes.insert("ended");
@@ -102,7 +125,8 @@
 asio::awaitable<void> database_cluster::transfer(instance& target, milliseconds length) {
     constexpr std::size_t parts = 10;
     const auto born = target.born;
-    for (std::size_t part = 1; part <= parts; ++part) {
+    std::size_t part = 1;
+    while (part <= parts) {
         asio::steady_timer pause{context_, length / parts};
         co_await pause.async_wait(asio::use_awaitable);
         if (target.born != born) {
@@ -111,9 +135,13 @@
         if (target.primary) {
             break;
         }
+        if (target.held > 0) {
+            continue;
+        }
         const auto& log = target.incoming;
         const auto end = log.begin() + static_cast<std::ptrdiff_t>(log.size() * part / parts);
         target.log.assign(log.begin(), end);
+        ++part;
     }
     target.in_transfer = false;
     if (!target.log.empty()) {
@@ -128,6 +156,25 @@
     catch_up(server);
 }
 
+void database_cluster::stop_receiving_after(const std::string& name, std::size_t writes) {
+    set_deaf(name, true);
+    writes_until_deaf_ = writes;
+}
+
+void database_cluster::count_acknowledged(std::size_t writes) {
+    if (!writes_until_deaf_) {
+        return;
+    }
+    if (writes < *writes_until_deaf_) {
+        *writes_until_deaf_ -= writes;
+        return;
+    }
+    writes_until_deaf_.reset();
+    for (auto& [name, server] : instances_) {
+        server->deaf = true;
+    }
+}
+
 void database_cluster::note(const std::string& name, const std::string& fault, bool present) {
     auto& notes = instances_.at(name)->notes;
     if (present) {
@@ -147,11 +194,30 @@
     }
 }
 
+std::size_t database_cluster::carry_out_resumes() {
+    const auto orders = std::exchange(late_resumes_, {});
+    for (const auto& [name, born] : orders) {
+        auto& server = *instances_.at(name);
+        if (server.up && server.born == born) {
+            order(server, "RESUME", {});
+        }
+    }
+    return orders.size();
+}
+
+void database_cluster::roll_back_replicas(const instance& target) {
+    for (auto& [name, server] : instances_) {
+        if (server.get() != &target && server->receives() && !server->is_behind(target)) {
+            copy_log(target, *server);
+            server->busy_until = steady_clock::now() + rollback_time;
+        }
+    }
+}
+
 void database_cluster::copy_log(const instance& from, instance& to) {
     const auto size = to.log.size();
-    const bool is_prefix = size <= from.log.size() &&
-                           (size == 0 || to.log.back().statement == from.log[size - 1].statement);
-    if (is_prefix) {
+    to.has_lost_log = false;
+    if (to.is_behind(from)) {
         to.log.insert(to.log.end(), from.log.begin() + static_cast<std::ptrdiff_t>(size),
                       from.log.end());
     } else {
@@ -162,7 +228,10 @@
 
 void database_cluster::catch_up(instance& server) {
     const auto* primary = leader();
-    if (primary != nullptr && primary->up && server.receives()) {
+    if (primary == nullptr || !primary->up || !server.receives()) {
+        return;
+    }
+    if (!primary->has_lost_log || server.is_behind(*primary)) {
         copy_log(*primary, server);
     }
 }
@@ -177,6 +246,10 @@
         known.begin(), known.end(), [&](const auto& write) { return !kept.contains(write); }));
 }
 
+std::size_t database_cluster::log_size(const std::string& name) const {
+    return instances_.at(name)->log.size();
+}
+
 std::string database_cluster::describe_logs(const std::string& statement,
                                             const acknowledgement& write) const {
     std::string result;
--- a/tests/soak/database_instance.hpp
+++ b/tests/soak/database_instance.hpp
@@ -30,9 +30,17 @@
         return std::any_of(log.rbegin(), log.rend(),
                            [&](const commit& entry) { return entry.statement == statement; });
     }
+    /// Whether the other log continues this one.
+    [[nodiscard]] bool is_behind(const instance& other) const {
+        const auto size = log.size();
+        return size <= other.log.size() &&
+               (size == 0 || log.back().statement == other.log[size - 1].statement);
+    }
+    /// Whether it is being rolled back.
+    [[nodiscard]] bool is_busy() const { return steady_clock::now() < busy_until; }
     /// Whether commits of the primary reach it.
     [[nodiscard]] bool receives() const {
-        return up && !primary && held == 0 && !deaf && !in_transfer;
+        return up && !primary && held == 0 && !deaf && !in_transfer && !is_busy();
     }
 
     std::string name;
@@ -44,6 +52,9 @@
     /// The log that it starts with has not arrived in full.
     bool in_transfer = false;
     std::vector<commit> incoming;
+    /// It leads on with an empty log.
+    bool has_lost_log = false;
+    time_point busy_until{};
     std::uint64_t term = 1;
     std::uint64_t held = 0;
     std::vector<commit> log;
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds entry_lifetime{1200};
 constexpr milliseconds slow_answer{600};
 constexpr seconds longer_than_any_deadline{5};
+/// Of the time until a late call takes effect, the part after it has been accepted.
+constexpr milliseconds late_effect{300};
+constexpr milliseconds empty_transfer{500};
 
 }  // namespace
 
@@ -40,6 +43,7 @@
         item.name = name;
         item.link = std::make_unique<fault_proxy>(context_, databases_.port_of(name));
     }
+    databases_.set_promotion_listener([this] { publish_all(); });
     asio::co_spawn(context_, keep_entries(), asio::detached);
     thread_ = std::thread{[this] { context_.run(); }};
 }
@@ -133,26 +137,32 @@
 
 asio::awaitable<void> soak_world::keep_entries() {
     for (;;) {
-        const auto now = steady_clock::now();
-        std::erase_if(lapsing_entries_, [&](const auto& entry) {
-            if (now > entry.second) {
-                rows_.remove("servers", entry.first);
-            }
-            return now > entry.second;
-        });
-        for (std::size_t index = 0; index < places_.size(); ++index) {
-            auto& item = places_[index];
-            if (reports(item)) {
-                publish(index);
-            } else if (item.listed && now - item.last_seen > entry_lifetime) {
-                remove_entry(item);
-            }
+        if (!entries_frozen_) {
+            update_entries();
         }
         asio::steady_timer pause{context_, entry_interval};
         co_await pause.async_wait(asio::use_awaitable);
     }
 }
 
+void soak_world::update_entries() {
+    const auto now = steady_clock::now();
+    std::erase_if(lapsing_entries_, [&](const auto& entry) {
+        if (now > entry.second) {
+            rows_.remove("servers", entry.first);
+        }
+        return now > entry.second;
+    });
+    for (std::size_t index = 0; index < places_.size(); ++index) {
+        auto& item = places_[index];
+        if (reports(item)) {
+            publish(index);
+        } else if (item.listed && now - item.last_seen > entry_lifetime) {
+            remove_entry(item);
+        }
+    }
+}
+
 asio::awaitable<http_response> soak_world::answer(http_request request) {
     if (request.target == "/promote") {
         co_return co_await promote(std::move(request));
@@ -191,12 +201,18 @@
     for (std::size_t index = 0; index < places_.size(); ++index) {
         if (places_[index].name == target) {
             promotion_calls_.push_back(index);
+            if (const auto planned = std::exchange(target_restart_, std::nullopt)) {
+                asio::co_spawn(context_, restart_target(index, planned->crash, planned->restart),
+                               asio::detached);
+            }
         }
     }
+    std::cout << "time_ms=" << unix_ms() << " promotion call for " << target << ", fence " << fence
+              << std::endl;
     const auto fault = promotion_fault_;
     if (fault == promotion_fault::none) {
-        const bool done = co_await promote_now(target, fence);
-        co_return make_json_response({}, done ? 200 : 409);
+        const bool accepted = databases_.promote(target, fence);
+        co_return make_json_response({}, accepted ? 200 : 409);
     }
     if (fault == promotion_fault::late) {
         asio::co_spawn(context_, promote_late(target, fence, promotion_delay_), asio::detached);
@@ -208,21 +224,34 @@
 
 asio::awaitable<void> soak_world::promote_late(std::string target, std::uint64_t fence,
                                                milliseconds delay) {
-    asio::steady_timer pause{context_, delay};
+    ++late_calls_;
+    asio::steady_timer pause{context_, std::max(delay - late_effect, milliseconds{0})};
     co_await pause.async_wait(asio::use_awaitable);
-    const bool done = co_await promote_now(target, fence);
-    std::cout << "late promotion of " << target << (done ? " carried out" : " refused")
-              << std::endl;
+    --late_calls_;
+    const bool accepted = databases_.promote(target, fence, late_effect);
+    std::cout << "time_ms=" << unix_ms() << " late promotion call for " << target << ", fence "
+              << fence << (accepted ? " accepted" : " refused") << std::endl;
+}
+
+asio::awaitable<void> soak_world::restart_target(std::size_t index, milliseconds crash,
+                                                 milliseconds restart) {
+    asio::steady_timer pause{context_, crash};
+    co_await pause.async_wait(asio::use_awaitable);
+    databases_.crash(places_.at(index).name);
+    places_.at(index).link->set_fault(link_fault::refuse);
+    pause.expires_after(restart);
+    co_await pause.async_wait(asio::use_awaitable);
+    std::cout << "time_ms=" << unix_ms() << " the target " << places_.at(index).name
+              << " starts again empty" << std::endl;
+    start_empty(index, empty_transfer, milliseconds{0});
 }
 
-asio::awaitable<bool> soak_world::promote_now(std::string target, std::uint64_t fence) {
-    const bool done = co_await databases_.promote(std::move(target), fence);
+void soak_world::publish_all() {
     for (std::size_t index = 0; index < places_.size(); ++index) {
-        if (reports(places_[index])) {
+        if (reports(places_[index]) && !entries_frozen_) {
             publish(index);
         }
     }
-    co_return done;
 }
 
 void soak_world::set_store_fault(store_fault fault) {
@@ -307,6 +336,16 @@
     run_in_world([&] { databases_.set_deaf(places_.at(instance).name, deaf); });
 }
 
+void soak_world::stop_receiving_after(std::size_t instance, std::size_t writes) {
+    run_in_world([&] { databases_.stop_receiving_after(places_.at(instance).name, writes); });
+}
+
+bool soak_world::has_stopped_receiving() {
+    bool result = false;
+    run_in_world([&] { result = databases_.has_stopped_receiving(); });
+    return result;
+}
+
 void soak_world::set_cut_off(std::size_t instance, bool cut_off) {
     run_in_world([&] {
         auto& item = places_.at(instance);
@@ -319,19 +358,65 @@
 }
 
 void soak_world::restart_empty(std::size_t instance, milliseconds transfer, milliseconds unlisted) {
+    run_in_world([&] { start_empty(instance, transfer, unlisted); });
+}
+
+void soak_world::start_empty(std::size_t index, milliseconds transfer, milliseconds unlisted) {
+    auto& item = places_.at(index);
+    databases_.crash(item.name);
+    if (databases_.is_primary(item.name) || !databases_.has_primary()) {
+        databases_.restart(item.name);
+    } else {
+        databases_.restart_empty(item.name, transfer);
+        item.unlisted_until = steady_clock::now() + unlisted;
+    }
+    set_up(item);
+}
+
+void soak_world::restart_primary_empty(std::size_t instance) {
     run_in_world([&] {
         auto& item = places_.at(instance);
-        databases_.crash(item.name);
-        if (databases_.is_primary(item.name) || !databases_.has_primary()) {
-            databases_.restart(item.name);
-        } else {
-            databases_.restart_empty(item.name, transfer);
-            item.unlisted_until = steady_clock::now() + unlisted;
-        }
+        databases_.restart_empty_leading(item.name);
         set_up(item);
     });
 }
 
+std::size_t soak_world::join(milliseconds transfer, milliseconds unlisted) {
+    std::size_t result = 0;
+    run_in_world([&] {
+        result = places_.size();
+        auto& item = places_.emplace_back();
+        item.name = databases_.join(transfer);
+        item.link = std::make_unique<fault_proxy>(context_, databases_.port_of(item.name));
+        item.unlisted_until = steady_clock::now() + unlisted;
+    });
+    return result;
+}
+
+void soak_world::set_entries_frozen(bool frozen) {
+    run_in_world([&] { entries_frozen_ = frozen; });
+}
+
+void soak_world::restart_next_target_empty(milliseconds crash, milliseconds restart) {
+    run_in_world([&] { target_restart_ = target_restart{crash, restart}; });
+}
+
+void soak_world::hold_back_resumes(std::size_t instance) {
+    run_in_world([&] { databases_.hold_back_resumes(places_.at(instance).name); });
+}
+
+std::size_t soak_world::resumes_held_back() {
+    std::size_t result = 0;
+    run_in_world([&] { result = databases_.resumes_held_back(); });
+    return result;
+}
+
+std::size_t soak_world::carry_out_resumes() {
+    std::size_t result = 0;
+    run_in_world([&] { result = databases_.carry_out_resumes(); });
+    return result;
+}
+
 void soak_world::move(std::size_t instance) {
     run_in_world([&] {
         auto& item = places_.at(instance);
@@ -375,6 +460,9 @@
     run_in_world([&] {
         store_fault_ = store_fault::none;
         promotion_fault_ = promotion_fault::none;
+        target_restart_.reset();
+        entries_frozen_ = false;
+        databases_.stop_holding_back();
         databases_.delay_orders(std::nullopt);
         for (const auto& link : store_links_) {
             link->set_fault(link_fault::none);
@@ -430,12 +518,24 @@
     return result;
 }
 
+std::size_t soak_world::log_size(std::size_t instance) {
+    std::size_t result = 0;
+    run_in_world([&] { result = databases_.log_size(places_.at(instance).name); });
+    return result;
+}
+
 std::vector<std::size_t> soak_world::promotion_calls() {
     std::vector<std::size_t> result;
     run_in_world([&] { result = promotion_calls_; });
     return result;
 }
 
+std::size_t soak_world::pending_promotions() {
+    std::size_t result = 0;
+    run_in_world([&] { result = late_calls_ + databases_.pending_promotions(); });
+    return result;
+}
+
 void soak_world::repeat_answers(double share, std::uint64_t seed) {
     run_in_world([&] { databases_.repeat_answers(share, seed); });
 }
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -71,6 +71,9 @@
     void restart_instances();
     /// The instance gets nothing from the primary, and runs.
     void set_deaf(std::size_t instance, bool deaf);
+    /// See `database_cluster::stop_receiving_after`.
+    void stop_receiving_after(std::size_t instance, std::size_t writes);
+    [[nodiscard]] bool has_stopped_receiving();
     /// Neither the store nor a host hears of the instance, and it receives from the primary.
     void set_cut_off(std::size_t instance, bool cut_off);
     /// Starts the instance again, with an empty log if another instance leads; see
@@ -80,11 +83,25 @@
                        milliseconds unlisted = milliseconds{0});
     /// Gives the instance another address.
     void move(std::size_t instance);
+    /// Starts the instance that leads and is down again with an empty log; it still leads.
+    void restart_primary_empty(std::size_t instance);
+    /// Starts a further replica and returns its place; see `replace` for the times.
+    std::size_t join(milliseconds transfer, milliseconds unlisted);
+    /// No entry of an instance changes or ends, as if the store took no writes of instances.
+    void set_entries_frozen(bool frozen);
     void set_draining(std::size_t instance, bool draining);
     /// Ends an instance. Its successor has its log after `transfer`, and is listed after
     /// `unlisted`.
     void replace(std::size_t instance, milliseconds transfer, milliseconds unlisted);
+    /// A late call takes effect after `delay`.
     void set_promotion_fault(promotion_fault fault, milliseconds delay);
+    /// The target of the next promotion call crashes `crash` after the call, and starts again with
+    /// an empty log `restart` after that.
+    void restart_next_target_empty(milliseconds crash, milliseconds restart);
+    /// See `database_cluster::hold_back_resumes`.
+    void hold_back_resumes(std::size_t instance);
+    std::size_t carry_out_resumes();
+    [[nodiscard]] std::size_t resumes_held_back();
     /// See `database_cluster::delay_orders`.
     void delay_orders(std::optional<milliseconds> delay);
     void end_all_faults();
@@ -96,8 +113,12 @@
     /// Whether the entry of the instance is among the store's.
     [[nodiscard]] bool is_listed(std::size_t instance);
     [[nodiscard]] std::size_t missing_writes(std::size_t instance);
+    /// Number of commits in the instance's log.
+    [[nodiscard]] std::size_t log_size(std::size_t instance);
     /// The places of the instances named by the promotion calls that have arrived.
     [[nodiscard]] std::vector<std::size_t> promotion_calls();
+    /// Promotion calls that may still take effect.
+    [[nodiscard]] std::size_t pending_promotions();
 
     void repeat_answers(double share, std::uint64_t seed);
     void check_acknowledged();
@@ -128,8 +149,12 @@
     boost::asio::awaitable<http_response> promote(http_request request);
     boost::asio::awaitable<void> promote_late(std::string target, std::uint64_t fence,
                                               milliseconds delay);
-    boost::asio::awaitable<bool> promote_now(std::string target, std::uint64_t fence);
+    boost::asio::awaitable<void> restart_target(std::size_t index, milliseconds crash,
+                                                milliseconds restart);
+    void start_empty(std::size_t index, milliseconds transfer, milliseconds unlisted);
+    void publish_all();
     boost::asio::awaitable<void> keep_entries();
+    void update_entries();
     void publish(std::size_t index);
     void remove_entry(place& item);
     void follow(place& item, std::string successor);
@@ -150,6 +175,13 @@
     promotion_fault promotion_fault_ = promotion_fault::none;
     milliseconds promotion_delay_{0};
     std::vector<std::size_t> promotion_calls_;
+    std::size_t late_calls_ = 0;
+    struct target_restart {
+        milliseconds crash{};
+        milliseconds restart{};
+    };
+    std::optional<target_restart> target_restart_;
+    bool entries_frozen_ = false;
     std::uint64_t configuration_version_ = 0;
     std::thread thread_;
 };
