--- a/tests/soak/promotion_scenario.cpp
+++ b/tests/soak/promotion_scenario.cpp
@@ -20,8 +20,13 @@
 
 constexpr std::size_t host_count = 4;
 constexpr std::size_t caller_count = 16;
+/// Commits follow each other within a few milliseconds.
+constexpr std::size_t many_callers = 48;
 /// Writes that must be in some logs only before the primary crashes.
 constexpr std::size_t newest_writes = 20;
+/// As many as the users saw lost by each promotion.
+constexpr std::size_t last_writes = 2;
+constexpr milliseconds delayed_answers{500};
 /// Hosts without a reason to wait have promoted an instance by then.
 constexpr seconds promotion_opportunity{10};
 /// An entry that is gone is out of all hosts' lists by then, and its instance out of their records
@@ -33,6 +38,13 @@
 constexpr seconds never_listed{600};
 /// The platform carries out a promotion call without an answer this late.
 constexpr milliseconds late_call{8000};
+/// Times of the users' runs: a target crashes this long after the call for it, and starts again
+/// empty after a while.
+constexpr milliseconds target_crash{11};
+constexpr milliseconds target_restart{400};
+/// Far longer than the lifetime of entries.
+constexpr seconds long_transfer{10};
+constexpr milliseconds open_commits{300};
 
 const std::vector<soak_customer> customers{{"parish", "key-of-the-parish", 300, 300, false},
                                            {"council", "key-of-the-council", 100, 100, false}};
@@ -40,16 +52,16 @@
 class scenario {
 public:
     scenario(std::uint64_t seed, const std::string& edge, const std::string& logs,
-             std::size_t calling_hosts, store_fault fault)
+             std::size_t callers, std::size_t calling_hosts, store_fault fault)
         : hosts_(edge, logs, host_count, configured(world_, fault)) {
-        for (std::size_t i = 0; i < caller_count; ++i) {
+        for (std::size_t i = 0; i < callers; ++i) {
             const auto& customer = customers[i % customers.size()];
             callers_.emplace_back(
                 caller_settings{customer.name + "-" + std::to_string(i), customer.key,
                                 [this](std::size_t index) { return hosts_.port(index); },
                                 calling_hosts, 10, seed + i, &world_.sent(), false});
         }
-        await("service at the start", [&] { return served() > 10 * caller_count; });
+        await("service at the start", [&] { return served() > 10 * callers; });
         primary_ = world_.primary().value_or(0);
         deaf_ = (primary_ + 1) % 3;
         newest_ = (primary_ + 2) % 3;
@@ -80,6 +92,16 @@
         await("writes that only the primary and the newest replica have",
               [&] { return world_.missing_writes(deaf_) >= newest_writes; });
     }
+    /// The same, with very few such writes. Answers are delayed, so that no host has sent a write
+    /// after it had seen a position which the deaf replica lacks.
+    void write_last_without_deaf_replica() {
+        world_.set_instance_link(primary_, link_fault::delay);
+        pause(delayed_answers);
+        world_.stop_receiving_after(deaf_, last_writes);
+        await("the last writes, which only the primary and the newest replica have",
+              [&] { return world_.has_stopped_receiving(); });
+        pause(delayed_answers);
+    }
     /// Hosts that have acknowledged a write that the deaf replica lacks.
     [[nodiscard]] std::set<std::size_t> hosts_that_know() {
         return world_.sent().acknowledging_hosts(deaf_since_);
@@ -100,7 +122,7 @@
     }
     void await_service(const std::string& what) {
         const auto before = served();
-        await(what, [&] { return served() > before + 10 * caller_count; });
+        await(what, [&] { return served() > before + 10 * callers_.size(); });
     }
 
     /// Whether the run passed. Precondition: called once.
@@ -306,12 +328,176 @@
     run.await_service("service after the return of the primary");
 }
 
+/// The target of the only possible promotion crashes 11 ms after the call and is empty when the
+/// call takes effect. The other replica lacks the newest writes.
+void restart_target_of_late_call(scenario& run, milliseconds effect) {
+    run.write_without_deaf_replica();
+    run.world().set_promotion_fault(promotion_fault::late, target_crash + target_restart + effect);
+    run.world().restart_next_target_empty(target_crash, target_restart);
+    run.world().crash_primary();
+    run.await("a promotion call", [&] { return !run.world().promotion_calls().empty(); });
+    run.world().set_promotion_fault(promotion_fault::none, {});
+    run.await("the end of the late call", [&] { return run.world().pending_promotions() == 0; });
+    run.return_primary_after_opportunity();
+}
+
+// Guards against a call without an answer that takes effect during its attempt, when its target
+// has started again empty.
+void late_call_target_restarts_empty(scenario& run) {
+    restart_target_of_late_call(run, milliseconds{1900});
+}
+
+// Guards against a call without an answer that takes effect when its attempt has ended and no
+// other replica may be promoted.
+void late_call_target_restarts_empty_attempt_ended(scenario& run) {
+    restart_target_of_late_call(run, milliseconds{9500});
+}
+
+// Guards against hosts that use a primary which says that it leads and has lost its log.
+void promoted_target_restarts_empty(scenario& run) {
+    const auto old_primary = run.primary();
+    run.world().crash_primary();
+    run.await("a promotion", [&] { return run.world().promotions() > 0; });
+    scenario::pause(seconds{1});
+    const auto target = run.world().crash_primary().value_or(run.newest());
+    scenario::pause(milliseconds{200});
+    run.world().restart_primary_empty(target);
+    scenario::pause(promotion_opportunity);
+    run.world().restart_instance(old_primary);
+    run.await_service("service after the return of the old primary");
+}
+
+/// The newest replica ends, and its heir gets a part of its log.
+void begin_transfer_to_heir(scenario& run) {
+    run.world().replace(run.newest(), long_transfer, milliseconds{0});
+    run.await("a part of the log", [&] { return run.world().log_size(run.newest()) > 0; });
+    run.await("the entry of the heir", [&] { return run.world().is_listed(run.newest()); });
+}
+
+/// The primary crashes during the transfer.
+void crash_primary_during_transfer(scenario& run, bool kills_hosts) {
+    run.write_without_deaf_replica();
+    const auto knowing = run.hosts_that_know();
+    begin_transfer_to_heir(run);
+    if (kills_hosts) {
+        run.hosts().kill_with_primary(knowing, run.world());
+    } else {
+        run.world().crash_primary();
+    }
+    run.return_primary_after_opportunity();
+}
+
+// Guards against hosts that take the part of a log which an heir has for the whole log; the other
+// replica receives and is cut off from the store and the hosts.
+void transfer_stopped_by_hold(scenario& run) {
+    run.world().set_cut_off(run.deaf(), true);
+    begin_transfer_to_heir(run);
+    run.world().crash_primary();
+    run.return_primary_after_opportunity();
+}
+
+// The same; the other replica lacks the newest writes.
+void transfer_stopped_by_hold_other_behind(scenario& run) {
+    crash_primary_during_transfer(run, false);
+}
+
+// The same, without the hosts that remember the acknowledgements.
+void transfer_stopped_by_hold_hosts_killed(scenario& run) {
+    crash_primary_during_transfer(run, true);
+}
+
+// The same; only the last two writes are missing, and all hosts live.
+void transfer_stopped_by_hold_last_writes(scenario& run) {
+    run.write_last_without_deaf_replica();
+    begin_transfer_to_heir(run);
+    run.world().crash_primary();
+    run.return_primary_after_opportunity();
+}
+
+/// The entries of the instances outlive their processes, and the newest replica is empty.
+void restart_empty_behind_entry(scenario& run, bool kills_hosts) {
+    run.write_without_deaf_replica();
+    run.world().set_entries_frozen(true);
+    if (kills_hosts) {
+        run.hosts().kill_with_primary(run.hosts_that_know(), run.world());
+    } else {
+        run.world().crash_primary();
+    }
+    run.world().restart_empty(run.newest(), log_transfer);
+    scenario::pause(removal_opportunity);
+    run.world().set_entries_frozen(false);
+    run.return_primary_after_opportunity();
+}
+
+// Guards against hosts that take an entry for proof that its process still runs, when the entry
+// has outlived the process for longer than the lifetime of entries.
+void entry_outlives_process(scenario& run) { restart_empty_behind_entry(run, false); }
+
+// The same, without the hosts that remember the acknowledgements.
+void entry_outlives_process_hosts_killed(scenario& run) { restart_empty_behind_entry(run, true); }
+
+// The same; only the last two writes are missing, and all hosts live.
+void entry_outlives_process_last_writes(scenario& run) {
+    run.write_last_without_deaf_replica();
+    run.world().set_entries_frozen(true);
+    run.world().crash_primary();
+    run.world().set_deaf(run.newest(), false);
+    run.world().restart_empty(run.newest(), log_transfer);
+    scenario::pause(removal_opportunity);
+    run.world().set_entries_frozen(false);
+    run.return_primary_after_opportunity();
+}
+
+// Guards against a resume of an earlier attempt that takes effect while this attempt relies on its
+// hold: a replica other than the target then receives commits which the target lacks.
+void resume_carried_out_late(scenario& run) {
+    const auto [target, other] = std::minmax({run.deaf(), run.newest()});
+    run.world().hold_back_resumes(other);
+    run.world().set_instance_link(target, link_fault::refuse);
+    // Commits of the primary stay open until a replica receives them.
+    run.world().set_deaf(target, true);
+    run.world().set_deaf(other, true);
+    scenario::pause(open_commits);
+    run.world().set_instance_link(run.primary(), link_fault::cut);
+    run.await("a held replica", [&] { return run.world().is_held(other); });
+    run.world().set_deaf(other, false);
+    run.await("a resume", [&] { return run.world().resumes_held_back() > 0; });
+    run.world().set_instance_link(target, link_fault::none);
+    run.await("the held target", [&] { return run.world().is_held(target); });
+    run.world().set_deaf(target, false);
+    run.await("a promotion call", [&] { return !run.world().promotion_calls().empty(); });
+    std::cout << "resumes carried out late: " << run.world().carry_out_resumes() << std::endl;
+    run.await("the end of the call", [&] { return run.world().pending_promotions() == 0; });
+    run.world().set_instance_link(run.primary(), link_fault::none);
+    run.await_service("service when the primary is reached again");
+}
+
+// Guards against hosts that rely on a replica which no record of log holders names: it joins while
+// the record can't be written, and alone receives the newest writes.
+void replica_joins_unrecorded(scenario& run) {
+    run.world().set_store_fault(store_fault::refuse_group_rows);
+    const auto joined = run.world().join(log_transfer, milliseconds{0});
+    run.await("the entry of the new replica", [&] { return run.world().is_listed(joined); });
+    scenario::pause(entry_update);
+    run.world().set_cut_off(joined, true);
+    run.await("the end of its entry", [&] { return !run.world().is_listed(joined); });
+    run.world().set_deaf(run.deaf(), true);
+    run.world().set_deaf(run.newest(), true);
+    // Hosts may refuse writes meanwhile.
+    scenario::pause(seconds{2});
+    run.hosts().kill_with_primary({0, 1, 2, 3}, run.world());
+    run.world().set_store_fault(store_fault::none);
+    run.world().set_deaf(run.newest(), false);
+    run.return_primary_after_opportunity();
+}
+
 struct scenario_entry {
     std::function<void(scenario&)> body;
     /// The number of hosts that callers use.
     std::size_t calling_hosts = host_count;
     /// Of the store, before the hosts start.
     store_fault first_fault = store_fault::none;
+    std::size_t callers = caller_count;
 };
 
 const std::map<std::string, scenario_entry> scenarios{
@@ -332,6 +518,21 @@
     {"instances_returned_renamed_hosts_killed", {instances_returned_renamed_hosts_killed}},
     {"primary_returned_during_failover", {primary_returned_during_failover}},
     {"primary_gone_replica_returned_renamed", {primary_gone_replica_returned_renamed}},
+    {"late_call_target_restarts_empty", {late_call_target_restarts_empty}},
+    {"late_call_target_restarts_empty_attempt_ended",
+     {late_call_target_restarts_empty_attempt_ended}},
+    {"promoted_target_restarts_empty", {promoted_target_restarts_empty}},
+    {"transfer_stopped_by_hold", {transfer_stopped_by_hold}},
+    {"transfer_stopped_by_hold_other_behind", {transfer_stopped_by_hold_other_behind}},
+    {"transfer_stopped_by_hold_hosts_killed", {transfer_stopped_by_hold_hosts_killed}},
+    {"transfer_stopped_by_hold_last_writes",
+     {transfer_stopped_by_hold_last_writes, host_count, store_fault::none, many_callers}},
+    {"entry_outlives_process", {entry_outlives_process}},
+    {"entry_outlives_process_last_writes",
+     {entry_outlives_process_last_writes, host_count, store_fault::none, many_callers}},
+    {"entry_outlives_process_hosts_killed", {entry_outlives_process_hosts_killed}},
+    {"resume_carried_out_late", {resume_carried_out_late}},
+    {"replica_joins_unrecorded", {replica_joins_unrecorded}},
 };
 
 }  // namespace
@@ -357,7 +558,7 @@
         }
         po::notify(values);
         const auto& entry = scenarios.at(name);
-        scenario run{seed, edge, logs, entry.calling_hosts, entry.first_fault};
+        scenario run{seed, edge, logs, entry.callers, entry.calling_hosts, entry.first_fault};
         entry.body(run);
         const bool passed = run.finish();
         std::cout << name << " seed " << seed << (passed ? " passed" : " FAILED")
