--- a/tests/soak/promotion_scenario.cpp
+++ b/tests/soak/promotion_scenario.cpp
@@ -2,6 +2,7 @@
 /// crash of a primary, each begun by what is observed. Ends with code 1 when a promotion loses an
 /// acknowledged write or the group does not serve again.
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <deque>
@@ -456,7 +457,9 @@
 // Guards against a resume of an earlier attempt that takes effect while this attempt relies on its
 // hold: a replica other than the target then receives commits which the target lacks.
 void resume_carried_out_late(scenario& run) {
-    const auto [target, other] = std::minmax({run.deaf(), run.newest()});
+    // Of logs of the same length, hosts promote the first one.
+    const auto target = std::min(run.deaf(), run.newest());
+    const auto other = std::max(run.deaf(), run.newest());
     run.world().hold_back_resumes(other);
     run.world().set_instance_link(target, link_fault::refuse);
     // Commits of the primary stay open until a replica receives them.
