--- a/tests/soak/edge_soak.cpp
+++ b/tests/soak/edge_soak.cpp
@@ -233,13 +233,13 @@
                   << " instance=" << instance << std::endl;
         switch (kind) {
             case 0:
-                delay_promotion_calls();
+                delay_promotion_calls(instance);
                 break;
             case 1:
                 world_.delay_orders(milliseconds{pick_for_order(500, 8000)});
                 after(milliseconds{pick_for_order(300, 4000)},
                       [this] { world_.delay_orders(std::nullopt); });
-                crash_primary_for(2000, 12000);
+                crash_primary_for(milliseconds{pick_for_order(2000, 12000)});
                 break;
             case 2:
                 stop_transfer(instance);
@@ -262,42 +262,75 @@
         }
     }
 
-    void crash_primary_for(int shortest_ms, int longest_ms) {
-        const milliseconds length{pick_for_order(shortest_ms, longest_ms)};
+    void crash_primary_for(milliseconds length) {
         if (const auto crashed = world_.crash_primary()) {
             after(length, [this, crashed] { world_.restart_instance(*crashed); });
         }
     }
 
-    void delay_promotion_calls() {
-        world_.set_promotion_fault(promotion_fault::late,
-                                   milliseconds{pick_for_order(2000, 10000)});
+    /// The primary crashes after `time`. If `other` is given, this replica misses the newest
+    /// commits.
+    void crash_primary_after(milliseconds time, milliseconds length,
+                             std::optional<std::size_t> other) {
+        if (other) {
+            world_.set_deaf(*other, true);
+        }
+        after(time, [this, length, other] {
+            crash_primary_for(length);
+            if (other) {
+                world_.set_deaf(*other, false);
+            }
+        });
+    }
+
+    /// Half of the time a replica other than `instance`.
+    std::optional<std::size_t> pick_other(std::size_t instance) {
+        const bool is_none = pick_for_order(0, 1) == 1;
+        const auto next = (instance + 1) % 3;
+        const auto other = world_.primary() == next ? (instance + 2) % 3 : next;
+        return is_none ? std::nullopt : std::optional{other};
+    }
+
+    void delay_promotion_calls(std::size_t instance) {
+        const milliseconds delay{pick_for_order(2000, 10000)};
+        const milliseconds crash{pick_for_order(5, 500)};
+        const milliseconds restart{pick_for_order(100, 1000)};
+        const milliseconds end{pick_for_order(2000, 5000)};
+        const milliseconds crash_time{pick_for_order(300, 1000)};
+        const milliseconds length{pick_for_order(2000, 12000)};
+        world_.set_promotion_fault(promotion_fault::late, delay);
         if (pick_for_order(0, 1) == 1) {
-            world_.restart_next_target_empty(milliseconds{pick_for_order(5, 500)},
-                                             milliseconds{pick_for_order(100, 1000)});
+            world_.restart_next_target_empty(crash, restart);
         }
-        after(milliseconds{pick_for_order(1000, 4000)},
-              [this] { world_.set_promotion_fault(promotion_fault::none, {}); });
-        crash_primary_for(2000, 12000);
+        after(end, [this] { world_.set_promotion_fault(promotion_fault::none, {}); });
+        crash_primary_after(crash_time, length, pick_other(instance));
     }
 
     /// A replica ends, and the primary crashes while its log is transferred to its successor.
     void stop_transfer(std::size_t instance) {
         const milliseconds drain_time{pick_for_order(500, 2000)};
         const milliseconds transfer{pick_for_order(4000, 10000)};
-        const milliseconds crash_time{pick_for_order(500, 3000)};
+        const milliseconds crash_time{transfer / 10 + milliseconds{pick_for_order(100, 1500)}};
+        const milliseconds length{pick_for_order(2000, 12000)};
+        const auto other = pick_other(instance);
         if (!draining_.insert(instance).second) {
             return;
         }
         world_.set_draining(instance, true);
-        after(drain_time, [this, instance, transfer, crash_time] {
+        after(drain_time, [this, instance, transfer, crash_time, length, other] {
             draining_.erase(instance);
             if (!world_.is_up(instance) || world_.primary() == instance) {
                 world_.set_draining(instance, false);
                 return;
             }
-            world_.replace(instance, transfer, milliseconds{0});
-            after(crash_time, [this] { crash_primary_for(2000, 12000); });
+            constexpr milliseconds last_commits{300};
+            if (other) {
+                world_.set_deaf(*other, true);
+            }
+            after(last_commits, [this, instance, transfer, crash_time, length, other] {
+                world_.replace(instance, transfer, milliseconds{0});
+                crash_primary_after(crash_time, length, other);
+            });
         });
     }
 
