--- a/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "masticgrade/base/time.hpp"
 #include "masticgrade/base/types.hpp"
@@ -11,6 +13,20 @@
 
 namespace masticgrade {
 
+/// A promotion call that may still be carried out.
+struct promotion_request {
+    std::uint64_t fence = 0;
+    instance_id target;
+    /// The process that was chosen, see instance_entry::start_time; zero if unknown.
+    std::int64_t start_time = 0;
+    /// The end of its log when it was chosen.
+    log_index position;
+    /// The term at which its attempt held the replicas.
+    term_number hold_term;
+
+    friend bool operator==(const promotion_request&, const promotion_request&) = default;
+};
+
 /// The state of a group's failovers, as stored in its failover row.
 struct failover_record {
     /// Increases with each failover attempt.
@@ -24,15 +40,32 @@
     /// The processes that may have acknowledged commits which no other process has. Empty if not
     /// recorded yet.
     std::set<log_holder> log_holders = {};
+    /// Of log holders that have ended: the end of the primary's log as read after that. No commit
+    /// that they have received lies beyond it.
+    std::map<log_holder, log_index> log_bounds = {};
+    /// The era of the store in which the log holders were found to be complete: while the primary
+    /// led, as many recorded replicas as an acknowledged commit takes had all of its log. Absent if
+    /// they never were. A row of another era may come from an older copy.
+    std::optional<store_era> log_holders_complete_in = {};
     /// A promotion request may still be carried out, since its answer was lost or its sender ended.
     bool request_pending = false;
     /// The end that the log of a target needs at least, as known to attempts that promoted nothing.
     /// Hosts that start later would not know it.
     std::optional<log_index> required = {};
+    /// These requests, if known: hosts of earlier releases set `request_pending` only.
+    std::vector<promotion_request> requests = {};
+    /// The process of `target` that was chosen, see instance_entry::start_time; zero if unknown.
+    std::int64_t target_start_time = 0;
+    /// The end of its log when it was chosen. Each later primary has as many entries at least.
+    log_index target_position = {};
 
     friend bool operator==(const failover_record&, const failover_record&) = default;
 };
 
+/// Whether each process that may have acknowledged commits which no other process has is among the
+/// log holders of the row, which was read in `era`. Thread safety: reentrant.
+bool has_complete_log_holders(const failover_record& record, store_era era);
+
 /// Decides whether a host may use an instance as its group's primary.
 ///
 /// After a promotion, the old primary may continue to accept transactions until it hears of the new
@@ -62,7 +95,28 @@
         instance_id id;
         /// The term at the end of the instance's log; zero if unknown.
         term_number log_term;
+        /// See instance_entry::start_time; zero if unknown.
+        std::int64_t start_time = 0;
+        /// The end of the log that the listed process has reported as the primary, if it has.
+        std::optional<log_index> reported_end = {};
+        /// The process may have started again since it reported the end of its log.
+        bool may_have_restarted = false;
+        /// It leads with a shorter log than it is known to have had.
+        bool position_fell = false;
     };
+    /// Whether the instance leads without its log: it has started again, and nothing that it says
+    /// of itself shows that it may lead.
+    [[nodiscard]] bool has_lost_log(const claimant& instance) const {
+        return instance.position_fell;
+    }
+    /// Whether the process started after the one that was promoted last under this id.
+    [[nodiscard]] bool is_later_process(const claimant& instance) const;
+    /// Whether the instance has to report the end of its log before it may be used as the primary,
+    /// since it may have started again without it.
+    [[nodiscard]] bool is_unconfirmed(const claimant& instance) const;
+    /// Whether a primary of this term whose log ends at `received` lacks entries of the instance
+    /// that was promoted last.
+    [[nodiscard]] bool is_below_record(term_number term, log_index received) const;
     /// Whether the instance may be used as the primary. `target_is_listed` tells whether the
     /// directory lists the instance that was promoted last.
     [[nodiscard]] bool allows(const claimant& instance, bool target_is_listed, boot_time now) const;
--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -36,8 +36,8 @@
     return value != nullptr && value->is_string() ? std::string{value->as_string()} : std::string{};
 }
 
-std::int64_t start_time_or_zero(const json::object& object) {
-    const auto* value = object.if_contains("start_time");
+std::int64_t start_time_or_zero(const json::object& object, std::string_view name = "start_time") {
+    const auto* value = object.if_contains(name);
     boost::system::error_code failure;
     const auto number =
         value != nullptr && value->is_number() ? value->to_number<std::int64_t>(failure) : 0;
@@ -61,12 +61,47 @@
                      log_position{number_or_zero(position, "number")}};
 }
 
-json::array encode_log_holders(const std::set<log_holder>& holders) {
+json::array encode_requests(const std::vector<promotion_request>& requests) {
     json::array result;
-    for (const auto& holder : holders) {
-        result.push_back(json::object{{"instance", holder.instance.str()},
-                                      {"address", holder.address.str()},
-                                      {"start_time", holder.start_time}});
+    for (const auto& request : requests) {
+        result.push_back(json::object{{"fence", request.fence},
+                                      {"target", request.target.str()},
+                                      {"start_time", request.start_time},
+                                      {"position", encode_position(request.position)},
+                                      {"hold_term", request.hold_term.value()}});
+    }
+    return result;
+}
+
+std::vector<promotion_request> read_requests(const json::object& row) {
+    std::vector<promotion_request> result;
+    const auto* requests = row.if_contains("requests");
+    if (requests == nullptr || !requests->is_array()) {
+        return result;
+    }
+    for (const auto& item : requests->as_array()) {
+        if (item.is_object()) {
+            const auto& request = item.as_object();
+            result.push_back({number_or_zero(request, "fence"),
+                              instance_id{string_or_empty(request, "target")},
+                              start_time_or_zero(request),
+                              read_position(request, "position").value_or(log_index{}),
+                              term_number{number_or_zero(request, "hold_term")}});
+        }
+    }
+    return result;
+}
+
+json::array encode_log_holders(const failover_record& record) {
+    json::array result;
+    for (const auto& holder : record.log_holders) {
+        json::object item{{"instance", holder.instance.str()},
+                          {"address", holder.address.str()},
+                          {"start_time", holder.start_time}};
+        if (const auto bound = record.log_bounds.find(holder); bound != record.log_bounds.end()) {
+            item["bound"] = encode_position(bound->second);
+        }
+        result.push_back(std::move(item));
     }
     return result;
 }
@@ -88,14 +123,32 @@
     return result;
 }
 
+log_holder decode_log_holder(const json::object& holder) {
+    return {instance_id{string_or_empty(holder, "instance")},
+            endpoint_address{string_or_empty(holder, "address")}, start_time_or_zero(holder)};
+}
+
 std::set<log_holder> decode_log_holders(const json::array& holders) {
     std::set<log_holder> result;
     for (const auto& item : holders) {
         if (item.is_object()) {
-            const auto& holder = item.as_object();
-            result.insert({instance_id{string_or_empty(holder, "instance")},
-                           endpoint_address{string_or_empty(holder, "address")},
-                           start_time_or_zero(holder)});
+            result.insert(decode_log_holder(item.as_object()));
+        }
+    }
+    return result;
+}
+
+std::map<log_holder, log_index> read_log_bounds(const json::object& row) {
+    std::map<log_holder, log_index> result;
+    const auto* holders = row.if_contains("log_processes");
+    if (holders == nullptr || !holders->is_array()) {
+        return result;
+    }
+    for (const auto& item : holders->as_array()) {
+        const auto bound =
+            item.is_object() ? read_position(item.as_object(), "bound") : std::nullopt;
+        if (bound) {
+            result.emplace(decode_log_holder(item.as_object()), *bound);
         }
     }
     return result;
@@ -131,17 +184,23 @@
 std::string failover_row_key(const group_id& group) { return failover_row::prefix + group.str(); }
 
 std::string encode_failover_row(const failover_record& record, const host_id& holder) {
-    return json::serialize(
-        json::object{{"fence", record.fence},
+    json::object row{{"fence", record.fence},
                      {"holder", holder.str()},
                      {"target", record.target.str()},
                      {"term", record.term.value()},
                      {"open", record.open},
                      {"request_pending", record.request_pending},
+                     {"requests", encode_requests(record.requests)},
+                     {"target_start_time", record.target_start_time},
+                     {"target_position", encode_position(record.target_position)},
                      {"log_holders", encode_holder_addresses(record.log_holders)},
-                     {"log_processes", encode_log_holders(record.log_holders)},
+                     {"log_processes", encode_log_holders(record)},
                      {"required", encode_position(record.required)},
-                     {"mark", random_nonce()}});
+                     {"mark", random_nonce()}};
+    if (record.log_holders_complete_in) {
+        row["log_holders_complete_in"] = record.log_holders_complete_in->value();
+    }
+    return json::serialize(row);
 }
 
 failover_row decode_failover_row(const table_row& row) {
@@ -165,8 +224,16 @@
     result.record.open = bool_or(object, "open", true);
     // Hosts of earlier releases don't record their requests.
     result.record.request_pending = bool_or(object, "request_pending", result.record.open);
+    result.record.requests = read_requests(object);
+    result.record.target_start_time = start_time_or_zero(object, "target_start_time");
+    result.record.target_position = read_position(object, "target_position").value_or(log_index{});
     result.record.log_holders = read_log_holders(object);
     result.record.required = read_position(object, "required");
+    result.record.log_bounds = read_log_bounds(object);
+    if (object.contains("log_holders_complete_in")) {
+        result.record.log_holders_complete_in =
+            store_era{number_or_zero(object, "log_holders_complete_in")};
+    }
     result.holder = host_id{string_or_empty(object, "holder")};
     return result;
 }
--- a/libs/gateway/src/group_failover_choice.cpp
+++ b/libs/gateway/src/group_failover_choice.cpp
@@ -131,8 +131,15 @@
     }
     const auto process = primary_process();
     const backend_request status_request = backend_status{};
+    const auto seen_before = group_->highest_position(*primary);
     const auto before = co_await orders_.send(*primary, status_request);
-    const bool led = before && before->is_primary && before->term >= group_->newest_term();
+    if (before) {
+        group_->on_status(*primary, *before, seen_before);
+    }
+    // If the directory lists the process that has started without the log, the earlier one is
+    // another log holder, and this one's log is known.
+    const bool led = before && before->is_primary && before->term >= group_->newest_term() &&
+                     (!group_->has_lost_log(*primary) || group_->started_after_promotion(*primary));
     const backend_request request = backend_step_down{hold_term_};
     const auto asked_at = boot_clock::now();
     const auto status = co_await orders_.send(*primary, request);
@@ -164,13 +171,12 @@
             promotion_candidate candidate;
             candidate.id = entry.id;
             const auto asked_at = boot_clock::now();
-            const auto held_since = steady_clock::now();
             candidate.held = co_await orders_.send(entry.id, request);
             log_order("replica_hold", entry.id, candidate.held, asked_at);
             candidate.is_draining = group_->is_draining(entry.id);
             if (candidate.held) {
                 held_replicas_.insert(log_holder_of(entry));
-                held_logs_.add(log_holder_of(entry), *candidate.held, held_since);
+                held_logs_.add(log_holder_of(entry), *candidate.held, boot_clock::now());
                 if (candidate.held->is_primary || candidate.held->term >= hold_term_) {
                     // Another promotion has finished; `survey_instances` will find its primary.
                     candidates_.push_back(std::move(candidate));
@@ -181,8 +187,19 @@
             candidates_.push_back(std::move(candidate));
         }
         held_logs_.end_round();
-        const auto choice = choose_promotion_target(candidates_, hold_term_);
+        auto replicas = candidates_;
+        for (auto& replica : replicas) {
+            if (replica.held && group_->lacks_recorded_log(replica.held->received)) {
+                // It led without its log; its term would make it the longest one.
+                replica.held->received.term = {};
+            }
+        }
+        auto choice = choose_promotion_target(replicas, hold_term_);
         if (choice) {
+            const auto chosen =
+                std::find_if(entries.begin(), entries.end(),
+                             [&](const auto& entry) { return entry.id == choice->target; });
+            choice->start_time = chosen->start_time;
             if (kind == failover_kind::planned && group_->is_draining(choice->target)) {
                 record_decision(promotion_refusal::target_draining, choice, not_asked);
                 co_return std::nullopt;
--- a/libs/gateway/src/log_holder_registry.cpp
+++ b/libs/gateway/src/log_holder_registry.cpp
@@ -56,14 +56,15 @@
 }
 
 bool log_holder_registry::is_outdated() const {
-    if (group_->log_holders_are_recorded() || group_->entries().empty()) {
+    if (group_->entries().empty() ||
+        (group_->log_holders_are_recorded() && group_->log_holders_are_complete())) {
         return false;
     }
     const auto holders = group_->log_holders();
     // Without a primary there is nothing to compare the replicas with.
-    const bool can_end = group_->primary() && !group_->last_failover().open;
+    const bool can_compare = group_->primary() && !group_->last_failover().open;
     return holders != group_->last_failover().log_holders ||
-           (can_end && !ended_among(holders).empty());
+           (can_compare && (!ended_among(holders).empty() || !group_->log_holders_are_complete()));
 }
 
 std::set<log_holder> log_holder_registry::ended_among(const std::set<log_holder>& holders) const {
@@ -75,6 +76,13 @@
 }
 
 asio::awaitable<void> log_holder_registry::update() {
+    const auto holders_known = group_->log_holders();
+    const bool is_recorded = holders_known == group_->last_failover().log_holders;
+    if (is_recorded && !group_->log_holders_are_complete() &&
+        !(co_await read_replication(group_->entries())).is_complete) {
+        // Nothing to write, so the read of the row is saved.
+        co_return;
+    }
     const auto read_at = boot_clock::now();
     auto row = co_await rows_.read();
     if (row.version != fleet_version{}) {
@@ -83,17 +91,26 @@
     if (row.record.open || group_->last_failover_is_lost()) {
         co_return;
     }
-    const auto recorded = row.record.log_holders;
+    const auto recorded = row.record;
     auto& holders = row.record.log_holders;
     const auto known = group_->log_holders();
     holders.insert(known.begin(), known.end());
     // The positions are read after the successors were listed.
     auto ended = ended_among(holders);
-    if (!ended.empty() && !co_await is_replicated(group_->entries())) {
-        ended.clear();
+    const bool is_complete = has_complete_log_holders(row.record, row.era);
+    if (!ended.empty() || !is_complete) {
+        const auto found = co_await read_replication(group_->entries());
+        if (found.is_complete) {
+            row.record.log_holders_complete_in = row.era;
+        } else {
+            add_bounds(row.record, ended, found);
+            ended.clear();
+        }
     }
     std::erase_if(holders, [&](const auto& holder) { return ended.contains(holder); });
-    if (holders == recorded) {
+    std::erase_if(row.record.log_bounds,
+                  [&](const auto& item) { return !holders.contains(item.first); });
+    if (row.record == recorded) {
         group_->forget_log_holders(ended);
         co_return;
     }
@@ -108,7 +125,9 @@
 
 void log_holder_registry::log_recorded(const failover_record& record) const {
     event_line line{"log_holders_recorded"};
-    line.field("group", group_->name()).field("fence", record.fence);
+    line.field("group", group_->name())
+        .field("fence", record.fence)
+        .field("complete", record.log_holders_complete_in.has_value());
     for (const auto& holder : record.log_holders) {
         line.field("instance", holder.instance)
             .field("address", holder.address)
@@ -146,16 +165,32 @@
     line.write();
 }
 
-asio::awaitable<bool> log_holder_registry::is_replicated(std::vector<instance_entry> listed) {
+void log_holder_registry::add_bounds(failover_record& record, const std::set<log_holder>& ended,
+                                     const replication& found) const {
+    const auto entries = group_->entries();
+    const auto primary = std::find_if(entries.begin(), entries.end(), [&](const auto& entry) {
+        return entry.id == group_->primary();
+    });
+    if (!found.primary || primary == entries.end() ||
+        group_->has_earlier_process(log_holder_of(*primary))) {
+        return;
+    }
+    for (const auto& holder : ended) {
+        record.log_bounds.emplace(holder, *found.primary);
+    }
+}
+
+asio::awaitable<log_holder_registry::replication> log_holder_registry::read_replication(
+    std::vector<instance_entry> listed) {
     const auto primary = group_->primary();
     const auto is_primary = [&](const auto& entry) { return entry.id == primary; };
     if (std::none_of(listed.begin(), listed.end(), is_primary)) {
-        co_return false;
+        co_return replication{};
     }
     const backend_request status_request = backend_status{};
     const auto leading = co_await orders_.send(*primary, status_request);
     if (!leading || !leading->is_primary || leading->term < group_->newest_term()) {
-        co_return false;
+        co_return replication{};
     }
     const std::size_t required = group_->sync_replicas();
     std::size_t replicated = 0;
@@ -173,7 +208,7 @@
             ++replicated;
         }
     }
-    co_return replicated >= required;
+    co_return replication{leading->received, replicated >= required};
 }
 
 }  // namespace masticgrade
