--- a/libs/gateway/src/group_failover_choice.cpp
+++ b/libs/gateway/src/group_failover_choice.cpp
@@ -174,6 +174,13 @@
             candidate.held = co_await orders_.send(entry.id, request);
             log_order("replica_hold", entry.id, candidate.held, asked_at);
             candidate.is_draining = group_->is_draining(entry.id);
+            if (candidate.held && candidate.held->is_primary && group_->has_lost_log(entry.id)) {
+                // It leads without its log, so no other promotion has finished. The next round
+                // holds it.
+                const backend_request step_down = backend_step_down{hold_term_};
+                co_await orders_.send(entry.id, step_down);
+                candidate.held.reset();
+            }
             if (candidate.held) {
                 held_replicas_.insert(log_holder_of(entry));
                 held_logs_.add(log_holder_of(entry), *candidate.held, boot_clock::now());
