--- a/libs/gateway/src/group_failover_requests.cpp
+++ b/libs/gateway/src/group_failover_requests.cpp
@@ -125,18 +125,21 @@
     co_await sleep(effect_time);
     const backend_request status_request = backend_status{};
     const auto requests = lock_.record.requests;
+    bool is_known = true;
     for (const auto& request : requests) {
         const auto deadline = steady_clock::now() + target_status_timeout;
         const auto answer = co_await orders_.send_until(request.target, status_request, deadline);
         const auto& status = answer.status;
+        // A call that was accepted earlier may have taken effect although this host can't see it.
+        is_known = is_known && (status || !group_->is_listed(request.target));
         if (status && status->is_primary && status->term >= request.hold_term &&
             (!result.carried_out || result.carried_out->status.term < status->term)) {
             result.carried_out = carried_out_request{request, *status};
         }
     }
     // The request of a promotion stays in the row until the promotion is recorded.
-    result.is_complete = true;
-    if (!result.carried_out) {
+    result.is_complete = is_known || result.carried_out;
+    if (is_known && !result.carried_out) {
         clear_requests();
         result.is_complete = co_await renew_lock();
     }
@@ -144,6 +147,7 @@
         .field("group", group_->name())
         .field("fence", lock_.record.fence)
         .field("requests", requests.size())
+        .field("settled", result.is_complete)
         .field("carried_out",
                result.carried_out ? result.carried_out->request.target.str() : std::string{"none"})
         .write();
