--- a/libs/gateway/src/group_failover_choice.cpp
+++ b/libs/gateway/src/group_failover_choice.cpp
@@ -231,7 +231,8 @@
     resume_after_ = steady_clock::now() + resume_interval;
     try {
         const auto row = co_await rows_.read();
-        if (row.record.open && row.record.fence != resume_fence_) {
+        const bool is_own = row.holder == environment_.self && row.record.fence == resume_fence_;
+        if (row.record.open && !is_own) {
             co_return;
         }
     } catch (const error& failure) {
