--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -64,6 +64,12 @@
         auto& instance = found->second;
         if (added) {
             instance.generation = ++last_generation_;
+            if (const auto position = unlisted_positions_.positions().find(entry.id);
+                position != unlisted_positions_.positions().end()) {
+                // It may have started again while it was not listed.
+                instance.highest_position = position->second;
+                instance.may_have_restarted = true;
+            }
         }
         const bool restarted = !added && (instance.entry.start_time != entry.start_time ||
                                           instance.entry.address != entry.address);
@@ -121,6 +127,9 @@
         lost_instances_[item->first] = {now, item->second.entry.address,
                                         item->second.entry.start_time};
         keep_log_holder(log_holder_of(item->second.entry));
+        if (item->second.highest_position) {
+            unlisted_positions_.on_seen(item->first, *item->second.highest_position);
+        }
         auto idle = std::move(item->second.idle);
         item = instances_.erase(item);
         for (auto& connection : idle) {
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -342,7 +342,8 @@
     /// Whether a log that ends there lacks entries of the instance that was promoted last, although
     /// it has later ones.
     [[nodiscard]] bool lacks_recorded_log(log_index received) const {
-        return leadership_.is_below_record(received.term, received);
+        return received.term > last_failover().target_position.term &&
+               leadership_.is_below_record(received.term, received);
     }
     /// The end of the log that the listed process has reported as the primary, if it has.
     [[nodiscard]] std::optional<log_index> reported_end(const instance_id& instance) const;
@@ -558,6 +559,8 @@
     term_number newest_term_;
     acknowledgement_history acknowledgements_;
     replica_positions replica_positions_;
+    /// The highest positions of the instances' logs that were seen before their entries were gone.
+    replica_positions unlisted_positions_;
     /// The instances that were the primary on this host since the last recorded promotion.
     std::set<instance_id> recent_primaries_;
     position_proofs proofs_;
--- a/libs/gateway/src/group_failover_choice.cpp
+++ b/libs/gateway/src/group_failover_choice.cpp
@@ -147,8 +147,10 @@
     if (!status || status->is_primary) {
         co_return std::nullopt;
     }
+    // A process that has started again between the two answers has lost the log of the first one.
+    const bool has_same_log = led && status->received.number >= before->received.number;
     if (process) {
-        stepped_down_ = {*process, status->received, led};
+        stepped_down_ = {*process, status->received, has_same_log};
     }
     co_return status;
 }
--- a/libs/gateway/src/group_failover_lock.cpp
+++ b/libs/gateway/src/group_failover_lock.cpp
@@ -135,7 +135,9 @@
     lock_.record.target_position = choice.position;
     lock_.record.term = term;
     lock_.record.open = false;
-    lock_.record.required.reset();
+    if (!group_->has_lost_log(lock_.record.target)) {
+        lock_.record.required.reset();
+    }
     const auto deadline = steady_clock::now() + record_timeout;
     while (steady_clock::now() < deadline) {
         const auto written_at = boot_clock::now();
--- a/libs/gateway/src/group_primary.cpp
+++ b/libs/gateway/src/group_primary.cpp
@@ -258,7 +258,7 @@
 
 void backend_group::on_log_seen(const instance_id& instance, log_index position) {
     // The end of a primary's log may be on no replica.
-    if (!recent_primaries().contains(instance)) {
+    if (!recent_primaries().contains(instance) && !lacks_recorded_log(position)) {
         replica_positions_.on_seen(instance, position);
     }
 }
--- a/libs/gateway/src/log_holder_registry.cpp
+++ b/libs/gateway/src/log_holder_registry.cpp
@@ -188,10 +188,16 @@
         co_return replication{};
     }
     const backend_request status_request = backend_status{};
+    const auto seen_before = group_->highest_position(*primary);
     const auto leading = co_await orders_.send(*primary, status_request);
     if (!leading || !leading->is_primary || leading->term < group_->newest_term()) {
         co_return replication{};
     }
+    // What a primary without its log has is not all that its replicas may have.
+    group_->on_status(*primary, *leading, seen_before);
+    if (group_->has_lost_log(*primary) || group_->primary_is_unconfirmed()) {
+        co_return replication{};
+    }
     const std::size_t required = group_->sync_replicas();
     std::size_t replicated = 0;
     for (const auto& entry : listed) {
