--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -1024,7 +1024,7 @@
     primary.entry.start_time = 1;
     failover_record recorded{3, false, id, term_number{1}};
     recorded.log_holders = {holder_of("a", 1), holder_of("b"), holder_of("c")};
-    recorded.log_holders_complete_in = store_era{};
+    recorded.log_holders_complete_in = fixture.store.era();
     recorded.target_start_time = 1;
     recorded.target_position = first_term(11);
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
