--- a/cmake/masticgrade.cmake
+++ b/cmake/masticgrade.cmake
@@ -25,10 +25,11 @@
   endif()
 endfunction()
 
-# Declares a doctest program and registers it with CTest under a fixed rapidcheck seed.
+# Declares a doctest program and registers it with CTest under a fixed rapidcheck seed, with the
+# arguments in <name>_arguments if that is set.
 function(mg_test name)
   add_executable(${name} ${ARGN} ${PROJECT_SOURCE_DIR}/tests/doctest_main.cpp)
   target_link_libraries(${name} PRIVATE rapidcheck fmt::fmt)
-  add_test(NAME ${name} COMMAND ${name})
+  add_test(NAME ${name} COMMAND ${name} ${${name}_arguments})
   set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
 endfunction()
