--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if a session missed its own commit, 0 if not, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec timeout -k 5 110 target/review-2/route_moved_back target/platform/masticgrade-edge review/6
