--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -142,6 +142,30 @@
     std::string buffer_;
 };
 
+/// A free port below the range that the kernel assigns to outgoing connections. No port is returned
+/// twice.
+inline unsigned short free_port() {
+    constexpr unsigned first = 15000;
+    constexpr unsigned count = 15000;
+    static std::mutex mutex;
+    static unsigned next = static_cast<unsigned>(::getpid()) * 37U % count;
+    const std::lock_guard lock{mutex};
+    for (;;) {
+        next = (next + 1) % count;
+        const auto port = static_cast<unsigned short>(first + next);
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool is_free = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+        ::close(fd);
+        if (is_free) {
+            return port;
+        }
+    }
+}
+
 /// Listens on a free loopback port and serves each connection in a thread of its own.
 class line_server {
 public:
@@ -150,6 +174,7 @@
         fd_ = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
+        address.sin_port = htons(free_port());
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof address;
         if (::bind(fd_, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
@@ -158,14 +183,35 @@
         }
         ::getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
         port_ = ntohs(address.sin_port);
-        std::thread([this] { accept(); }).detach();
+        std::thread([this, fd = fd_] { accept(fd); }).detach();
     }
     [[nodiscard]] unsigned short port() const { return port_; }
 
+    /// Refuses connections from now on.
+    void close() {
+        ::shutdown(fd_, SHUT_RDWR);
+        ::close(fd_);
+    }
+    /// Listens again on the same port.
+    void reopen() {
+        fd_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int on = 1;
+        ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port_);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (::bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+            ::listen(fd_, 512) != 0) {
+            throw std::runtime_error("cannot listen again");
+        }
+        std::thread([this, fd = fd_] { accept(fd); }).detach();
+    }
+
 private:
-    void accept() {
+    void accept(int listener) {
         for (;;) {
-            const int fd = ::accept(fd_, nullptr, nullptr);
+            const int fd = ::accept(listener, nullptr, nullptr);
             if (fd < 0) {
                 return;
             }
@@ -181,30 +227,6 @@
     unsigned short port_ = 0;
 };
 
-/// A free port below the range that the kernel assigns to outgoing connections. No port is returned
-/// twice.
-inline unsigned short free_port() {
-    constexpr unsigned first = 15000;
-    constexpr unsigned count = 15000;
-    static std::mutex mutex;
-    static unsigned next = static_cast<unsigned>(::getpid()) * 37U % count;
-    const std::lock_guard lock{mutex};
-    for (;;) {
-        next = (next + 1) % count;
-        const auto port = static_cast<unsigned short>(first + next);
-        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        const bool is_free = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-        ::close(fd);
-        if (is_free) {
-            return port;
-        }
-    }
-}
-
 inline std::string base64(const std::string& bytes) {
     static const char* digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string text;
@@ -254,11 +276,15 @@
     std::uint64_t held = 0;
     std::uint64_t term = 1;
     std::uint64_t sequence = 1;
+    steady::time_point crashed_at;
     std::int64_t born = 0;
     std::vector<log_entry> log;
     std::vector<line_socket*> connections;
 
-    [[nodiscard]] position end() const { return log.empty() ? position{term, 0} : log.back().at; }
+    /// The log goes on in a new term with the next number.
+    [[nodiscard]] position end() const {
+        return {term, log.empty() ? 0 : log.back().at.number};
+    }
     [[nodiscard]] bool has(const position& at) const {
         return std::any_of(log.begin(), log.end(), [&](const auto& e) { return e.at == at; });
     }
@@ -294,9 +320,7 @@
         item->service = service;
         item->zone = zone;
         item->primary = primary;
-        item->born = std::chrono::duration_cast<milliseconds>(
-                         std::chrono::system_clock::now().time_since_epoch())
-                         .count();
+        item->born = now_ms();
         item->server =
             std::make_unique<line_server>([this, added](line_socket& s) { serve_instance(*added, s); });
         instances_.push_back(std::move(item));
@@ -325,6 +349,52 @@
         changed_.notify_all();
     }
 
+    /// The process ends and keeps its log. Its entry goes after three heartbeats.
+    void crash(instance& item) {
+        const std::lock_guard lock{mutex_};
+        item.up = false;
+        item.crashed_at = steady::now();
+        item.server->close();
+        for (auto* socket : item.connections) {
+            socket->shut_down();
+        }
+        record_.write("disruption: " + item.id + " crashes, log ends at " + item.end().text());
+        changed_.notify_all();
+    }
+
+    /// The process starts again with its log, as a replica if another instance leads.
+    void restart(instance& item) {
+        const std::lock_guard lock{mutex_};
+        item.up = true;
+        item.held = 0;
+        item.born = now_ms();
+        item.sequence = 1;
+        for (const auto& other : instances_) {
+            if (other->service == item.service && other.get() != &item && other->primary &&
+                other->term > item.term) {
+                item.primary = false;
+            }
+        }
+        item.server->reopen();
+        follow(item);
+        replicate();
+        publish(item);
+        record_.write(item.id + " is back, log ends at " + item.end().text());
+        changed_.notify_all();
+    }
+
+    /// The promotions that took effect: the instance and the end of its log.
+    std::vector<std::pair<std::string, position>> promotions() {
+        const std::lock_guard lock{mutex_};
+        return promotions_;
+    }
+
+    [[nodiscard]] bool has_commit(const instance& item, const std::string& statement) {
+        const std::lock_guard lock{mutex_};
+        return std::any_of(item.log.begin(), item.log.end(),
+                           [&](const auto& entry) { return entry.statement == statement; });
+    }
+
     std::vector<run> runs_of(const std::string& statement) {
         const std::lock_guard lock{mutex_};
         std::vector<run> result;
@@ -350,6 +420,28 @@
     }
 
 private:
+    static std::int64_t now_ms() {
+        return std::chrono::duration_cast<milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
+    /// Drops what the leader's log does not have.
+    void follow(instance& item) {
+        for (const auto& leader : instances_) {
+            if (leader->service == item.service && leader->primary && leader->up &&
+                leader.get() != &item && leader->term > item.term) {
+                std::size_t common = 0;
+                while (common < item.log.size() && common < leader->log.size() &&
+                       item.log[common].at == leader->log[common].at) {
+                    ++common;
+                }
+                item.log.resize(common);
+                item.term = leader->term;
+            }
+        }
+    }
+
     void heartbeat() {
         for (;;) {
             sleep_ms(1200);
@@ -358,6 +450,8 @@
                 if (item->up) {
                     ++item->sequence;
                     publish(*item);
+                } else if (steady::now() - item->crashed_at > milliseconds{3600}) {
+                    rows_.erase({"servers", item->id});
                 }
             }
         }
@@ -391,6 +485,8 @@
                 return;
             }
             std::size_t length = 0;
+            std::string holder;
+            std::uint64_t fence = 0;
             for (;;) {
                 auto header = socket.read_line();
                 if (!header) {
@@ -399,9 +495,15 @@
                 if (header->empty()) {
                     break;
                 }
-                std::transform(header->begin(), header->end(), header->begin(), ::tolower);
-                if (header->starts_with("content-length:")) {
-                    length = std::stoul(header->substr(15));
+                auto name = header->substr(0, header->find(':'));
+                const auto value = header->substr(name.size() + 1);
+                std::transform(name.begin(), name.end(), name.begin(), ::tolower);
+                if (name == "content-length") {
+                    length = std::stoul(value);
+                } else if (name == "x-masticgrade-duty-holder") {
+                    holder = value;
+                } else if (name == "x-masticgrade-fence-token") {
+                    fence = std::stoull(value);
                 }
             }
             const auto body = socket.read_bytes(length);
@@ -413,7 +515,7 @@
             std::string target;
             words >> method >> target;
             int status = 200;
-            const auto answer = json::serialize(answer_http(target, *body, status));
+            const auto answer = json::serialize(answer_http(target, *body, holder, fence, status));
             if (!socket.write("HTTP/1.1 " + std::to_string(status) +
                               " X\r\nContent-Type: application/json\r\nContent-Length: " +
                               std::to_string(answer.size()) + "\r\n\r\n" + answer)) {
@@ -435,7 +537,61 @@
         return result;
     }
 
-    json::object answer_http(const std::string& target, const std::string& body, int& status) {
+    int promote(const std::string& body, const std::string& holder, std::uint64_t fence) {
+        const auto call = json::parse(body).as_object();
+        const std::string service{call.at("service").as_string()};
+        const std::string id{call.at("id").as_string()};
+        auto& seen = fences_[service];
+        const auto target =
+            std::find_if(instances_.begin(), instances_.end(), [&](const auto& item) {
+                return item->id == id && item->service == service && item->up;
+            });
+        const bool refused = fence < seen || target == instances_.end();
+        seen = std::max(seen, fence);
+        record_.write("platform: promote " + id + " by" + holder + ", fence " +
+                      std::to_string(fence) + (refused ? ", 409" : ", 200"));
+        if (refused) {
+            return 409;
+        }
+        if (!(*target)->primary) {
+            std::thread([this, item = target->get(), fence] {
+                sleep_ms(300);
+                const std::lock_guard lock{mutex_};
+                if (item->up && fences_[item->service] == fence) {
+                    lead(*item);
+                }
+            }).detach();
+        }
+        return 200;
+    }
+
+    void lead(instance& item) {
+        promotions_.emplace_back(item.id, item.end());
+        record_.write("platform: " + item.id + " leads, log ends at " + item.end().text());
+        std::uint64_t term = 0;
+        for (const auto& other : instances_) {
+            if (other->service == item.service) {
+                term = std::max(term, other->term);
+            }
+        }
+        item.primary = true;
+        item.held = 0;
+        item.term = term + 1;
+        for (auto& other : instances_) {
+            if (other->service == item.service && other.get() != &item && other->up) {
+                other->primary = false;
+                other->held = 0;
+                follow(*other);
+                publish(*other);
+            }
+        }
+        publish(item);
+        replicate();
+        changed_.notify_all();
+    }
+
+    json::object answer_http(const std::string& target, const std::string& body,
+                             const std::string& holder, std::uint64_t fence, int& status) {
         sleep_ms(4);
         const std::lock_guard lock{mutex_};
         json::object answer;
@@ -477,8 +633,7 @@
                 answer["rows"] = json::array{};
             }
         } else if (target == "/promote") {
-            status = 409;
-            record_.write("platform: promote " + body + " refused");
+            status = promote(body, holder, fence);
         } else {
             status = 404;
         }
@@ -512,6 +667,7 @@
             for (auto& to : instances_) {
                 if (to->service == from->service && !to->primary && to->up && !to->deaf &&
                     to->held == 0 && to->log.size() < from->log.size()) {
+                    to->term = from->term;
                     to->log.insert(to->log.end(),
                                    from->log.begin() + static_cast<std::ptrdiff_t>(to->log.size()),
                                    from->log.end());
@@ -550,6 +706,16 @@
         }
         sleep_ms(12);
         socket.write("READY I " + end_of(self).text() + "\r\n");
+        {
+            const std::lock_guard lock{mutex_};
+            self.connections.push_back(&socket);
+        }
+        serve_queries(self, socket, tenant);
+        const std::lock_guard lock{mutex_};
+        std::erase(self.connections, &socket);
+    }
+
+    void serve_queries(instance& self, line_socket& socket, const std::string& tenant) {
         session state;
         state.tenant = tenant;
         while (const auto line = socket.read_line()) {
@@ -610,6 +776,11 @@
             } else if (action == "RESUME") {
                 self.held = 0;
                 replicate();
+                changed_.notify_all();
+            } else if (action == "STEPDOWN" && self.primary && std::stoull(name) > self.term) {
+                self.primary = false;
+                publish(self);
+                changed_.notify_all();
             }
             return finish(self, state,
                           "DATAROW " + std::string{self.primary ? "primary " : "replica "} +
@@ -701,7 +872,14 @@
             const position at{self.term, self.end().number + 1};
             self.log.push_back({at, id, std::move(writes)});
             replicate();
-            changed_.wait(lock, [&] { return is_replicated(self, at); });
+            const auto term = self.term;
+            constexpr std::chrono::seconds open_commit{20};
+            const bool done = changed_.wait_for(lock, open_commit, [&] {
+                return is_replicated(self, at) || !self.up || !self.primary || self.term != term;
+            });
+            if (!done || !self.up || !self.has(at) || !is_replicated(self, at)) {
+                return finish(self, state, "ERROR TIMEOUT " + self.id);
+            }
         }
         return finish(self, state, "COMPLETE " + signature(self));
     }
@@ -713,6 +891,8 @@
     std::map<std::pair<std::string, std::string>, std::pair<std::string, std::uint64_t>> rows_;
     std::uint64_t version_ = 0;
     std::uint64_t signatures_ = 0;
+    std::map<std::string, std::uint64_t> fences_;
+    std::vector<std::pair<std::string, position>> promotions_;
     std::vector<run> runs_;
     std::unique_ptr<line_server> store_;
 };
