--- a/review/standins-2/large_values.cpp
+++ b/review/standins-2/large_values.cpp
@@ -53,15 +53,16 @@
     caller link;
     bool open = false;
     for (int count = 0; steady::now() < until; ++count) {
-        std::this_thread::sleep_until(
-            started + std::chrono::duration_cast<steady::duration>(
-                          std::chrono::duration<double>(count / per_s)));
+        std::this_thread::sleep_until(started + std::chrono::duration_cast<steady::duration>(
+                                                    std::chrono::duration<double>(count / per_s)));
         if (!open) {
             open = link.start(target.port(), "bookings", "key-of-hot");
             continue;
         }
         const auto name = std::to_string(count);
-        const auto result = link.query("hot-" + name, "SET value-" + name + " " + value);
+        auto statement = "SET value-" + name;
+        statement.append(" ").append(value);
+        const auto result = link.query("hot-" + name, statement);
         open = !result.result.empty();
         acknowledged += result.done() ? 1 : 0;
     }
@@ -105,6 +106,7 @@
     std::atomic<int> acknowledged{0};
     std::atomic<int> cut{0};
     std::vector<std::thread> threads;
+    threads.reserve(2 * host_count);
     for (const auto& item : hosts) {
         threads.emplace_back([&] { read_calmly(*item, stopping, cut); });
     }
--- a/review/standins-2/route_moved_back.cpp
+++ b/review/standins-2/route_moved_back.cpp
@@ -45,9 +45,9 @@
     bool stale = false;
 };
 
-
 bool has_stale(const std::vector<session_state>& sessions) {
-    return std::any_of(sessions.begin(), sessions.end(), [](const auto& item) { return item.stale; });
+    return std::any_of(sessions.begin(), sessions.end(),
+                       [](const auto& item) { return item.stale; });
 }
 
 int play_cycle(world& platform, record_file& record, instance& replica,
@@ -62,7 +62,8 @@
     }
     for (auto& item : sessions) {
         item.first_commit = item.name + "-first" + suffix;
-        const auto result = item.link.query(item.first_commit, "WRITE item-" + item.name + " first" + suffix);
+        const auto result =
+            item.link.query(item.first_commit, "WRITE item-" + item.name + " first" + suffix);
         record.write("caller " + item.name + ": " + item.first_commit + " -> " + result.result);
         if (!result.done()) {
             return 2;
@@ -78,11 +79,13 @@
                 continue;
             }
             const auto id = item.name + "-second" + suffix + "-" + std::to_string(round);
-            const auto result = item.link.query(id, "WRITE other-" + item.name + " second" + suffix);
+            const auto result =
+                item.link.query(id, "WRITE other-" + item.name + " second" + suffix);
             const auto runs = platform.runs_of(id);
             item.wrote_on_b = result.done() && !runs.empty() && runs.back().service == "ledger-b";
             if (item.wrote_on_b) {
-                record.write("caller " + item.name + ": " + id + " -> " + result.result + " on ledger-b");
+                record.write("caller " + item.name + ": " + id + " -> " + result.result +
+                             " on ledger-b");
             }
         }
         // One host has applied the change.
@@ -143,7 +146,8 @@
     std::vector<instance*> replicas;
     for (const std::string service : {"ledger-a", "ledger-b"}) {
         for (std::size_t i = 0; i < zones.size(); ++i) {
-            auto& item = platform.add("i-" + service.substr(7) + std::to_string(i), service, zones[i], i == 0);
+            auto& item = platform.add("i-" + service.substr(7) + std::to_string(i), service,
+                                      zones[i], i == 0);
             if (service == "ledger-a") {
                 replicas.push_back(&item);
             }
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -48,8 +48,7 @@
     explicit record_file(const std::string& path) : out_(path) {}
     void write(const std::string& line) {
         const std::lock_guard lock{mutex_};
-        const auto ms =
-            std::chrono::duration_cast<milliseconds>(steady::now() - started_).count();
+        const auto ms = std::chrono::duration_cast<milliseconds>(steady::now() - started_).count();
         out_ << ms << " ms " << line << std::endl;
     }
 
@@ -115,8 +114,7 @@
     bool write(const std::string& bytes) {
         std::size_t sent = 0;
         while (sent < bytes.size()) {
-            const auto count =
-                ::send(fd_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            const auto count = ::send(fd_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
             if (count <= 0) {
                 return false;
             }
@@ -233,10 +231,13 @@
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         unsigned group = 0;
         for (std::size_t j = 0; j < 3; ++j) {
-            group = group << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U);
+            group =
+                group << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U);
         }
         for (int j = 0; j < 4; ++j) {
-            text += i + static_cast<std::size_t>(j) <= bytes.size() ? digits[group >> (18 - 6 * j) & 63] : '=';
+            text += i + static_cast<std::size_t>(j) <= bytes.size()
+                        ? digits[group >> (18 - 6 * j) & 63]
+                        : '=';
         }
     }
     return text;
@@ -282,9 +283,7 @@
     std::vector<line_socket*> connections;
 
     /// The log goes on in a new term with the next number.
-    [[nodiscard]] position end() const {
-        return {term, log.empty() ? 0 : log.back().at.number};
-    }
+    [[nodiscard]] position end() const { return {term, log.empty() ? 0 : log.back().at.number}; }
     [[nodiscard]] bool has(const position& at) const {
         return std::any_of(log.begin(), log.end(), [&](const auto& e) { return e.at == at; });
     }
@@ -321,8 +320,8 @@
         item->zone = zone;
         item->primary = primary;
         item->born = now_ms();
-        item->server =
-            std::make_unique<line_server>([this, added](line_socket& s) { serve_instance(*added, s); });
+        item->server = std::make_unique<line_server>(
+            [this, added](line_socket& s) { serve_instance(*added, s); });
         instances_.push_back(std::move(item));
         publish(*added);
         return *added;
@@ -459,17 +458,17 @@
 
     void publish(const instance& item) {
         put_row("servers", item.id,
-                json::serialize(json::object{
-                    {"service", item.service},
-                    {"address", "127.0.0.1:" + std::to_string(item.server->port())},
-                    {"zone", item.zone},
-                    {"version", "v1"},
-                    {"slots", 3},
-                    {"state", "ready"},
-                    {"warmup-left-ms", 0},
-                    {"db-role", item.primary ? "primary" : "replica"},
-                    {"sequence", item.sequence},
-                    {"born", item.born}}));
+                json::serialize(
+                    json::object{{"service", item.service},
+                                 {"address", "127.0.0.1:" + std::to_string(item.server->port())},
+                                 {"zone", item.zone},
+                                 {"version", "v1"},
+                                 {"slots", 3},
+                                 {"state", "ready"},
+                                 {"warmup-left-ms", 0},
+                                 {"db-role", item.primary ? "primary" : "replica"},
+                                 {"sequence", item.sequence},
+                                 {"born", item.born}}));
     }
 
     void put_row(const std::string& table, const std::string& key, const std::string& value) {
@@ -739,7 +738,8 @@
         return self.end();
     }
 
-    std::string finish(const instance& self, const session& state, const std::string& result) const {
+    std::string finish(const instance& self, const session& state,
+                       const std::string& result) const {
         const char* phase = state.failed ? "E" : state.open ? "T" : "I";
         return result + "\r\nREADY " + phase + " " + self.end().text() + "\r\n";
     }
