--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -170,6 +170,8 @@
     using handler = std::function<void(line_socket&)>;
     explicit line_server(handler serve) : serve_(std::move(serve)) {
         fd_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int on = 1;
+        ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(free_port());
