--- a/review/standins-2/route_moved_back.cpp
+++ b/review/standins-2/route_moved_back.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 const std::string key = "key-of-the-clerk";
+/// The site's `config_storm` has a change each 0.33 s.
+constexpr milliseconds min_change_interval{340};
 
 json::value make_config(int version, const std::string& service) {
     const auto make_service = [](const std::string& name) {
@@ -70,6 +72,7 @@
         }
     }
     const auto deadline = steady::now() + milliseconds{6000};
+    const auto next_change = steady::now() + min_change_interval;
     if (trouble) {
         platform.put_config(make_config(version, "ledger-b"));
     }
@@ -100,6 +103,7 @@
         sleep_ms(20);
     }
     if (trouble) {
+        std::this_thread::sleep_until(next_change);
         platform.put_config(make_config(version + 1, "ledger-a"));
     }
     for (int round = 0; steady::now() < deadline; ++round) {
