--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,8 +1,17 @@
 #!/usr/bin/env bash
 # Exits with 1 if acknowledged writes were lost by a promotion, 0 if not, 2 if the case could not run.
+# TROUBLE=0: the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-timeout -k 5 110 target/review-2/joined_replica target/platform/masticgrade-edge review/6
+export TROUBLE=${TROUBLE:-1}
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+trap 'kill "$driver" 2>/dev/null' TERM INT
+# The hosts are children of the driver and end with it.
+TMPDIR=$folder timeout -k 5 110 target/review-2/joined_replica target/platform/masticgrade-edge review/6 &
+driver=$!
+wait "$driver"
 result=$?
-# The driver's processes end with it.
+# A signal ends the first wait; the driver has to be gone before its folder is removed.
+wait "$driver" 2>/dev/null
 [ "$result" -le 1 ] && exit "$result"
 exit 2
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,8 +1,17 @@
 #!/usr/bin/env bash
 # Exits with 1 if a session missed its own commit, 0 if not, 2 if the case could not run.
+# TROUBLE=0: the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-timeout -k 5 110 target/review-2/route_moved_back target/platform/masticgrade-edge review/7
+export TROUBLE=${TROUBLE:-1}
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+trap 'kill "$driver" 2>/dev/null' TERM INT
+# The hosts are children of the driver and end with it.
+TMPDIR=$folder timeout -k 5 110 target/review-2/route_moved_back target/platform/masticgrade-edge review/7 &
+driver=$!
+wait "$driver"
 result=$?
-# The driver's processes end with it.
+# A signal ends the first wait; the driver has to be gone before its folder is removed.
+wait "$driver" 2>/dev/null
 [ "$result" -le 1 ] && exit "$result"
 exit 2
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -58,6 +58,20 @@
     steady::time_point started_ = steady::now();
 };
 
+/// The record of the run; set by `run_case` before anything else runs.
+inline record_file*& shared_record() {
+    static record_file* record = nullptr;
+    return record;
+}
+
+/// Values are cut in the record.
+inline std::string shortened(const std::string& text) {
+    constexpr std::size_t limit = 60;
+    return text.size() <= limit
+               ? text
+               : text.substr(0, limit) + "... " + std::to_string(text.size()) + " bytes";
+}
+
 /// Reads and writes lines that end with CR LF.
 class line_socket {
 public:
@@ -766,6 +780,12 @@
         return std::to_string(++signatures_) + ".s." + self.id;
     }
 
+    void add_run(const instance& self, const session& state, const std::string& id) {
+        runs_.push_back({id, self.id, self.service, self.end(), state.tenant, state.values});
+        record_.write("ran " + id + " on " + self.id + " of " + self.service + " for " +
+                      state.tenant + ", log ends at " + self.end().text());
+    }
+
     std::string answer_query(instance& self, session& state, const std::string& line,
                              std::unique_lock<std::mutex>& lock) {
         std::istringstream words{line};
@@ -846,7 +866,7 @@
             std::getline(arguments >> std::ws, rest);
         }
         if (action == "READ") {
-            runs_.push_back({id, self.id, self.service, self.end(), state.tenant, state.values});
+            add_run(self, state, id);
             std::string value = "-";
             for (const auto& entry : self.log) {
                 for (const auto& [item, data] : entry.writes) {
@@ -863,7 +883,7 @@
             }
             constexpr std::size_t kept_bytes = 64;
             state.writes.emplace_back(name, rest.substr(0, kept_bytes));
-            runs_.push_back({id, self.id, self.service, self.end(), state.tenant, state.values});
+            add_run(self, state, id);
             if (state.open) {
                 return finish(self, state, "COMPLETE " + signature(self));
             }
@@ -871,7 +891,7 @@
         }
         if (action == "COMMIT") {
             state.open = false;
-            runs_.push_back({id, self.id, self.service, self.end(), state.tenant, state.values});
+            add_run(self, state, id);
             return commit(self, state, id, lock);
         }
         return finish(self, state, "ERROR MALFORMED unknown");
@@ -1034,6 +1054,15 @@
     }
 
     answer query(const std::string& id, const std::string& text) {
+        shared_record()->write("sent " + id + ": " + shortened(text));
+        auto result = exchange(id, text);
+        shared_record()->write("answered " + id + ": " +
+                               (result.result.empty() ? "connection ended" : result.result));
+        return result;
+    }
+
+private:
+    answer exchange(const std::string& id, const std::string& text) {
         answer result;
         if (!socket_ || !socket_->write("QUERY " + id + " " + text + "\r\n")) {
             return result;
@@ -1051,7 +1080,6 @@
         return result;
     }
 
-private:
     std::unique_ptr<line_socket> socket_;
 };
 
@@ -1088,6 +1116,7 @@
 inline int run_case(const std::string& folder, const std::function<int(record_file&)>& play) {
     ::signal(SIGPIPE, SIG_IGN);
     auto& record = *new record_file{folder + "/record.txt"};
+    shared_record() = &record;
     int result = 2;
     try {
         result = play(record);
