Failover: recorded logs prove no promotion

Cause: the proof by the logs counted the processes that the failover row names. A replica receives, and a commit that it alone has received is acknowledged, before any host has read its first entry. No evidence of the store or the instances shows that such a process exists, so the count of the others proves nothing.

Change: a target is promoted if it has all of the old primary's log, or reaches all that any host may have acknowledged. The mark that the log holders are complete is gone. Hosts of earlier releases that read a row without it don't trust the count either.

Changed tests: those that expected a promotion by recorded logs now expect none, and one once the acknowledgements are known. 'a target below an upper bound only is promoted if the logs are known' and 'a primary's unacknowledged commits do not delay its replacement' demanded a promotion that nothing proves; their replacements demand the opposite. Tests of the mark that the row is complete are replaced by 'recorded log holders prove nothing although all of them are held'.

--- a/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
+++ b/libs/gateway/include/masticgrade/gateway/leadership_evidence.hpp
@@ -37,16 +37,12 @@
     instance_id target;
     /// The term in which `target` leads; zero if unknown.
     term_number term;
-    /// The processes that may have acknowledged commits which no other process has. Empty if not
-    /// recorded yet.
+    /// The known processes that may have acknowledged commits which no other process has. There may
+    /// be further ones that no host has heard of. Empty if not recorded yet.
     std::set<log_holder> log_holders = {};
     /// Of log holders that have ended: the end of the primary's log as read after that. No commit
     /// that they have received lies beyond it.
     std::map<log_holder, log_index> log_bounds = {};
-    /// The era of the store in which the log holders were found to be complete: while the primary
-    /// led, as many recorded replicas as an acknowledged commit takes had all of its log. Absent if
-    /// they never were. A row of another era may come from an older copy.
-    std::optional<store_era> log_holders_complete_in = {};
     /// A promotion request may still be carried out, since its answer was lost or its sender ended.
     bool request_pending = false;
     /// The end that the log of a target needs at least, as known to attempts that promoted nothing.
@@ -62,10 +58,6 @@
     friend bool operator==(const failover_record&, const failover_record&) = default;
 };
 
-/// Whether each process that may have acknowledged commits which no other process has is among the
-/// log holders of the row, which was read in `era`. Thread safety: reentrant.
-bool has_complete_log_holders(const failover_record& record, store_era era);
-
 /// Decides whether a host may use an instance as its group's primary.
 ///
 /// After a promotion, the old primary may continue to accept transactions until it hears of the new
--- a/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
+++ b/libs/gateway/include/masticgrade/gateway/promotion_choice.hpp
@@ -52,18 +52,16 @@
     std::optional<log_index> longest_unlisted = {};
     /// Replicas that have received a commit when it is acknowledged.
     std::size_t sync_replicas = 1;
-    /// All logs that may have acknowledged commits, those of the held replicas included.
+    /// The logs of all known processes, those of the held replicas included.
     std::vector<counted_log> logs = {};
-    /// Whether no other log may have acknowledged commits.
-    bool are_complete = true;
 };
 
 /// What shows that a target has every acknowledged commit.
 enum class promotion_proof {
     /// No replica has received a commit when it is acknowledged, so nothing is promised.
     not_needed,
-    /// At most as many logs are unknown as may lack an acknowledged commit.
-    logs,
+    /// The target has all of the old primary's log, which no longer grows.
+    primary_log,
     /// The log reaches everything that any host may have acknowledged.
     acknowledgements,
 };
@@ -90,9 +88,9 @@
     /// As `acknowledged_commit_missing` or `replicated_commit_missing`, as known to an earlier
     /// attempt.
     required_commit_missing,
-    /// Logs that may have acknowledged commits are unknown, and so is what hosts have acknowledged.
-    logs_unknown,
-    /// Logs are unknown, and hosts may have acknowledged commits beyond the target's log.
+    /// The end of the old primary's log is unknown, and so is what hosts have acknowledged.
+    acknowledgements_unknown,
+    /// Hosts may have acknowledged commits beyond the target's log.
     position_not_reached,
 };
 
@@ -102,20 +100,19 @@
 std::string_view to_string(promotion_proof proof) noexcept;
 std::string_view to_string(promotion_refusal refusal) noexcept;
 
-/// Whether the logs show that one that ends at `position`, the longest of the held replicas' logs,
-/// contains every acknowledged commit. Such a commit is in the log of the primary and of
-/// `sync_replicas` replicas, so that it is in a known one unless more than `sync_replicas` logs are
-/// unknown. Logs are compared by term first: one that ends in an earlier term lacks the commits of
-/// the later one, whatever its length. If there may be further logs, only the end of the old
-/// primary's log shows it. With no synchronous replica, commits are acknowledged before
-/// any replica has them, and every position is sufficient. Thread safety: reentrant.
-bool contains_acknowledged_commits(log_index position, const unheld_logs& others);
-
 /// Whether a replica whose log ends at `position`, the longest of the held replicas' logs, may be
-/// promoted. It may if the logs or what all hosts have acknowledged show that it has every
-/// acknowledged commit, unless it certainly lacks one: a log may have been replaced by an empty one
-/// without this host's knowledge. The logs alone show nothing for a target that ends before a
-/// position at which a replica was seen. Thread safety: reentrant.
+/// promoted.
+///
+/// Two things prove that it has every acknowledged commit: it has all of the old primary's log, or
+/// it reaches everything that any host may have acknowledged. The other replicas prove nothing,
+/// however many of them are held: a commit is acknowledged when some replica has received it, and
+/// one that has just joined receives before any host or row of the store names it.
+///
+/// A target that certainly lacks an acknowledged commit is refused, also if the old primary's log
+/// seems to end before it: that log may have been replaced by an empty one without this host's
+/// knowledge. With no synchronous replica, commits are acknowledged before any replica has them,
+/// and every position is sufficient. Logs are compared by term first: one that ends in an earlier
+/// term lacks the commits of the later one, whatever its length. Thread safety: reentrant.
 target_verdict assess_target(log_index position, const unheld_logs& others,
                              const census_result& acknowledged);
 
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -300,10 +300,6 @@
     [[nodiscard]] bool claims_primary(const instance_id& instance) const;
     /// Whether the recorded log holders are the listed instances.
     [[nodiscard]] bool log_holders_are_recorded() const;
-    /// Whether the recorded log holders were found to be complete, see failover_record.
-    [[nodiscard]] bool log_holders_are_complete() const {
-        return has_complete_log_holders(last_failover(), failover_row_era_);
-    }
     /// The recorded log holders, the listed instances, and the processes that disappeared from the
     /// directory before they were recorded.
     [[nodiscard]] std::set<log_holder> log_holders() const;
--- a/libs/gateway/src/failover_row.cpp
+++ b/libs/gateway/src/failover_row.cpp
@@ -197,9 +197,6 @@
                      {"log_processes", encode_log_holders(record)},
                      {"required", encode_position(record.required)},
                      {"mark", random_nonce()}};
-    if (record.log_holders_complete_in) {
-        row["log_holders_complete_in"] = record.log_holders_complete_in->value();
-    }
     return json::serialize(row);
 }
 
@@ -230,10 +227,6 @@
     result.record.log_holders = read_log_holders(object);
     result.record.required = read_position(object, "required");
     result.record.log_bounds = read_log_bounds(object);
-    if (object.contains("log_holders_complete_in")) {
-        result.record.log_holders_complete_in =
-            store_era{number_or_zero(object, "log_holders_complete_in")};
-    }
     result.holder = host_id{string_or_empty(object, "holder")};
     return result;
 }
--- a/libs/gateway/src/group_failover_logs.cpp
+++ b/libs/gateway/src/group_failover_logs.cpp
@@ -40,7 +40,6 @@
     std::optional<instance_status> former_primary) {
     unheld_logs result;
     result.sync_replicas = group_->sync_replicas();
-    result.are_complete = has_complete_log_holders(lock_.record, lock_.era);
     if (stepped_down_ && stepped_down_->led &&
         !group_->has_earlier_process(stepped_down_->process)) {
         result.former_primary = former_primary->received;
--- a/libs/gateway/src/leadership_evidence.cpp
+++ b/libs/gateway/src/leadership_evidence.cpp
@@ -4,10 +4,6 @@
 
 namespace masticgrade {
 
-bool has_complete_log_holders(const failover_record& record, store_era era) {
-    return !record.log_holders.empty() && record.log_holders_complete_in == era;
-}
-
 bool leadership_evidence::on_row(const std::optional<failover_record>& row, boot_time read_at,
                                  store_era era) {
     if (era < era_) {
--- a/libs/gateway/src/log_holder_registry.cpp
+++ b/libs/gateway/src/log_holder_registry.cpp
@@ -56,15 +56,14 @@
 }
 
 bool log_holder_registry::is_outdated() const {
-    if (group_->entries().empty() ||
-        (group_->log_holders_are_recorded() && group_->log_holders_are_complete())) {
+    if (group_->entries().empty() || group_->log_holders_are_recorded()) {
         return false;
     }
     const auto holders = group_->log_holders();
     // Without a primary there is nothing to compare the replicas with.
     const bool can_compare = group_->primary() && !group_->last_failover().open;
     return holders != group_->last_failover().log_holders ||
-           (can_compare && (!ended_among(holders).empty() || !group_->log_holders_are_complete()));
+           (can_compare && !ended_among(holders).empty());
 }
 
 std::set<log_holder> log_holder_registry::ended_among(const std::set<log_holder>& holders) const {
@@ -76,13 +75,6 @@
 }
 
 asio::awaitable<void> log_holder_registry::update() {
-    const auto holders_known = group_->log_holders();
-    const bool is_recorded = holders_known == group_->last_failover().log_holders;
-    if (is_recorded && !group_->log_holders_are_complete() &&
-        !(co_await read_replication(group_->entries())).is_complete) {
-        // Nothing to write, so the read of the row is saved.
-        co_return;
-    }
     const auto read_at = boot_clock::now();
     auto row = co_await rows_.read();
     if (row.version != fleet_version{}) {
@@ -97,12 +89,9 @@
     holders.insert(known.begin(), known.end());
     // The positions are read after the successors were listed.
     auto ended = ended_among(holders);
-    const bool is_complete = has_complete_log_holders(row.record, row.era);
-    if (!ended.empty() || !is_complete) {
+    if (!ended.empty()) {
         const auto found = co_await read_replication(group_->entries());
-        if (found.is_complete) {
-            row.record.log_holders_complete_in = row.era;
-        } else {
+        if (!found.is_complete) {
             add_bounds(row.record, ended, found);
             ended.clear();
         }
@@ -125,9 +114,7 @@
 
 void log_holder_registry::log_recorded(const failover_record& record) const {
     event_line line{"log_holders_recorded"};
-    line.field("group", group_->name())
-        .field("fence", record.fence)
-        .field("complete", record.log_holders_complete_in.has_value());
+    line.field("group", group_->name()).field("fence", record.fence);
     for (const auto& holder : record.log_holders) {
         line.field("instance", holder.instance)
             .field("address", holder.address)
--- a/libs/gateway/src/promotion_choice.cpp
+++ b/libs/gateway/src/promotion_choice.cpp
@@ -46,8 +46,8 @@
     switch (proof) {
         case promotion_proof::not_needed:
             return "not_needed";
-        case promotion_proof::logs:
-            return "logs";
+        case promotion_proof::primary_log:
+            return "primary_log";
         case promotion_proof::acknowledgements:
             return "acknowledgements";
     }
@@ -72,37 +72,14 @@
             return "replicated_commit_missing";
         case promotion_refusal::required_commit_missing:
             return "required_commit_missing";
-        case promotion_refusal::logs_unknown:
-            return "logs_unknown";
+        case promotion_refusal::acknowledgements_unknown:
+            return "acknowledgements_unknown";
         case promotion_refusal::position_not_reached:
             return "position_not_reached";
     }
     return "none";
 }
 
-bool contains_acknowledged_commits(log_index position, const unheld_logs& others) {
-    if (others.sync_replicas == 0) {
-        return true;
-    }
-    if (others.longest_unlisted && position < *others.longest_unlisted) {
-        return false;
-    }
-    if (!others.are_complete) {
-        return others.former_primary && position >= *others.former_primary;
-    }
-    if (others.unknown_replicas == 0) {
-        // A commit that the primary alone has was never acknowledged.
-        return true;
-    }
-    if (others.unknown_replicas < others.sync_replicas) {
-        return true;
-    }
-    if (others.former_primary) {
-        return position >= *others.former_primary;
-    }
-    return others.unknown_replicas + (others.primary_is_unknown ? 1 : 0) <= others.sync_replicas;
-}
-
 target_verdict assess_target(log_index position, const unheld_logs& others,
                              const census_result& acknowledged) {
     if (others.sync_replicas == 0) {
@@ -114,9 +91,9 @@
     if (others.longest_unlisted && position < *others.longest_unlisted) {
         return promotion_refusal::longer_log_unlisted;
     }
+    const bool has_primary_log = others.former_primary && position >= *others.former_primary;
     if (acknowledged.bound && position >= *acknowledged.bound) {
-        return contains_acknowledged_commits(position, others) ? promotion_proof::logs
-                                                               : promotion_proof::acknowledgements;
+        return has_primary_log ? promotion_proof::primary_log : promotion_proof::acknowledgements;
     }
     if (acknowledged.replicated && position < *acknowledged.replicated) {
         return promotion_refusal::replicated_commit_missing;
@@ -124,13 +101,11 @@
     if (acknowledged.required && position < *acknowledged.required) {
         return promotion_refusal::required_commit_missing;
     }
-    if (contains_acknowledged_commits(position, others)) {
-        return promotion_proof::logs;
-    }
-    if (!acknowledged.bound) {
-        return promotion_refusal::logs_unknown;
+    if (has_primary_log) {
+        return promotion_proof::primary_log;
     }
-    return promotion_refusal::position_not_reached;
+    return acknowledged.bound ? promotion_refusal::position_not_reached
+                              : promotion_refusal::acknowledgements_unknown;
 }
 
 std::optional<log_index> least_target_position(const census_result& acknowledged) {
--- a/libs/gateway/src/promotion_decision_log.cpp
+++ b/libs/gateway/src/promotion_decision_log.cpp
@@ -89,7 +89,6 @@
     line.field_ms("logs_age_ms", boot_clock::now() - decision.held_at)
         .field("sync_replicas", others.sync_replicas)
         .field("unknown_replicas", others.unknown_replicas)
-        .field("logs_complete", others.are_complete)
         .field("primary_known", !others.primary_is_unknown)
         .field("former_primary", text_of(others.former_primary))
         .field("longest_unlisted", text_of(others.longest_unlisted));
--- a/libs/gateway/test/failover_row_test.cpp
+++ b/libs/gateway/test/failover_row_test.cpp
@@ -20,7 +20,6 @@
 TEST_CASE("the failover row keeps the processes of the log holders") {
     failover_record record{7, false, instance_id{"a"}, term_number{3}};
     record.log_holders = {holder_of("a", 1765074693094), holder_of("b", 4), holder_of("b", 5)};
-    record.log_holders_complete_in = store_era{3};
     record.log_bounds.emplace(holder_of("b", 4), log_index{term_number{2}, log_position{7}});
     record.target_start_time = 1765074693094;
     record.target_position = {term_number{2}, log_position{41}};
@@ -50,7 +49,6 @@
     const auto record =
         decode(R"({"fence":7,"open":false,"log_holders":{"a":"a.example:1","b":"b.example:1"}})");
     CHECK(record.log_holders == std::set{holder_of("a"), holder_of("b")});
-    CHECK_FALSE(has_complete_log_holders(record, store_era{1}));
 }
 
 // Hosts of earlier releases read the addresses by instance; without them, each host that is not
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -20,25 +20,30 @@
 
 log_index first_term(std::uint64_t number) { return {term_number{1}, log_position{number}}; }
 
-/// A host that has confirmed the failover.
+/// A host that has confirmed the failover, and had read the primary's position before.
 host_acknowledgements confirmation(const char* host, acknowledged_bounds bounds) {
-    return {host_id{host}, boot_time{}, bounds, std::nullopt};
+    return {host_id{host}, boot_time{}, bounds, dated_position{boot_clock::now(), first_term(9)}};
 }
 
-/// The announcement of a failover that this number of hosts does not confirm.
-failover_announcement unanswered(std::size_t hosts) {
+/// The announcement of a failover that this number of hosts, last heard then, does not confirm.
+failover_announcement unanswered(std::size_t hosts, boot_time heard_at) {
     failover_announcement result;
     for (std::size_t i = 0; i < hosts; ++i) {
-        result.unconfirmed.emplace(host_id{"silent-" + std::to_string(i)}, boot_clock::now());
+        result.unconfirmed.emplace(host_id{"silent-" + std::to_string(i)}, heard_at);
     }
     return result;
 }
 
-/// A row whose log holders are these and no others.
-failover_record complete_record(std::set<log_holder> holders = {}) {
+/// The confirmation of a host that has read the primary's position and acknowledged nothing since.
+host_acknowledgements position_told(log_index position) {
+    auto result = confirmation("host-2", {});
+    result.newest_proof = dated_position{boot_clock::now(), position};
+    return result;
+}
+
+failover_record record_of(std::set<log_holder> holders = {}) {
     failover_record result;
     result.log_holders = std::move(holders);
-    result.log_holders_complete_in = store_era{1};
     return result;
 }
 
@@ -57,8 +62,7 @@
         group = std::make_shared<backend_group>(group_name, std::move(environment));
         prove_leadership(*group);
         if (store.value_of(lock_row).empty()) {
-            auto recorded = complete_record({holder_of("b"), holder_of("c")});
-            recorded.log_holders_complete_in = store.era();
+            const auto recorded = record_of({holder_of("b"), holder_of("c")});
             store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
         }
         update();
@@ -70,8 +74,9 @@
         update();
     }
 
-    /// Replaces the host by one that knows only what the directory and the failover row tell.
+    /// Replaces the hosts by one that knows only what the directory and the failover row tell.
     void restart_host() {
+        confirmations.clear();
         auto environment = make_local_environment(context_.get_executor(), connector, metrics);
         group = std::make_shared<backend_group>(group_name, std::move(environment));
         const auto row =
@@ -83,7 +88,7 @@
     /// Records the log holders and replaces the host by one that knows nothing else.
     void record_log_holders(const std::set<log_holder>& holders,
                             const std::map<log_holder, log_index>& bounds = {}) {
-        auto recorded = complete_record(holders);
+        auto recorded = record_of(holders);
         recorded.log_bounds = bounds;
         store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
         restart_host();
@@ -95,6 +100,12 @@
         connector.at(name).is_listed = false;
     }
 
+    /// Whether an attempt has been refused for this reason.
+    [[nodiscard]] bool has_refused(const std::string& reason) {
+        const auto counter = "masticgrade_promotions_refused_total{kind=\"" + reason + "\"}";
+        return metrics.scrape().find(counter) != std::string::npos;
+    }
+
     /// Runs the failover for at least one attempt that ends without a promotion.
     void run_without_promotion() {
         unsigned checks = 0;
@@ -149,11 +160,11 @@
     /// Other hosts that don't confirm that they stopped using the primary.
     std::size_t silent_hosts = 0;
     /// The answers of those that confirm.
-    std::vector<host_acknowledgements> confirmations;
+    std::vector<host_acknowledgements> confirmations{position_told(first_term(9))};
 
 private:
     boost::asio::awaitable<failover_announcement> announce() {
-        auto told = unanswered(silent_hosts);
+        auto told = unanswered(silent_hosts, boot_clock::now());
         told.confirmed = confirmations;
         co_return told;
     }
@@ -184,23 +195,23 @@
     CHECK(fixture.store.value_of(lock_row).find("\"target\":\"c\"") != std::string::npos);
 }
 
-// Hosts that knew a replica with the newest commits died with the primary before any had recorded
-// it, and the others were taken for all log holders.
-TEST_CASE("log holders that were never found to be complete prove nothing") {
+// Guards against the loss of commits that only a replica has which joined before the primary
+// crashed and was never listed, when the hosts that acknowledged them have been killed.
+TEST_CASE("recorded log holders prove nothing although all of them are held") {
     failover_fixture fixture;
-    auto recorded = complete_record({holder_of("b"), holder_of("c")});
-    SUBCASE("recorded without the primary, or by an earlier release") {
-        recorded.log_holders_complete_in = {};
-    }
-    SUBCASE("recorded before a restore of the store") {
-        recorded.log_holders_complete_in = store_era{2};
+    auto recorded = record_of({holder_of("b"), holder_of("c")});
+    SUBCASE("without the primary") {}
+    SUBCASE("with the primary, which is lost") {
+        fixture.connector.add("a", true).position = 14;
+        fixture.lose("a");
+        recorded.log_holders.insert(holder_of("a"));
     }
     SUBCASE("no row") { recorded = {}; }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
     fixture.run_without_promotion();
 
-    // What all hosts have acknowledged proves as before.
+    // What all hosts have acknowledged is a proof.
     auto answer = confirmation("host-2", {first_term(9), first_term(12)});
     answer.newest_proof = dated_position{boot_clock::now(), first_term(12)};
     fixture.confirmations = {answer};
@@ -219,7 +230,7 @@
         fixture.connector.at(name).refuses_connections = true;
         fixture.connector.at(name).is_listed = false;
     }
-    auto recorded = complete_record();
+    auto recorded = record_of();
     for (const auto* name : {"a", "b", "c", "d"}) {
         recorded.log_holders.insert(holder_of(name));
     }
@@ -232,6 +243,8 @@
     fixture.connector.at("c").refuses_connections = false;
     fixture.connector.at("c").is_listed = true;
     fixture.update();
+    fixture.run_without_promotion();
+    fixture.confirmations = {position_told(first_term(12))};
     fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
     REQUIRE_FALSE(fixture.promotions.orders.empty());
     CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
@@ -250,8 +263,7 @@
     unsigned checks = 0;
     fixture.run_until([&] { return ++checks > 200 || !fixture.promotions.orders.empty(); });
     REQUIRE(fixture.promotions.orders.empty());
-    CHECK(fixture.metrics.scrape().find("masticgrade_promotions_refused_total{kind=\"acknowledged_"
-                                        "commit_missing\"}") != std::string::npos);
+    CHECK(fixture.has_refused("acknowledged_commit_missing"));
 
     old_primary.refuses_connections = false;
     old_primary.is_listed = true;
@@ -265,7 +277,7 @@
     CHECK(fixture.promotions.orders.empty());
 }
 
-// Two unknown logs keep a group without a primary only if they may hold a promised commit.
+// Unknown logs keep a group without a primary only if they may hold a promised commit.
 TEST_CASE("a promotion follows the configured number of synchronous replicas") {
     unsigned sync_replicas = 0;
     SUBCASE("none") {}
@@ -277,13 +289,17 @@
         fixture.connector.at(name).refuses_connections = true;
         fixture.connector.at(name).is_listed = false;
     }
-    auto recorded = complete_record();
+    auto recorded = record_of();
     for (const auto* name : {"a", "b", "c", "d"}) {
         recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
     fixture.set_sync_replicas(sync_replicas);
+    if (sync_replicas > 0) {
+        fixture.run_without_promotion();
+        fixture.confirmations = {position_told(first_term(11))};
+    }
     fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
     REQUIRE(fixture.promotions.orders.size() == 1);
     CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
@@ -294,12 +310,13 @@
 TEST_CASE("a running instance that was removed from the log holders is asked before a promotion") {
     failover_fixture fixture;
     fixture.connector.add("d", false).position = 14;
-    auto recorded = complete_record();
+    auto recorded = record_of();
     for (const auto* name : {"b", "c", "d"}) {
         recorded.log_holders.insert(holder_of(name));
     }
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
     fixture.restart_host();
+    fixture.confirmations = {position_told(first_term(9))};
     fixture.connector.at("d").is_listed = false;
     fixture.update();
     recorded.log_holders.erase(holder_of("d"));
@@ -366,16 +383,20 @@
 TEST_CASE("a replica that lacks a commit which another replica was seen to have is not promoted") {
     failover_fixture fixture;
     SUBCASE("by the host that promotes") {
+        fixture.confirmations.clear();
         fixture.group->on_log_seen(instance_id{"d"}, first_term(13));
     }
     SUBCASE("by a host that confirms") {
         auto told = confirmation("host-2", {});
+        told.newest_proof.reset();
         told.replicas = {{instance_id{"d"}, first_term(13)}};
         fixture.confirmations = {told};
     }
     fixture.run_without_promotion();
+    CHECK(fixture.has_refused("replicated_commit_missing"));
 
     fixture.connector.add("d", false).position = 13;
+    fixture.confirmations = {position_told(first_term(13))};
     fixture.update();
     fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
     REQUIRE_FALSE(fixture.promotions.orders.empty());
@@ -387,17 +408,19 @@
 TEST_CASE("what a refused attempt knew of acknowledged commits binds hosts that started since") {
     failover_fixture fixture;
     SUBCASE("a replica was seen to have it") {
+        fixture.confirmations.clear();
         fixture.group->on_log_seen(instance_id{"d"}, first_term(13));
     }
     SUBCASE("it was acknowledged") {
         fixture.confirmations = {confirmation("host-2", {first_term(12), first_term(14)})};
     }
     fixture.run_without_promotion();
-    fixture.confirmations.clear();
     fixture.restart_host();
     fixture.run_without_promotion();
+    CHECK(fixture.has_refused("required_commit_missing"));
 
     fixture.connector.add("d", false).position = 13;
+    fixture.confirmations = {position_told(first_term(13))};
     fixture.update();
     fixture.run_until([&] {
         const auto row = decode_failover_row({lock_row, {}, fixture.store.value_of(lock_row)});
@@ -408,14 +431,26 @@
     CHECK(row.record.required == std::nullopt);
 }
 
-// The position in an answer may include commits that were never acknowledged.
-TEST_CASE("a primary's unacknowledged commits do not delay its replacement") {
+// Guards against the loss of commits that were acknowledged just before the crash: the position in
+// an answer may include commits that were not, and nothing tells which of them a replica has that
+// no host has heard of.
+TEST_CASE("a target below what may have been acknowledged waits for the primary's log") {
     failover_fixture fixture;
+    auto& old_primary = fixture.connector.add("a", true);
+    old_primary.position = 15;
+    fixture.lose("a");
     fixture.group->on_acknowledged(first_term(14), first_term(11));
     fixture.confirmations = {confirmation("host-2", {first_term(10), first_term(15)})};
-    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
-    REQUIRE(fixture.promotions.orders.size() == 1);
-    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+    fixture.update();
+    fixture.run_without_promotion();
+    CHECK(fixture.has_refused("position_not_reached"));
+
+    old_primary.refuses_connections = false;
+    old_primary.is_listed = true;
+    fixture.update();
+    fixture.run_until([&] { return fixture.group->may_lead(instance_id{"a"}, boot_clock::now()); });
+    CHECK(fixture.group->may_lead(instance_id{"a"}, boot_clock::now()));
+    CHECK(fixture.promotions.orders.empty());
 }
 
 // A group need not wait for lost logs if all hosts tell that nothing more was acknowledged.
@@ -427,7 +462,7 @@
         fixture.connector.at(name).refuses_connections = true;
         fixture.connector.at(name).is_listed = false;
     }
-    auto recorded = complete_record();
+    auto recorded = record_of();
     for (const auto* name : {"a", "b", "c", "d"}) {
         recorded.log_holders.insert(holder_of(name));
     }
@@ -470,7 +505,7 @@
     fixture.connector.at("b").is_listed = false;
     fixture.connector.at("b").refuses_connections = true;
     fixture.connector.at("a").entry.leaving = true;
-    auto recorded = complete_record();
+    auto recorded = record_of();
     for (const auto* name : {"a", "b", "c"}) {
         recorded.log_holders.insert(holder_of(name));
     }
@@ -491,7 +526,9 @@
     fixture.connector.at("c").is_listed = false;
     fixture.connector.add("d", false).position = 9;
     fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c"), holder_of("d")});
+    fixture.confirmations = {position_told(first_term(9))};
     fixture.run_without_promotion();
+    CHECK(fixture.has_refused("longer_log_unlisted"));
 
     fixture.connector.at("c").is_listed = true;
     fixture.update();
@@ -575,9 +612,9 @@
     fixture.run_without_promotion();
 }
 
-// A group had no primary for good although all of its instances were back, since only their earlier
-// processes counted.
-TEST_CASE("a log that an instance at the same address has taken over is known") {
+// The log of an instance that has taken over another one's address may be incomplete, since the
+// hold stops its transfer.
+TEST_CASE("a log that an instance at the same address has taken over is no proof by itself") {
     failover_fixture fixture;
     fixture.connector.add("a", true).position = 12;
     fixture.lose("a");
@@ -586,24 +623,14 @@
     successor.entry.address = fixture.connector.at("c").entry.address;
     successor.entry.start_time = 1;
     successor.position = 12;
-    std::set<log_holder> holders{holder_of("a"), holder_of("b"), holder_of("c")};
     std::map<log_holder, log_index> bounds{{holder_of("c"), first_term(12)}};
-    bool is_allowed = true;
     SUBCASE("up to the bound") {}
-    // It counted as complete 4 s after the hold, which stops the transfer.
-    SUBCASE("not up to the bound") {
-        bounds[holder_of("c")] = first_term(13);
-        is_allowed = false;
-    }
-    SUBCASE("the bound is unknown") {
-        bounds.clear();
-        is_allowed = false;
-    }
-    fixture.record_log_holders(holders, bounds);
-    if (!is_allowed) {
-        fixture.run_without_promotion();
-        return;
-    }
+    SUBCASE("not up to the bound") { bounds[holder_of("c")] = first_term(13); }
+    SUBCASE("the bound is unknown") { bounds.clear(); }
+    fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c")}, bounds);
+    fixture.run_without_promotion();
+
+    fixture.confirmations = {position_told(first_term(12))};
     fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
     REQUIRE_FALSE(fixture.promotions.orders.empty());
     CHECK(fixture.promotions.orders[0].target == instance_id{"d"});
@@ -646,6 +673,7 @@
         ++restarted.entry.sequence;
     };
     fixture.record_log_holders({holder_of("a"), holder_of("b", 1), holder_of("c", 1)});
+    fixture.confirmations = {position_told(first_term(12))};
     fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
     REQUIRE_FALSE(fixture.promotions.orders.empty());
     CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
@@ -683,9 +711,10 @@
     successor.is_listed = false;
     fixture.connector.add("e", false).position = 9;
     fixture.record_log_holders({holder_of("a"), holder_of("b"), holder_of("c"), holder_of("e")});
-    // The logs of the primary and of the ended replica may be unknown, but not that of a third one.
     fixture.set_sync_replicas(2);
+    fixture.confirmations = {position_told(first_term(9))};
     fixture.run_without_promotion();
+    CHECK(fixture.has_refused("longer_log_unlisted"));
 
     successor.position = 10;
     fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
@@ -706,7 +735,8 @@
         fixture.update();
         fixture.run_without_promotion();
     }
-    SUBCASE("all replicas are held") {
+    SUBCASE("a host knows what was acknowledged") {
+        fixture.confirmations = {position_told(first_term(9))};
         fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
         REQUIRE_FALSE(fixture.promotions.orders.empty());
         CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
@@ -726,6 +756,7 @@
     SUBCASE("only its earlier process is recorded") {}
     SUBCASE("both processes are recorded") { holders.insert(holder_of("a", 1)); }
     fixture.record_log_holders(holders);
+    fixture.confirmations = {position_told(first_term(9))};
     fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
     REQUIRE_FALSE(fixture.promotions.orders.empty());
     CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
@@ -1024,7 +1055,6 @@
     primary.entry.start_time = 1;
     failover_record recorded{3, false, id, term_number{1}};
     recorded.log_holders = {holder_of("a", 1), holder_of("b"), holder_of("c")};
-    recorded.log_holders_complete_in = fixture.store.era();
     recorded.target_start_time = 1;
     recorded.target_position = first_term(11);
     fixture.store.put(lock_row, encode_failover_row(recorded, host_id{"host-2"}));
@@ -1043,6 +1073,7 @@
     }
     SUBCASE("without its log") {
         primary.position = 0;
+        fixture.confirmations = {position_told(first_term(12))};
         fixture.update();
         bool was_used = fixture.group->may_lead(id, boot_clock::now());
         fixture.run_until([&] {
@@ -1146,11 +1177,14 @@
         connector.add("c", false).position = 10;
         settings_.name = group_name;
         settings_.max_connections = 20;
-        store.put(lock_row, encode_failover_row(
-                                complete_record({holder_of("a"), holder_of("b"), holder_of("c")}),
-                                host_id{"host-2"}));
+        store.put(lock_row,
+                  encode_failover_row(record_of({holder_of("a"), holder_of("b"), holder_of("c")}),
+                                      host_id{"host-2"}));
         first = make_group(first_connector_);
         second = make_group(connector);
+        for (const auto& group : {first, second}) {
+            group->add_proof(instance_id{"a"}, started_, first_term(12));
+        }
     }
 
     std::shared_ptr<backend_group> make_group(instance_connector& reached) {
@@ -1341,7 +1375,8 @@
 
     boost::asio::awaitable<failover_announcement> announce(std::size_t silent_hosts,
                                                            std::uint64_t fence) {
-        auto told = unanswered(silent_hosts);
+        // The position was proven after such a host is known to have acknowledged nothing more.
+        auto told = unanswered(silent_hosts, started_ - silent_host_lifetime);
         if (silent_hosts == 0) {
             second->on_failover_begun(fence);
             told.confirmed.push_back({host_id{"host-2"}, boot_time{}, second->acknowledged(),
@@ -1350,6 +1385,7 @@
         co_return told;
     }
 
+    const boot_time started_ = boot_clock::now();
     partitioned_connector first_connector_{connector, {"a"}};
     gateway_metrics metrics_;
     group_settings settings_;
--- a/libs/gateway/test/log_holder_registry_test.cpp
+++ b/libs/gateway/test/log_holder_registry_test.cpp
@@ -79,12 +79,6 @@
             .record.log_bounds;
     }
 
-    /// Whether the row states that no other process may have acknowledged commits.
-    [[nodiscard]] bool is_complete(store_era era = store_era{1}) const {
-        const auto row = decode_failover_row({row_key, fleet_version{1}, store.value_of(row_key)});
-        return has_complete_log_holders(row.record, era);
-    }
-
     std::set<std::string> update() {
         std::set<std::string> result;
         for (const auto& holder : update_holders()) {
@@ -136,39 +130,8 @@
     CHECK(fixture.update() == names{"a", "b", "c", "d"});
 }
 
-// A row first written after the death of the primary lacked a replica that no living host had seen,
-// and the remaining one was promoted without the newest commits.
-TEST_CASE("log holders are complete once the primary leads and listed replicas have its log") {
-    registry_fixture fixture;
-    SUBCASE("the primary does not answer") { fixture.connector.at("a").refuses_connections = true; }
-    SUBCASE("the primary has lost the lead") { fixture.connector.at("a").is_primary = false; }
-    SUBCASE("the newest commits are on none of the listed replicas") {
-        fixture.connector.at("b").position = 11;
-        fixture.connector.at("c").position = 11;
-    }
-    CHECK(fixture.update() == names{"a", "b", "c"});
-    CHECK_FALSE(fixture.is_complete());
-
-    fixture.connector.at("a").refuses_connections = false;
-    fixture.connector.at("a").is_primary = true;
-    fixture.connector.at("b").position = 12;
-    fixture.list_instances();
-    fixture.update();
-    CHECK(fixture.is_complete());
-    CHECK_FALSE(fixture.is_complete(store_era{2}));
-
-    // A host of an earlier release keeps the log holders only.
-    failover_record earlier;
-    earlier.log_holders = fixture.update_holders();
-    fixture.store.put(row_key, encode_failover_row(earlier, host_id{"host-2"}));
-    fixture.read_row(store_era{1});
-    CHECK_FALSE(fixture.is_complete());
-    fixture.update();
-    CHECK(fixture.is_complete());
-}
-
 // Each read of the store is charged for.
-TEST_CASE("log holders that cannot be found complete cause no further reads of the store") {
+TEST_CASE("recorded log holders cause no further reads of the store") {
     registry_fixture fixture;
     fixture.connector.at("b").position = 11;
     fixture.connector.at("c").position = 11;
--- a/libs/gateway/test/promotion_choice_test.cpp
+++ b/libs/gateway/test/promotion_choice_test.cpp
@@ -32,23 +32,29 @@
 
 }  // namespace
 
-// A commit may be on one replica only.
-// Guards against promotions that lose acknowledged commits: each is in two logs, so it is in a
-// known one unless two logs are unknown.
-TEST_CASE("one unknown log holds no acknowledged commit alone, two may") {
+// Guards against the loss of commits that only a replica has which no record names: it has joined
+// and received before any host read its entry, so that all known logs were held without it.
+TEST_CASE("the logs of replicas prove nothing, however few are unknown") {
     const auto at = [](std::uint64_t term, std::uint64_t number) {
         return log_index{term_number{term}, log_position{number}};
     };
-    CHECK(contains_acknowledged_commits(at(2, 5), {0, true}));
-    CHECK(contains_acknowledged_commits(at(2, 5), {1, false}));
-    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {1, true}));
-    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {2, false}));
-    CHECK(contains_acknowledged_commits(at(2, 5), {2, false, at(2, 5)}));
-    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {1, false, at(2, 6)}));
-    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {1, false, at(3, 1)}));
-    // Without unknown replicas the primary's further commits were never acknowledged.
-    CHECK(contains_acknowledged_commits(at(2, 5), {0, false, at(2, 6)}));
-    CHECK_FALSE(contains_acknowledged_commits(at(2, 5), {0, false, {}, at(2, 6)}));
+    for (const std::size_t sync_replicas : {1U, 2U, 3U}) {
+        for (const std::size_t unknown : {0U, 1U, 3U}) {
+            unheld_logs others{unknown, true};
+            others.sync_replicas = sync_replicas;
+            CHECK(assess_target(at(2, 5), others, {}) ==
+                  target_verdict{promotion_refusal::acknowledgements_unknown});
+            // The old primary has stepped down, so its log has every acknowledged commit.
+            others.former_primary = at(2, 5);
+            CHECK(is_proven_by(promotion_proof::primary_log, assess_target(at(2, 5), others, {})));
+            others.former_primary = at(2, 6);
+            CHECK(assess_target(at(2, 5), others, {}) ==
+                  target_verdict{promotion_refusal::acknowledgements_unknown});
+            others.former_primary = at(3, 1);
+            CHECK(assess_target(at(2, 5), others, {}) ==
+                  target_verdict{promotion_refusal::acknowledgements_unknown});
+        }
+    }
 }
 
 // Guards against a wrong count of the logs: in the users' runs a target was promoted without a
@@ -58,19 +64,20 @@
     const auto at = [](std::uint64_t number) {
         return log_index{term_number{3}, log_position{number}};
     };
-    const unheld_logs all_known;
+    unheld_logs all_known;
+    all_known.former_primary = at(39);
     census_result known;
     known.replicated = at(40);
-    CHECK(is_proven_by(promotion_proof::logs, assess_target(at(40), all_known, known)));
+    CHECK(is_proven_by(promotion_proof::primary_log, assess_target(at(40), all_known, known)));
     CHECK(assess_target(at(39), all_known, known) ==
           target_verdict{promotion_refusal::replicated_commit_missing});
     known.bound = at(39);
-    CHECK(is_proven_by(promotion_proof::logs, assess_target(at(39), all_known, known)));
+    CHECK(is_proven_by(promotion_proof::primary_log, assess_target(at(39), all_known, known)));
     CHECK(least_target_position(known) == at(39));
 
     census_result recorded;
     recorded.required = at(40);
-    CHECK(is_proven_by(promotion_proof::logs, assess_target(at(40), all_known, recorded)));
+    CHECK(is_proven_by(promotion_proof::primary_log, assess_target(at(40), all_known, recorded)));
     CHECK(assess_target(at(39), all_known, recorded) ==
           target_verdict{promotion_refusal::required_commit_missing});
     recorded.beyond = at(40);
@@ -88,10 +95,12 @@
         census_result told;
         told.beyond = log_index{term_number{3}, log_position{6}};
         told.up_to = acknowledged;
+        told.bound = acknowledged;
         CHECK(lacks_commit(assess_target({term_number{2}, log_position{900}}, others, told)));
         CHECK(lacks_commit(assess_target({term_number{3}, log_position{6}}, others, told)));
-        CHECK(is_proven_by(promotion_proof::logs, assess_target(acknowledged, others, told)));
-        CHECK(is_proven_by(promotion_proof::logs,
+        CHECK(is_proven_by(promotion_proof::acknowledgements,
+                           assess_target(acknowledged, others, told)));
+        CHECK(is_proven_by(promotion_proof::acknowledgements,
                            assess_target({term_number{4}, log_position{1}}, others, told)));
     }
 }
@@ -110,16 +119,17 @@
     CHECK(lacks_commit(assess_target(at(3407), {0, false}, told)));
     CHECK(lacks_commit(assess_target(at(3514), {0, false}, told)));
     CHECK(lacks_commit(assess_target(at(3407), {0, false, at(3407)}, told)));
-    CHECK(is_proven_by(promotion_proof::logs, assess_target(at(3515), {0, false}, told)));
+    CHECK(
+        is_proven_by(promotion_proof::acknowledgements, assess_target(at(3515), {0, false}, told)));
     // Nothing is promised.
     unheld_logs unpromised;
     unpromised.sync_replicas = 0;
     CHECK(is_proven_by(promotion_proof::not_needed, assess_target(at(3407), unpromised, told)));
 }
 
-// The position in an answer may include commits that no replica has received yet. After a crash
-// under load the group would wait for its primary although every replica is held.
-TEST_CASE("a target below an upper bound only is promoted if the logs are known") {
+// The position in an answer may include commits that no replica has received yet, but nothing shows
+// which of them were acknowledged: a replica that no host has heard of may have received them.
+TEST_CASE("a target below an upper bound is promoted only if it has all of the primary's log") {
     const auto at = [](std::uint64_t number) {
         return log_index{term_number{1}, log_position{number}};
     };
@@ -127,13 +137,18 @@
     told.beyond = at(9);
     told.up_to = at(14);
     told.bound = at(14);
-    CHECK(is_proven_by(promotion_proof::logs, assess_target(at(10), {0, true}, told)));
-    CHECK(assess_target(at(10), {2, true}, told) ==
-          target_verdict{promotion_refusal::position_not_reached});
-    CHECK(is_proven_by(promotion_proof::acknowledgements, assess_target(at(14), {2, true}, told)));
+    unheld_logs stepped_down;
+    stepped_down.former_primary = at(10);
+    CHECK(is_proven_by(promotion_proof::primary_log, assess_target(at(10), stepped_down, told)));
+    for (const std::size_t unknown : {0U, 2U}) {
+        CHECK(assess_target(at(10), {unknown, true}, told) ==
+              target_verdict{promotion_refusal::position_not_reached});
+        CHECK(is_proven_by(promotion_proof::acknowledgements,
+                           assess_target(at(14), {unknown, true}, told)));
+    }
     told.bound.reset();
     CHECK(assess_target(at(14), {2, true}, told) ==
-          target_verdict{promotion_refusal::logs_unknown});
+          target_verdict{promotion_refusal::acknowledgements_unknown});
 }
 
 // A running instance that is cut off from the store may have received commits whose answers are
@@ -152,32 +167,14 @@
 }
 
 // With fewer promises a lost replica must not keep a group without a primary.
-TEST_CASE("as many unknown logs are tolerated as replicas have each acknowledged commit") {
+TEST_CASE("without synchronous replicas every target is promoted") {
     const log_index position{term_number{2}, log_position{5}};
     const log_index longer{term_number{2}, log_position{6}};
-    const auto allows = [&](std::size_t sync_replicas, unheld_logs others) {
-        others.sync_replicas = sync_replicas;
-        return contains_acknowledged_commits(position, others);
-    };
-    // Nothing is promised.
-    CHECK(allows(0, {3, true}));
-    CHECK(allows(0, {1, false, longer, longer}));
-    CHECK(allows(2, {1, true}));
-    CHECK(allows(2, {2, false}));
-    CHECK_FALSE(allows(2, {2, true}));
-    CHECK_FALSE(allows(2, {3, false}));
-    CHECK(allows(2, {3, false, position}));
-    CHECK_FALSE(allows(2, {2, false, longer}));
-    // One of the known replicas has every acknowledged commit; the primary's others were none.
-    CHECK(allows(2, {1, false, longer}));
-    CHECK_FALSE(allows(2, {1, false, {}, longer}));
-    census_result told;
-    told.beyond = position;
-    unheld_logs one_unknown{1, false};
-    one_unknown.sync_replicas = 2;
-    CHECK(lacks_commit(assess_target(position, one_unknown, told)));
-    CHECK(allows(3, {2, true}));
-    CHECK_FALSE(allows(3, {3, true}));
+    unheld_logs others{3, true, longer, longer};
+    CHECK_FALSE(
+        std::holds_alternative<promotion_proof>(assess_target(position, others, census_result{})));
+    others.sync_replicas = 0;
+    CHECK(is_proven_by(promotion_proof::not_needed, assess_target(position, others, {})));
 }
 
 // Guards against promotions that lose acknowledged commits, for any number of synchronous replicas.
@@ -186,15 +183,18 @@
         std::uint64_t received = 0;
         bool is_known = true;
         bool is_listed = true;
+        /// No host or row names it.
+        bool is_unheard_of = false;
     };
     unsigned allowed_with_unknown = 0;
+    unsigned allowed_with_unheard_of = 0;
     CHECK(rc::check([&] {
         // The first one is known and listed: without such a replica there is nothing to promote.
         std::vector<model_replica> replicas{{*rc::gen::inRange<std::uint64_t>(0, 8)}};
         const auto others_count = *rc::gen::inRange<std::size_t>(1, 5);
         for (std::size_t i = 0; i < others_count; ++i) {
             replicas.push_back({*rc::gen::inRange<std::uint64_t>(0, 8), *rc::gen::arbitrary<bool>(),
-                                *rc::gen::arbitrary<bool>()});
+                                *rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>()});
         }
         const auto required = *rc::gen::inRange<std::size_t>(1, replicas.size() + 1);
         std::vector<std::uint64_t> received;
@@ -220,9 +220,15 @@
         if (acknowledged > 0 && *rc::gen::arbitrary<bool>()) {
             told.beyond = at(*rc::gen::inRange<std::uint64_t>(0, acknowledged));
         }
+        if (*rc::gen::arbitrary<bool>()) {
+            told.bound = at(acknowledged + *rc::gen::inRange<std::uint64_t>(0, 3));
+        }
         std::uint64_t longest_held = 0;
+        bool is_any_unheard_of = false;
         for (const auto& replica : replicas) {
-            if (!replica.is_known) {
+            if (replica.is_unheard_of) {
+                is_any_unheard_of = true;
+            } else if (!replica.is_known) {
                 ++others.unknown_replicas;
             } else if (replica.is_listed) {
                 longest_held = std::max(longest_held, replica.received);
@@ -234,10 +240,12 @@
         const auto verdict = assess_target(at(longest_held), others, told);
         if (std::holds_alternative<promotion_proof>(verdict)) {
             allowed_with_unknown += others.unknown_replicas > 0 ? 1 : 0;
+            allowed_with_unheard_of += is_any_unheard_of ? 1 : 0;
             RC_ASSERT(longest_held >= acknowledged);
         }
     }));
     CHECK(allowed_with_unknown > 0);
+    CHECK(allowed_with_unheard_of > 0);
 }
 
 // A configuration that lacks the number is given 1, which must be the safe choice.
--- a/tests/soak/promotion_scenario.cpp
+++ b/tests/soak/promotion_scenario.cpp
@@ -93,6 +93,18 @@
         await("writes that only the primary and the newest replica have",
               [&] { return world_.missing_writes(deaf_) >= newest_writes; });
     }
+    /// From now on only the primary and a replica that has joined receive.
+    void write_with_joined_replica_only(std::size_t joined) {
+        await("all writes in the log of the new replica",
+              [&] { return world_.missing_writes(joined) == 0; });
+        deaf_since_ = steady_clock::now();
+        world_.set_deaf(deaf_, true);
+        world_.set_deaf(newest_, true);
+        await("writes that only the primary and the new replica have", [&] {
+            return world_.missing_writes(deaf_) >= newest_writes &&
+                   world_.missing_writes(newest_) >= newest_writes;
+        });
+    }
     /// The same, with very few such writes. Answers are delayed, so that no host has sent a write
     /// after it had seen a position which the deaf replica lacks.
     void write_last_without_deaf_replica() {
@@ -499,6 +511,45 @@
     run.return_primary_after_opportunity();
 }
 
+/// A replica joins and crashes with the primary before its first entry.
+void crash_unlisted_replica(scenario& run, const std::function<void()>& kill_hosts) {
+    const auto joined = run.world().join(log_transfer, never_listed);
+    run.write_with_joined_replica_only(joined);
+    run.world().crash_instance(joined);
+    kill_hosts();
+    run.world().set_deaf(run.newest(), false);
+    run.return_primary_after_opportunity();
+}
+
+// Guards against hosts that take all recorded logs for all logs: the newest writes are on the
+// primary and on a replica that no host has heard of.
+void joined_replica_never_listed(scenario& run) {
+    crash_unlisted_replica(run, [&] { run.world().crash_primary(); });
+}
+
+// The same, without the hosts that remember the acknowledgements.
+void joined_replica_never_listed_hosts_killed(scenario& run) {
+    crash_unlisted_replica(
+        run, [&] { run.hosts().kill_with_primary(run.hosts_that_know(), run.world()); });
+}
+
+// The same, without any host that has seen a position.
+void joined_replica_never_listed_all_hosts_killed(scenario& run) {
+    crash_unlisted_replica(run, [&] { run.hosts().kill_with_primary({0, 1, 2, 3}, run.world()); });
+}
+
+// Guards against hosts that count the log of a replica which has left with the newest writes.
+void draining_replica_gone_for_good_hosts_killed(scenario& run) {
+    run.world().set_draining(run.newest(), true);
+    run.write_without_deaf_replica();
+    run.world().crash_instance(run.newest());
+    run.hosts().kill_with_primary(run.hosts_that_know(), run.world());
+    run.world().set_deaf(run.deaf(), false);
+    scenario::pause(promotion_opportunity);
+    run.world().restart_instance(run.primary());
+    run.await_service("service after the return of the primary");
+}
+
 struct scenario_entry {
     std::function<void(scenario&)> body;
     /// The number of hosts that callers use.
@@ -541,6 +592,11 @@
     {"entry_outlives_process_hosts_killed", {entry_outlives_process_hosts_killed}},
     {"resume_carried_out_late", {resume_carried_out_late}},
     {"replica_joins_unrecorded", {replica_joins_unrecorded}},
+    {"joined_replica_never_listed", {joined_replica_never_listed}},
+    {"joined_replica_never_listed_hosts_killed", {joined_replica_never_listed_hosts_killed}},
+    {"joined_replica_never_listed_all_hosts_killed",
+     {joined_replica_never_listed_all_hosts_killed}},
+    {"draining_replica_gone_for_good_hosts_killed", {draining_replica_gone_for_good_hosts_killed}},
 };
 
 }  // namespace
