Sessions: keep the newest commit for each database group

Cause: a session kept one log position. A commit on the other group replaced it, and the position of one log was compared with another log.

--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -12,6 +12,7 @@
 #include "masticgrade/gateway/connections.hpp"
 #include "masticgrade/gateway/session_state.hpp"
 #include "masticgrade/limits/usage_limiter.hpp"
+#include "session_commits.hpp"
 
 namespace masticgrade {
 
@@ -113,7 +114,7 @@
     boost::asio::awaitable<std::variant<connection_lease, statement_answer>> acquire(
         operation& op, bool on_primary, const std::set<instance_id>& excluded);
     /// The read must see every commit acknowledged before this time.
-    [[nodiscard]] static boot_time required_moment(const operation& op);
+    [[nodiscard]] boot_time required_moment(const operation& op) const;
     /// The log position that the read must see. Returns nullopt if no recent position of the
     /// primary is known.
     boost::asio::awaitable<std::optional<log_index>> required_position(operation& op);
@@ -151,7 +152,7 @@
     customer_id customer_;
     session_context context_;
     std::optional<open_transaction> transaction_;
-    std::optional<log_index> last_commit_;
+    session_commits commits_;
     bool busy_ = false;
     bool closing_ = false;
     /// The statement that is executed and has not been answered.
--- a/libs/gateway/src/session_statements.cpp
+++ b/libs/gateway/src/session_statements.cpp
@@ -211,8 +211,12 @@
     co_return refuse(answer_code::busy, retry_text(retry_hint));
 }
 
-boot_time caller_session::required_moment(const operation& op) {
-    return boot_clock::now() - op.route->max_staleness + staleness_margin;
+boot_time caller_session::required_moment(const operation& op) const {
+    const auto moment = boot_clock::now() - op.route->max_staleness + staleness_margin;
+    if (op.route->consistency != read_consistency::session) {
+        return moment;
+    }
+    return std::max(moment, commits_.moment_on(op.route->group).value_or(moment));
 }
 
 asio::awaitable<std::optional<log_index>> caller_session::required_position(operation& op) {
@@ -221,8 +225,8 @@
     if (!proven) {
         co_return std::nullopt;
     }
-    if (op.route->consistency == read_consistency::session && last_commit_) {
-        co_return std::max(*proven, *last_commit_);
+    if (op.route->consistency == read_consistency::session) {
+        co_return std::max(proven, commits_.position_on(op.route->group));
     }
     co_return proven;
 }
@@ -330,11 +334,8 @@
             auto answer = co_await execute_on(lease, op, at_least, on_primary);
             if (answer.code == answer_code::done) {
                 op.reason = "none";
-                if (on_primary && answer.position && last_commit_ &&
-                    answer.position->term > last_commit_->term) {
-                    // This log contains the session's own commits. Its position replaces the old
-                    // one, which the promotion may have rolled back.
-                    last_commit_ = answer.position;
+                if (on_primary && answer.position) {
+                    commits_.on_seen(op.route->group, *answer.position);
                 }
                 co_return answer;
             }
@@ -377,9 +378,7 @@
             auto answer = co_await execute_on(lease, op, std::nullopt, true);
             if (answer.code == answer_code::done) {
                 op.reason = "none";
-                if (answer.position) {
-                    last_commit_ = answer.position;
-                }
+                commits_.on_acknowledged(op.route->group, answer.position, boot_clock::now());
                 co_return answer;
             }
             op.reason = "instance_refused";
--- a/libs/gateway/src/session_transactions.cpp
+++ b/libs/gateway/src/session_transactions.cpp
@@ -108,8 +108,8 @@
     try {
         answer = co_await execute_on(*transaction_->lease, op, std::nullopt, wrote);
         op.reason = answer.code == answer_code::done ? "none" : "instance_refused";
-        if (answer.code == answer_code::done && wrote && answer.position) {
-            last_commit_ = answer.position;
+        if (answer.code == answer_code::done && wrote) {
+            commits_.on_acknowledged(op.route->group, answer.position, boot_clock::now());
         }
     } catch (const connection_error& failure) {
         op.reason = "connection_lost";
