Failover: read the position of a group that nobody uses

Cause: what a host acknowledged before it ended is bounded only by a position of the primary that was read after its end. In a group without statements none is read, so a dead primary would not be replaced if any host had started or ended since the last statement.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -21,6 +21,7 @@
 #include "gateway_metrics.hpp"
 #include "group_failover.hpp"
 #include "host_registry.hpp"
+#include "idle_position_prover.hpp"
 #include "instance_directory.hpp"
 #include "lease_service.hpp"
 #include "log_holder_registry.hpp"
@@ -393,6 +394,11 @@
                                                         services_.connector, settings_.host,
                                                         [this] { return live_host_ids(); }});
             spawn("log_holders", [registry = log_holders_[name].get()] { return registry->run(); });
+            idle_provers_[name] = std::make_unique<idle_position_prover>(
+                group,
+                idle_position_prover::environment{executor_, services_.connector, settings_.host,
+                                                  [this] { return live_host_ids(); }});
+            spawn("idle_position", [prover = idle_provers_[name].get()] { return prover->run(); });
         }
         return group;
     }
@@ -874,6 +880,7 @@
     std::map<group_id, std::shared_ptr<backend_group>> groups_;
     std::map<group_id, std::shared_ptr<group_failover>> failovers_;
     std::map<group_id, std::unique_ptr<log_holder_registry>> log_holders_;
+    std::map<group_id, std::unique_ptr<idle_position_prover>> idle_provers_;
     std::set<std::shared_ptr<caller_session>> sessions_;
     bool directory_refresh_requested_ = false;
     bool host_list_refresh_requested_ = false;
