Failover: promote the only listed instance of a group

Change: an attempt requires an instance that does not lead.

Test: 'the only listed instance is promoted if it does not lead'; by reading it fails before.

--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -1,5 +1,6 @@
 #include "group_failover.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -39,13 +40,15 @@
 }
 
 group_failover::failover_kind group_failover::required_failover(time_point now) const {
-    if (group_->entries().size() < 2) {
+    const auto primary = group_->primary();
+    const auto entries = group_->entries();
+    if (std::all_of(entries.begin(), entries.end(),
+                    [&](const auto& entry) { return entry.id == primary; })) {
         return failover_kind::none;
     }
     if (group_->primary_is_dead(now) || row_needs_closing()) {
         return failover_kind::unplanned;
     }
-    const auto primary = group_->primary();
     return primary && group_->is_draining(*primary) ? failover_kind::planned : failover_kind::none;
 }
 
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -840,6 +840,30 @@
     CHECK(steady_clock::now() - started < seconds{3});
 }
 
+// Guards against a group that never serves again: its primary's entry ended before a host had begun
+// a failover, and only one replica is left.
+TEST_CASE("the only listed instance is promoted if it does not lead") {
+    failover_fixture fixture;
+    fixture.lose("b");
+    fixture.update();
+    REQUIRE(fixture.group->entries().size() == 1);
+    fixture.run_until([&] { return !fixture.promotions.orders.empty(); });
+    REQUIRE_FALSE(fixture.promotions.orders.empty());
+    CHECK(fixture.promotions.orders[0].target == instance_id{"c"});
+}
+
+// Nobody could take over.
+TEST_CASE("a primary that is the only listed instance is not replaced") {
+    failover_fixture fixture;
+    fixture.connector.add("a", true).position = 12;
+    fixture.connector.at("a").entry.leaving = true;
+    fixture.lose("b");
+    fixture.lose("c");
+    fixture.update();
+    fixture.run_without_promotion();
+    CHECK(fixture.connector.at("a").is_primary);
+}
+
 // A second promotion after another host has finished one would lose the commits that the new
 // primary has acknowledged in the meantime.
 TEST_CASE("the result of another host's finished promotion is adopted") {
