--- a/libs/gateway/src/idle_position_prover.cpp
+++ b/libs/gateway/src/idle_position_prover.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// Each check of a group without a recent proof ranks all live hosts, which costs a large fleet more
-/// than the requests.
+/// Each check of a group without a recent proof ranks all live hosts, which costs a large fleet
+/// more than the requests.
 constexpr seconds check_interval{5};
 /// The live hosts that read the position of a group, those with the lowest ranks.
 constexpr std::size_t proving_hosts = 3;
