Failover: check for a recorded primary without copying the entries

Each host polls each group ten times a second, and two of the checks copied all entries of the group. They now look at the entries in place. primary_process() is one function of the group; it was defined twice.

--- a/libs/gateway/src/backend_group.cpp
+++ b/libs/gateway/src/backend_group.cpp
@@ -149,6 +149,19 @@
     return result;
 }
 
+bool backend_group::lists_others_than_primary() const {
+    const auto leading = primary();
+    return std::any_of(instances_.begin(), instances_.end(),
+                       [&](const auto& item) { return item.first != leading; });
+}
+
+std::optional<log_holder> backend_group::primary_process() const {
+    const auto leading = primary();
+    const auto found = leading ? instances_.find(*leading) : instances_.end();
+    return found == instances_.end() ? std::nullopt
+                                     : std::optional{log_holder_of(found->second.entry)};
+}
+
 bool backend_group::is_draining(const instance_id& instance) const {
     const auto found = instances_.find(instance);
     return found == instances_.end() || found->second.entry.leaving || found->second.evacuated;
--- a/libs/gateway/src/backend_group.hpp
+++ b/libs/gateway/src/backend_group.hpp
@@ -282,6 +282,11 @@
     /// As `newest_proof`, also while the group has no primary.
     [[nodiscard]] std::optional<dated_position> newest_proven_position() const;
     [[nodiscard]] std::vector<instance_entry> entries() const;
+    [[nodiscard]] bool has_entries() const { return !instances_.empty(); }
+    /// Whether an instance is listed that is not the primary.
+    [[nodiscard]] bool lists_others_than_primary() const;
+    /// The listed process of the primary, if there is one.
+    [[nodiscard]] std::optional<log_holder> primary_process() const;
     [[nodiscard]] bool is_draining(const instance_id& instance) const;
     [[nodiscard]] bool is_listed(const instance_id& instance) const {
         return instances_.contains(instance);
--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -41,9 +41,7 @@
 
 group_failover::failover_kind group_failover::required_failover(time_point now) const {
     const auto primary = group_->primary();
-    const auto entries = group_->entries();
-    if (std::all_of(entries.begin(), entries.end(),
-                    [&](const auto& entry) { return entry.id == primary; })) {
+    if (!group_->lists_others_than_primary()) {
         return failover_kind::none;
     }
     if (group_->primary_is_dead(now) || row_needs_closing()) {
@@ -142,7 +140,7 @@
     census_ = {};
     held_logs_.clear();
     stepped_down_.reset();
-    replaced_ = primary_process();
+    replaced_ = group_->primary_process();
     asio::co_spawn(environment_.executor, announce(lock_.record.fence), asio::detached);
     event_line{"failover_started"}
         .field("group", group_->name())
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -170,7 +170,6 @@
     /// Whether another process than the one that is to be replaced is the primary now: it has
     /// started again with its log.
     [[nodiscard]] bool primary_has_returned() const;
-    [[nodiscard]] std::optional<log_holder> primary_process() const;
     /// Chooses the replica to promote, after ensuring that the current primary can't acknowledge
     /// further commits.
     boost::asio::awaitable<std::optional<promotion_choice>> prepare_target(failover_kind kind);
--- a/libs/gateway/src/group_failover_choice.cpp
+++ b/libs/gateway/src/group_failover_choice.cpp
@@ -48,16 +48,8 @@
     co_return co_await choose_target(kind);
 }
 
-std::optional<log_holder> group_failover::primary_process() const {
-    const auto primary = group_->primary();
-    const auto entries = group_->entries();
-    const auto found = std::find_if(entries.begin(), entries.end(),
-                                    [&](const auto& entry) { return entry.id == primary; });
-    return found == entries.end() ? std::nullopt : std::optional{log_holder_of(*found)};
-}
-
 bool group_failover::primary_has_returned() const {
-    const auto present = primary_process();
+    const auto present = group_->primary_process();
     return present && present != replaced_ && group_->claims_primary(present->instance);
 }
 
@@ -139,7 +131,7 @@
     if (!primary) {
         co_return std::nullopt;
     }
-    const auto process = primary_process();
+    const auto process = group_->primary_process();
     const backend_request status_request = backend_status{};
     const auto seen_before = group_->highest_position(*primary);
     const auto before = co_await orders_.send(*primary, status_request);
--- a/libs/gateway/src/group_failover_promotion.cpp
+++ b/libs/gateway/src/group_failover_promotion.cpp
@@ -71,7 +71,7 @@
     if (record.target == primary && record.term == term && record.target_start_time != 0) {
         return {primary, record.target_position, record.target_start_time};
     }
-    const auto process = primary_process();
+    const auto process = group_->primary_process();
     const bool is_listed = process && process->instance == primary;
     return {primary, group_->reported_end(primary).value_or(log_index{}),
             is_listed ? process->start_time : 0};
--- a/libs/gateway/src/log_holder_registry.cpp
+++ b/libs/gateway/src/log_holder_registry.cpp
@@ -58,7 +58,7 @@
 bool log_holder_registry::is_outdated() const {
     const bool is_primary_recorded =
         names_primary(group_->last_failover(), group_->failover_row_era());
-    if (group_->entries().empty() || (group_->log_holders_are_recorded() && is_primary_recorded)) {
+    if (!group_->has_entries() || (group_->log_holders_are_recorded() && is_primary_recorded)) {
         return false;
     }
     const auto holders = group_->log_holders();
@@ -68,16 +68,8 @@
            (can_compare && (!ended_among(holders).empty() || !is_primary_recorded));
 }
 
-std::optional<log_holder> log_holder_registry::primary_process() const {
-    const auto entries = group_->entries();
-    const auto found = std::find_if(entries.begin(), entries.end(), [&](const auto& entry) {
-        return entry.id == group_->primary();
-    });
-    return found == entries.end() ? std::nullopt : std::optional{log_holder_of(*found)};
-}
-
 bool log_holder_registry::names_primary(const failover_record& record, store_era era) const {
-    const auto process = primary_process();
+    const auto process = group_->primary_process();
     return !process || (record.primary && record.primary->process == *process &&
                         record.primary->era == era && !record.primary->end);
 }
@@ -107,9 +99,9 @@
     auto ended = ended_among(holders);
     const bool is_primary_recorded = names_primary(row.record, row.era);
     if (!ended.empty() || !is_primary_recorded) {
-        const auto leading = primary_process();
+        const auto leading = group_->primary_process();
         const auto found = co_await read_replication(group_->entries());
-        if (found.primary && !is_primary_recorded && leading && leading == primary_process()) {
+        if (found.primary && !is_primary_recorded && leading && leading == group_->primary_process()) {
             row.record.primary = recorded_primary{*leading, row.era};
         }
         if (!found.is_complete) {
--- a/libs/gateway/src/log_holder_registry.hpp
+++ b/libs/gateway/src/log_holder_registry.hpp
@@ -49,8 +49,6 @@
 private:
     /// Whether an update may change the row.
     [[nodiscard]] bool is_outdated() const;
-    /// The listed process of the primary, if any.
-    [[nodiscard]] std::optional<log_holder> primary_process() const;
     /// Whether the record names the listed process of the primary.
     [[nodiscard]] bool names_primary(const failover_record& record, store_era era) const;
     /// The log holders that are known to have ended.
