Failover: record the old primary's end while an attempt waits

The end of the log was in memory only, and went into the row when the attempt ended.

A holder that has to wait now writes the end to the row first. An attempt that is proved at once writes nothing more than before, so the write gap is the same.

The new test of failover_test fails without the change and passes with it.

--- a/libs/gateway/src/group_failover.cpp
+++ b/libs/gateway/src/group_failover.cpp
@@ -154,10 +154,7 @@
         decisions_.on_attempt_refused();
         lock_.record.required = least_target_position(evaluate_acknowledgements());
         if (stepped_down_) {
-            if (stepped_down_->led && !group_->has_earlier_process(stepped_down_->process)) {
-                lock_.record.primary =
-                    recorded_primary{stepped_down_->process, lock_.era, stepped_down_->position};
-            }
+            note_former_end();
             // The next attempt holds it like the other replicas.
             group_->on_primary_denied(stepped_down_->process.instance);
         }
--- a/libs/gateway/src/group_failover.hpp
+++ b/libs/gateway/src/group_failover.hpp
@@ -202,6 +202,9 @@
     boost::asio::awaitable<unheld_logs> find_unheld_logs();
     /// The end of the log of the instance that has led last, if it no longer leads.
     [[nodiscard]] std::optional<log_index> former_primary_end() const;
+    /// Puts the end of the old primary's log into the record if the primary has stepped down in
+    /// this attempt. Returns whether the record has changed.
+    bool note_former_end();
     /// Whether waiting can't prove the target: the old primary has stepped down and has more.
     [[nodiscard]] bool is_final(const target_verdict& verdict) const;
     /// Finds out about one log. Holds the instance if it is not in the directory but runs.
--- a/libs/gateway/src/group_failover_choice.cpp
+++ b/libs/gateway/src/group_failover_choice.cpp
@@ -120,6 +120,10 @@
             // The next attempt can hold the old primary like the other replicas.
             co_return std::nullopt;
         }
+        // This host may end while it waits, and the old primary with it.
+        if (note_former_end() && !co_await renew_lock()) {
+            co_return std::nullopt;
+        }
         co_await sleep(check_interval);
     }
     co_return std::nullopt;
--- a/libs/gateway/src/group_failover_logs.cpp
+++ b/libs/gateway/src/group_failover_logs.cpp
@@ -54,6 +54,15 @@
                : std::nullopt;
 }
 
+bool group_failover::note_former_end() {
+    if (!stepped_down_ || !stepped_down_->led ||
+        group_->has_earlier_process(stepped_down_->process)) {
+        return false;
+    }
+    const recorded_primary ended{stepped_down_->process, lock_.era, stepped_down_->position};
+    return std::exchange(lock_.record.primary, ended) != ended;
+}
+
 asio::awaitable<unheld_logs> group_failover::find_unheld_logs() {
     unheld_logs result;
     result.sync_replicas = group_->sync_replicas();
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -824,6 +824,29 @@
     }
 }
 
+// Guards against a group that never serves again: its primary stepped down, and ended with all hosts
+// while the holder of the lock waited for a replica that has more.
+TEST_CASE("the end of the old primary's log is recorded while an attempt waits") {
+    failover_fixture fixture;
+    auto& primary = fixture.connector.add("a", true);
+    primary.position = 15;
+    primary.entry.leaving = true;
+    fixture.silent_hosts = 1;
+    fixture.update();
+    std::optional<recorded_primary> recorded;
+    fixture.run_until([&] {
+        const auto row = decode_failover_row({lock_row, {}, fixture.store.value_of(lock_row)});
+        const bool is_first_attempt = row.record.open && row.record.fence == 1;
+        recorded = is_first_attempt ? row.record.primary : std::nullopt;
+        return recorded && recorded->end;
+    });
+    REQUIRE(recorded);
+    CHECK(recorded->process == log_holder_of(primary.entry));
+    CHECK(recorded->era == fixture.store.era());
+    CHECK(recorded->end == first_term(15));
+    CHECK(fixture.promotions.orders.empty());
+}
+
 // Guards against a planned switch that leaves the group without a primary for the time of an
 // attempt, or for good if its hosts end: the replicas lack commits that may have been acknowledged.
 TEST_CASE("a primary that has stepped down leads again if no other replica may be promoted") {
