Limits: find a peer by name without comparing names

In a fleet of 295 hosts each host looks up all others ten times a second, for the relays of reports and for the owners of pools.

The limiter has a hash index of its peers now; results are the same. limits_test passes.

--- a/libs/limits/include/masticgrade/limits/usage_limiter.hpp
+++ b/libs/limits/include/masticgrade/limits/usage_limiter.hpp
@@ -91,6 +91,11 @@
     /// `seed` should differ between hosts, so that their random decisions are independent.
     explicit usage_limiter(boot_time now, std::uint64_t seed = 1)
         : started_(now), random_(static_cast<std::minstd_rand::result_type>(seed)) {}
+    usage_limiter(const usage_limiter&) = delete;
+    usage_limiter& operator=(const usage_limiter&) = delete;
+    usage_limiter(usage_limiter&&) = default;
+    usage_limiter& operator=(usage_limiter&&) = default;
+    ~usage_limiter() = default;
 
     /// Replaces all limits. Operations of customers without a limit are refused.
     void configure(const std::map<customer_id, rate_limit>& limits, boot_time now);
@@ -234,6 +239,8 @@
     std::size_t peers_in_round_ = 0;
     std::unordered_map<customer_id, customer_bucket> buckets_;
     std::map<host_id, peer_state> peers_;
+    /// The same peers. In a large fleet most of the lookups of a host are for all others at once.
+    std::unordered_map<host_id, peer_state*> peers_by_name_;
     /// Processes that have reported that they are shutting down.
     std::map<host_id, incarnation_number> departed_;
     /// Hosts that have already been counted as possibly alive.
--- a/libs/limits/src/usage_limiter.cpp
+++ b/libs/limits/src/usage_limiter.cpp
@@ -99,6 +99,7 @@
             ++peer_states_version_;
         }
         if (state == liveness::lost) {
+            peers_by_name_.erase(entry->first);
             entry = peers_.erase(entry);
         } else {
             next_state_change_ = std::min(next_state_change_, next_change(peer));
@@ -196,8 +197,11 @@
         return false;
     }
     const auto last_heard = now - report.age;
-    auto [found, added] = peers_.try_emplace(reporter);
-    auto& peer = found->second;
+    const auto [found, added] = peers_by_name_.try_emplace(reporter);
+    if (added) {
+        found->second = &peers_[reporter];
+    }
+    auto& peer = *found->second;
     const bool is_new = added || peer.never_heard || peer.incarnation != incarnation;
     const bool is_later = report.uptime > peer.uptime || report.leaving;
     if (!is_new && !is_later) {
@@ -236,7 +240,8 @@
         clear_usage(peer, now);
         set_state(peer, liveness::lost);
         departed_[reporter] = incarnation;
-        peers_.erase(found);
+        peers_by_name_.erase(found);
+        peers_.erase(reporter);
         ++peer_states_version_;
     }
     start_round_if_reported(now);
@@ -326,6 +331,7 @@
         // A host that expired or left does not become a silent peer again.
         if (expected_hosts_.insert(host).second) {
             auto& peer = peers_[host];
+            peers_by_name_[host] = &peer;
             peer.last_heard = now - silence_timeout - milliseconds{1};
             peer.never_heard = true;
             next_state_change_ = std::min(next_state_change_, next_change(peer));
@@ -429,14 +435,14 @@
 }
 
 bool usage_limiter::is_live(const host_id& host, boot_time now) const {
-    const auto found = peers_.find(host);
-    return found != peers_.end() && liveness_of(found->second, now) == liveness::live;
+    const auto found = peers_by_name_.find(host);
+    return found != peers_by_name_.end() && liveness_of(*found->second, now) == liveness::live;
 }
 
 bool usage_limiter::accepts_leases(const host_id& host, boot_time since) const {
-    const auto found = peers_.find(host);
-    return found != peers_.end() && found->second.last_heard >= since &&
-           found->second.accepts_leases;
+    const auto found = peers_by_name_.find(host);
+    return found != peers_by_name_.end() && found->second->last_heard >= since &&
+           found->second->accepts_leases;
 }
 
 double usage_limiter::local_load_fraction(boot_time now) const {
