--- a/libs/gateway/src/log_holder_registry.cpp
+++ b/libs/gateway/src/log_holder_registry.cpp
@@ -101,7 +101,8 @@
     if (!ended.empty() || !is_primary_recorded) {
         const auto leading = group_->primary_process();
         const auto found = co_await read_replication(group_->entries());
-        if (found.primary && !is_primary_recorded && leading && leading == group_->primary_process()) {
+        if (found.primary && !is_primary_recorded && leading &&
+            leading == group_->primary_process()) {
             row.record.primary = recorded_primary{*leading, row.era};
         }
         if (!found.is_complete) {
--- a/libs/gateway/test/failover_test.cpp
+++ b/libs/gateway/test/failover_test.cpp
@@ -824,8 +824,8 @@
     }
 }
 
-// Guards against a group that never serves again: its primary stepped down, and ended with all hosts
-// while the holder of the lock waited for a replica that has more.
+// Guards against a group that never serves again: its primary stepped down, and ended with all
+// hosts while the holder of the lock waited for a replica that has more.
 TEST_CASE("the end of the old primary's log is recorded while an attempt waits") {
     failover_fixture fixture;
     auto& primary = fixture.connector.add("a", true);
